--- /dev/null
+++ b/include/plumdale/coordination/fleet_news.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <plumdale/coordination/load_ledger.hpp>
+#include <plumdale/state/identifier.hpp>
+#include <plumdale/state/service_member.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+/// \file
+/// \brief What forwarding entry VMs tell each other besides membership.
+
+namespace plumdale::coordination
+{
+
+/// \brief One message of an entry VM to the others.
+struct fleet_news
+{
+    /// \brief Most rows of a message, so that a datagram is never fragmented.
+    static constexpr std::size_t max_loads = 32;
+    static constexpr std::size_t max_members = 8;
+
+    state::node_id sender;
+    state::incarnation uptime;
+    /// \brief Grows with each message of this uptime.
+    std::uint64_t sequence = 0;
+    /// \brief Version of the configuration that the sender follows; zero if none.
+    std::uint64_t configuration = 0;
+    /// \brief Digest of the sender's directory of upstreams.
+    std::uint64_t directory = 0;
+    /// \brief Age of what the sender last read from the platform itself, in milliseconds.
+    std::uint32_t platform_age_ms = UINT32_MAX;
+    /// \brief The rows are all of the sender's; else only those that changed.
+    bool whole = false;
+    std::vector<member_load> loads;
+    /// \brief Upstreams that the sender just learnt something of.
+    std::vector<state::service_member> members;
+};
+
+/// \brief Everything that an entry VM knows of the upstreams, for one that asks.
+struct directory_copy
+{
+    /// \brief The platform's revision as of which the list is complete; zero when it is not.
+    std::uint64_t revision = 0;
+    std::vector<state::service_member> members;
+};
+
+} // namespace plumdale::coordination
--- /dev/null
+++ b/include/plumdale/coordination/load_ledger.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <plumdale/state/identifier.hpp>
+#include <plumdale/state/service_member.hpp>
+#include <plumdale/state/time.hpp>
+
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+/// \file
+/// \brief What the fleet's entry VMs have in flight at each upstream.
+
+namespace plumdale::coordination
+{
+
+/// \brief Calls in flight at one upstream and the memory that they hold and will hold there.
+struct member_load
+{
+    state::member_key member;
+    std::uint32_t calls = 0;
+    /// \brief Tokens in memory now: prompts and what was generated.
+    std::uint32_t tokens = 0;
+    /// \brief Tokens in memory when all of them have ended as estimated.
+    std::uint32_t tokens_at_end = 0;
+
+    friend constexpr bool operator==(member_load const&, member_load const&) noexcept = default;
+};
+
+/// \brief Own calls, exactly, and the peers' as they tell them.
+///
+/// Upstreams' own reports are half a second old and the same for all who read them, so deciders
+/// that follow them choose the same upstream at once. What each entry VM started since is known
+/// to its peers within a datagram's delay. Example:
+/// \code
+/// load_ledger ledger;
+/// ledger.add(member, {1, 3000, 3900});     // a call begins
+/// ledger.total(member, now).tokens;        // own and peers'
+/// ledger.remove(member, {1, 3400, 3900});  // it ended
+/// \endcode
+class load_ledger
+{
+public:
+    /// \brief Counts own calls at `member` in, or out again.
+    void add(state::member_key member, member_load const& load);
+    void remove(state::member_key member, member_load const& load);
+
+    /// \brief Takes a peer's rows; with `whole`, members that are not named have none of its calls.
+    /// News that was overtaken within one uptime of the peer is dropped; another uptime starts
+    /// anew.
+    void take(state::node_id peer, state::incarnation uptime, std::uint64_t sequence, bool whole,
+              std::span<member_load const> rows, state::time_point now);
+    /// \brief Drops peers that were not heard for `peer_lifetime`.
+    void forget_silent(state::time_point now);
+
+    [[nodiscard]] member_load own(state::member_key member) const;
+    /// \brief Returns own and peers' calls together.
+    [[nodiscard]] member_load total(state::member_key member) const;
+    /// \brief Returns the rows that changed since the last call, for peers.
+    [[nodiscard]] std::vector<member_load> take_changes();
+    [[nodiscard]] std::vector<member_load> all_own() const;
+    [[nodiscard]] bool has_changes() const noexcept
+    {
+        return !changed_.empty();
+    }
+
+    /// \brief An entry VM that died is silent; its calls end at the upstreams with its connections.
+    /// Three of the periodic messages.
+    static constexpr state::duration peer_lifetime = std::chrono::milliseconds{3'500};
+
+private:
+    struct peer_rows
+    {
+        state::incarnation uptime;
+        std::uint64_t sequence = 0;
+        state::time_point heard{};
+        std::unordered_map<state::member_key, member_load> rows;
+    };
+
+    void replace(peer_rows& peer, member_load const& row);
+    void clear(peer_rows& peer);
+
+    std::unordered_map<state::member_key, member_load> own_;
+    std::unordered_map<state::member_key, member_load> peers_total_;
+    std::unordered_map<state::node_id, peer_rows> peers_;
+    std::vector<state::member_key> changed_;
+};
+
+} // namespace plumdale::coordination
--- /dev/null
+++ b/include/plumdale/coordination/member_choice.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <plumdale/coordination/load_ledger.hpp>
+#include <plumdale/coordination/member_health.hpp>
+#include <plumdale/coordination/service_directory.hpp>
+#include <plumdale/state/routing_configuration.hpp>
+
+#include <optional>
+#include <random>
+#include <span>
+#include <string_view>
+
+/// \file
+/// \brief Chooses the upstream for a call.
+
+namespace plumdale::coordination
+{
+
+/// \brief What a call will need at its upstream.
+struct call_demand
+{
+    /// \brief Tokens of the prompt; zero for plain calls.
+    std::uint32_t prompt_tokens = 0;
+    /// \brief Tokens that it is expected to generate.
+    std::uint32_t output_tokens = 0;
+};
+
+/// \brief A choice and how full its upstream will be.
+struct chosen_member
+{
+    state::member_key member;
+    /// \brief Projected share of memory, or of the batch or slots where that is greater, with this
+    /// call.
+    double fullness = 0.0;
+};
+
+/// \brief Takes the upstream that will be least full, its own zone and sound ones first.
+///
+/// Example: `member_choice choice{directory, ledger, health, "heredia-a", random};`
+class member_choice
+{
+public:
+    member_choice(service_directory const& directory, load_ledger const& ledger,
+                  member_health const& health, std::string_view own_zone, std::minstd_rand& random);
+
+    /// \brief Returns the best upstream of a service that is none of `excluded`; none when there is
+    /// no upstream that may take work. `near_zone` is preferred.
+    [[nodiscard]] std::optional<chosen_member> choose(state::service const& service,
+                                                      call_demand const& demand,
+                                                      std::span<state::member_key const> excluded,
+                                                      std::string_view near_zone,
+                                                      state::time_point now) const;
+    /// \brief Returns how full an upstream would be with this call.
+    [[nodiscard]] double fullness(directory_entry const& entry, state::service const& service,
+                                  call_demand const& demand) const;
+    /// \brief Returns the mean projected share of memory over a service's upstreams.
+    [[nodiscard]] double mean_fullness(state::service const& service, state::time_point now) const;
+    [[nodiscard]] std::string_view own_zone() const noexcept
+    {
+        return own_zone_;
+    }
+
+    /// \brief Share of fullness that a call to another zone is worth avoiding: about one run of 24.
+    /// Its bytes are paid for, and a copy of its memory takes twice as long.
+    static constexpr double other_zone = 0.04;
+    /// \brief Spread of a random part, so that entry VMs that see the same don't choose the same.
+    static constexpr double spread = 0.03;
+    /// \brief Added in full for an upstream that is set aside: above any fullness.
+    static constexpr double aside = 10.0;
+
+private:
+    service_directory const& directory_;
+    load_ledger const& ledger_;
+    member_health const& health_;
+    std::string_view own_zone_;
+    std::minstd_rand& random_;
+};
+
+} // namespace plumdale::coordination
--- /dev/null
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <plumdale/state/service_member.hpp>
+#include <plumdale/state/time.hpp>
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+/// \file
+/// \brief The upstreams of all services, joined from the platform's list and from peers.
+
+namespace plumdale::coordination
+{
+
+/// \brief What a join changed.
+enum class directory_change : std::uint8_t
+{
+    none,
+    listed,  ///< A new incarnation may be used.
+    leaving, ///< It announced that it is leaving.
+    removed  ///< It is gone from the list.
+};
+
+/// \brief One row of the directory.
+struct directory_entry
+{
+    state::service_member info;
+    state::time_point listed_at{};
+    /// \brief When its leaving or removal was learnt here; `never` while it stays.
+    state::time_point leaving_since = state::never;
+    /// \brief Its removal counts from here on; see `service_directory::platform_returned`.
+    state::time_point removed_from = state::never;
+    /// \brief Seen at the address of another incarnation, or refused the connection for good.
+    bool replaced = false;
+};
+
+/// \brief Joins news of upstreams in any order to the same result.
+///
+/// Presence joins by the greatest revision, leaving is monotone. Example:
+/// \code
+/// service_directory directory;
+/// directory.join(member, now);
+/// if (directory.may_take_work(key, now)) { ... }
+/// \endcode
+class service_directory
+{
+public:
+    /// \brief Joins one piece of news; `member.listed` says whether it is listed or removed.
+    directory_change join(state::service_member const& member, state::time_point now);
+    /// \brief Another incarnation answered at this one's address: it is gone.
+    void replaced(state::member_key key, state::time_point now);
+    /// \brief The platform is reachable again after an outage. Upstreams whose entries lapsed
+    /// meanwhile have until `lapse_grace` to come back before their removal counts.
+    void platform_returned(state::time_point now) noexcept;
+    /// \brief Removes rows that were removed long ago.
+    void forget(state::time_point now);
+
+    [[nodiscard]] directory_entry const* find(state::member_key key) const;
+    /// \brief Returns whether new work may be sent to it.
+    [[nodiscard]] bool may_take_work(directory_entry const& entry,
+                                     state::time_point now) const noexcept;
+    /// \brief Returns the keys of a service's rows, in no order.
+    [[nodiscard]] std::span<state::member_key const> members_of(std::string_view service) const;
+    [[nodiscard]] std::unordered_map<state::member_key, directory_entry> const&
+    entries() const noexcept
+    {
+        return entries_;
+    }
+    /// \brief Returns a digest of which incarnations are listed and which of them leave; equal ones
+    /// mean that nothing is to be exchanged.
+    [[nodiscard]] std::uint64_t digest() const noexcept
+    {
+        return digest_;
+    }
+
+    /// \brief Entries that lapsed in an outage are back within two seconds of its end.
+    static constexpr state::duration lapse_grace = std::chrono::milliseconds{2'200};
+    /// \brief Removed rows are kept for stragglers' news; far above any datagram's delay.
+    static constexpr state::duration remember_removed = std::chrono::seconds{120};
+
+private:
+    void toggle_digest(state::service_member const& member) noexcept;
+
+    std::unordered_map<state::member_key, directory_entry> entries_;
+    std::unordered_map<std::string, std::vector<state::member_key>> services_;
+    state::time_point lapse_until_{};
+    std::uint64_t digest_ = 0;
+};
+
+} // namespace plumdale::coordination
--- /dev/null
+++ b/include/plumdale/protocol/fleet_codec.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <plumdale/coordination/fleet_news.hpp>
+#include <plumdale/state/result.hpp>
+
+#include <span>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief News between forwarding entry VMs as bytes.
+
+namespace plumdale::protocol
+{
+
+/// \brief Returns a datagram: a MAC by the fleet key and Cap'n Proto words.
+[[nodiscard]] std::string encode(coordination::fleet_news const& news, std::string_view fleet_key);
+
+/// \brief Reads a datagram. Anything not made with the fleet key or not well-formed fails with
+/// `invalid_request`.
+[[nodiscard]] state::result<coordination::fleet_news>
+decode_fleet_news(std::span<char const> datagram, std::string_view fleet_key);
+
+/// \brief Returns the body of an answer to a peer that asks for the directory.
+[[nodiscard]] std::string encode(coordination::directory_copy const& copy);
+
+/// \brief Reads such a body; fails with `invalid_request`.
+[[nodiscard]] state::result<coordination::directory_copy>
+decode_directory_copy(std::string_view body);
+
+} // namespace plumdale::protocol
--- /dev/null
+++ b/include/plumdale/protocol/http_reader.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <plumdale/protocol/message_head.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief Incremental reading of one HTTP/1.1 message.
+
+namespace plumdale::protocol
+{
+
+/// \brief Which message is read.
+enum class message_role : std::uint8_t
+{
+    request,
+    answer,
+    answer_without_body ///< To a HEAD request.
+};
+
+/// \brief How the body's end is known.
+enum class body_framing : std::uint8_t
+{
+    none,
+    length,
+    chunked,
+    until_close ///< Only the connection's end tells; a break looks the same.
+};
+
+/// \brief Where the reader stands.
+enum class read_progress : std::uint8_t
+{
+    head,     ///< The head is not whole yet.
+    body,     ///< The head is whole, the body is not.
+    whole,    ///< The message ended; bytes behind it were not taken.
+    malformed ///< These bytes are no HTTP message, or an ambiguous or oversized one.
+};
+
+/// \brief Reads one message from bytes as they arrive; parsing by Beast.
+///
+/// Both a length and chunked coding, two lengths, or chunked coding that is not last are refused:
+/// two readers could see two messages in them. Example:
+/// \code
+/// http_reader reader{message_role::request, {16384, 1 << 20}};
+/// reader.append(bytes);
+/// if (reader.progress() == read_progress::whole) { use(reader.head(), reader.take_body()); }
+/// \endcode
+class http_reader
+{
+public:
+    struct limits
+    {
+        std::uint32_t head_bytes = 16 * 1024;
+        std::uint64_t body_bytes = 1024 * 1024;
+    };
+
+    http_reader(message_role role, limits bounds);
+    http_reader(http_reader&&) noexcept;
+    http_reader& operator=(http_reader&&) noexcept;
+    ~http_reader();
+
+    /// \brief Takes bytes; those behind the message's end stay in `rest()`.
+    read_progress append(std::string_view bytes);
+    /// \brief The connection ended in order. Completes a body that ends with it; elsewhere the
+    /// message stays as it is.
+    read_progress append_end();
+
+    [[nodiscard]] read_progress progress() const noexcept;
+    [[nodiscard]] body_framing framing() const noexcept;
+    /// \brief Returns the head; valid once progress is beyond `head`.
+    [[nodiscard]] message_head const& head() const noexcept;
+    /// \brief Returns the body bytes that came since the last call.
+    [[nodiscard]] std::string take_body();
+    /// \brief Returns bytes that were not taken: behind the end, or an unfinished head.
+    [[nodiscard]] std::string_view rest() const noexcept;
+    /// \brief Returns whether any byte came.
+    [[nodiscard]] bool has_begun() const noexcept;
+    /// \brief Returns whether the message is too large for its bounds, when malformed.
+    [[nodiscard]] bool is_too_large() const noexcept;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace plumdale::protocol
--- a/programs/plumdaled/main.cpp
+++ b/programs/plumdaled/main.cpp
@@ -1,9 +1,13 @@
+#include "platform/platform_dialect.hpp"
+
 #include <plumdale/coordination/least_in_flight.hpp>
 #include <plumdale/coordination/projected_memory_policy.hpp>
 #include <plumdale/protocol/endpoint_text.hpp>
+#include <plumdale/protocol/forward_settings.hpp>
 #include <plumdale/protocol/settings.hpp>
 #include <plumdale/state/error_kind.hpp>
 #include <plumdale/transport/daemon.hpp>
+#include <plumdale/transport/forwarder.hpp>
 #include <plumdale/transport/log.hpp>
 
 #include <tclap/CmdLine.h>
@@ -16,6 +20,8 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace
 {
@@ -47,22 +53,32 @@
     return state::answer_for(kind).exit_code;
 }
 
-std::optional<protocol::daemon_settings> read_settings(options const& chosen)
+std::optional<std::string> read_file(std::string const& name)
 {
-    std::ifstream file{chosen.file};
+    std::ifstream file{name};
     if (!file)
     {
-        std::cerr << "plumdaled: " << chosen.file << ": can't be read\n";
+        std::cerr << "plumdaled: " << name << ": can't be read\n";
         return std::nullopt;
     }
-    std::string const text{std::istreambuf_iterator<char>{file}, {}};
-    std::vector<protocol::settings_error> errors;
-    protocol::daemon_settings settings = protocol::decode_settings(text, errors);
+    return std::string{std::istreambuf_iterator<char>{file}, {}};
+}
+
+void print_errors(std::string const& file, std::vector<protocol::settings_error> const& errors)
+{
     for (protocol::settings_error const& error : errors)
     {
-        std::cerr << "plumdaled: " << chosen.file << ": " << error.pointer << ": found "
-                  << error.found << "; allowed: " << error.allowed << '\n';
+        std::cerr << "plumdaled: " << file << ": " << error.pointer << ": found " << error.found
+                  << "; allowed: " << error.allowed << '\n';
     }
+}
+
+std::optional<protocol::daemon_settings> daemon_settings_of(options const& chosen,
+                                                            std::string_view text)
+{
+    std::vector<protocol::settings_error> errors;
+    protocol::daemon_settings settings = protocol::decode_settings(text, errors);
+    print_errors(chosen.file, errors);
     if (!errors.empty())
     {
         return std::nullopt;
@@ -74,6 +90,20 @@
     return settings;
 }
 
+std::optional<protocol::forward_settings> forward_settings_of(options const& chosen,
+                                                              std::string_view text)
+{
+    std::vector<protocol::settings_error> errors;
+    protocol::forward_settings settings = protocol::decode_forward_settings(text, errors);
+    print_errors(chosen.file, errors);
+    return errors.empty() ? std::optional{std::move(settings)} : std::nullopt;
+}
+
+int invalid_settings()
+{
+    return state::answer_for(state::error_kind::settings_invalid).exit_code;
+}
+
 struct level_row
 {
     std::string_view name;
@@ -160,6 +190,33 @@
     }
 }
 
+// Forwards calls in the words of the users' platform.
+int forward(options const& chosen, std::string const& text)
+{
+    auto settings = forward_settings_of(chosen, text);
+    if (!settings)
+    {
+        return invalid_settings();
+    }
+    if (chosen.check)
+    {
+        return 0;
+    }
+    auto const reread = [&chosen]() -> std::optional<protocol::forward_settings>
+    {
+        auto const again = read_file(chosen.file);
+        return again ? forward_settings_of(chosen, *again) : std::nullopt;
+    };
+    platform::platform_dialect const words;
+    transport::forwarder forwarder{std::move(*settings), words, reread};
+    if (auto const opened = forwarder.open(); !opened)
+    {
+        std::cerr << "plumdaled: " << opened.error().detail << '\n';
+        return exit_code(opened.error().kind);
+    }
+    return forwarder.run() == 0 ? 0 : exit_code(state::error_kind::interrupted);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -169,12 +226,21 @@
     {
         std::cerr << "plumdaled: --log-level: found " << chosen.log_level
                   << "; allowed: debug, info, warning, error\n";
-        return exit_code(state::error_kind::settings_invalid);
+        return invalid_settings();
+    }
+    auto const text = read_file(chosen.file);
+    if (!text)
+    {
+        return invalid_settings();
+    }
+    if (protocol::is_forward_settings(*text))
+    {
+        return forward(chosen, *text);
     }
-    auto const settings = read_settings(chosen);
+    auto const settings = daemon_settings_of(chosen, *text);
     if (!settings)
     {
-        return exit_code(state::error_kind::settings_invalid);
+        return invalid_settings();
     }
     return chosen.check ? 0 : serve(*settings);
 }
--- /dev/null
+++ b/src/coordination/copy_schedule.cpp
@@ -0,0 +1,46 @@
+#include <plumdale/coordination/copy_schedule.hpp>
+
+#include <algorithm>
+
+namespace plumdale::coordination
+{
+namespace
+{
+
+// A copy's fixed part: its order, answer and set-up at both ends.
+constexpr state::duration copy_overhead = std::chrono::milliseconds{4};
+// Destinations in other zones, and what runs generate meanwhile, make first copies longer than the
+// tokens known at the notice say.
+constexpr double first_copies_excess = 1.2;
+
+} // namespace
+
+state::duration copy_time(state::engine_limits const& engine, std::uint64_t tokens,
+                          bool to_other_zone) noexcept
+{
+    constexpr double bits_per_byte = 8.0;
+    constexpr double bits_per_megabit = 1e6;
+    if (engine.link_megabits <= 0.0)
+    {
+        return copy_overhead;
+    }
+    double const bits = static_cast<double>(tokens) * engine.bytes_per_token * bits_per_byte;
+    double const seconds = bits / (engine.link_megabits * bits_per_megabit);
+    double const crossing = to_other_zone ? 2.0 : 1.0;
+    return copy_overhead + std::chrono::duration_cast<state::duration>(
+                               std::chrono::duration<double>{seconds * crossing});
+}
+
+state::time_point last_copies_from(departure const& leaving, state::engine_limits const& engine,
+                                   std::uint64_t fleet_tokens, std::uint32_t fleet_calls) noexcept
+{
+    state::duration const one_by_one = copy_time(engine, fleet_tokens, false);
+    auto const first_copies = std::chrono::duration_cast<state::duration>(
+        first_copies_excess * one_by_one + fleet_calls * copy_overhead);
+    state::time_point const gone =
+        leaving.leaves_at.value_or(leaving.learnt_at + shortest_notice - notice_delay);
+    state::time_point const latest = gone - departure_margin - fleet_calls * last_copy_time;
+    return std::max(leaving.learnt_at, std::min(leaving.learnt_at + first_copies, latest));
+}
+
+} // namespace plumdale::coordination
--- /dev/null
+++ b/src/coordination/fleet_view.cpp
@@ -0,0 +1,138 @@
+#include <plumdale/coordination/fleet_view.hpp>
+
+#include <algorithm>
+
+namespace plumdale::coordination
+{
+namespace
+{
+
+// Seed of the ranks of readers, so that they differ from other ranks derived of the same ids.
+constexpr std::uint64_t reader_ranks = 0x5ead;
+
+std::uint64_t rank_of(state::node_id node) noexcept
+{
+    return state::mix(node.value, reader_ranks);
+}
+
+} // namespace
+
+bool fleet_view::hear(fleet_news const& news, state::endpoint streams, std::uint64_t own_directory,
+                      state::time_point now)
+{
+    if (news.sender == self_)
+    {
+        return false;
+    }
+    peer_state& peer = peers_[news.sender];
+    // Uptimes are numbered by the time of day, which may have stepped back: one that looks older
+    // is believed once the other has been silent for longer than a datagram is under way.
+    bool const is_past_uptime = news.uptime < peer.uptime && peer.heard + settling >= now;
+    bool const is_old =
+        is_past_uptime || (news.uptime == peer.uptime && news.sequence <= peer.sequence);
+    if (is_old)
+    {
+        return false;
+    }
+    peer.uptime = news.uptime;
+    peer.sequence = news.sequence;
+    peer.streams = streams;
+    peer.configuration = news.configuration;
+    peer.directory = news.directory;
+    peer.heard = now;
+    peer.platform_read = now - std::chrono::milliseconds{news.platform_age_ms};
+    if (peer.directory == own_directory)
+    {
+        peer.differs_since = state::never;
+    }
+    else
+    {
+        peer.differs_since = std::min(peer.differs_since, now);
+    }
+    most_live_ = std::max(most_live_, live(now));
+    return true;
+}
+
+void fleet_view::directory_changed(std::uint64_t own_directory, state::time_point now)
+{
+    for (auto& [node, peer] : peers_)
+    {
+        peer.differs_since = peer.directory == own_directory ? state::never : now;
+    }
+}
+
+void fleet_view::forget_silent(state::time_point now)
+{
+    static constexpr state::duration remembered = std::chrono::minutes{2};
+    std::erase_if(peers_, [now](auto const& each) { return each.second.heard + remembered < now; });
+}
+
+bool fleet_view::is_live(peer_state const& peer, state::time_point now) const noexcept
+{
+    return peer.heard + silence >= now;
+}
+
+bool fleet_view::is_reader(state::time_point now) const
+{
+    auto const before = std::count_if(peers_.begin(), peers_.end(),
+                                      [this, now](auto const& each)
+                                      {
+                                          return is_live(each.second, now) &&
+                                                 each.second.platform_read + stale_read >= now &&
+                                                 rank_of(each.first) < rank_of(self_);
+                                      });
+    return static_cast<std::size_t>(before) < readers;
+}
+
+std::optional<state::endpoint> fleet_view::newer_configuration(std::uint64_t version,
+                                                               state::time_point now) const
+{
+    peer_state const* best = nullptr;
+    for (auto const& [node, peer] : peers_)
+    {
+        bool const better = is_live(peer, now) && peer.configuration > version;
+        if (better && (best == nullptr || peer.configuration > best->configuration))
+        {
+            best = &peer;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional{best->streams};
+}
+
+std::optional<state::endpoint> fleet_view::better_directory(state::time_point now) const
+{
+    peer_state const* best = nullptr;
+    for (auto const& [node, peer] : peers_)
+    {
+        bool const differs =
+            peer.differs_since != state::never && peer.differs_since + settling < now;
+        bool const knows = is_live(peer, now) && peer.platform_read + stale_read >= now;
+        if (differs && knows && (best == nullptr || peer.platform_read > best->platform_read))
+        {
+            best = &peer;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional{best->streams};
+}
+
+std::size_t fleet_view::live(state::time_point now) const
+{
+    return 1 + static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(),
+                                                      [this, now](auto const& each)
+                                                      { return is_live(each.second, now); }));
+}
+
+state::time_point fleet_view::platform_read(state::time_point now) const
+{
+    state::time_point newest{};
+    for (auto const& [node, peer] : peers_)
+    {
+        if (is_live(peer, now))
+        {
+            newest = std::max(newest, peer.platform_read);
+        }
+    }
+    return newest;
+}
+
+} // namespace plumdale::coordination
--- /dev/null
+++ b/src/coordination/member_choice.cpp
@@ -0,0 +1,87 @@
+#include <plumdale/coordination/member_choice.hpp>
+
+#include <algorithm>
+
+namespace plumdale::coordination
+{
+namespace
+{
+
+// Plain upstreams queue beyond their slots; a listing without slots is taken for one.
+double slots_of(state::service_member const& member)
+{
+    return std::max(1U, member.slots);
+}
+
+} // namespace
+
+member_choice::member_choice(service_directory const& directory, load_ledger const& ledger,
+                             member_health const& health, std::string_view own_zone,
+                             std::minstd_rand& random)
+    : directory_{directory}, ledger_{ledger}, health_{health}, own_zone_{own_zone}, random_{random}
+{
+}
+
+double member_choice::fullness(directory_entry const& entry, state::service const& service,
+                               call_demand const& demand) const
+{
+    member_load const load = ledger_.total(state::key_of(entry.info));
+    double const calls = (load.calls + 1.0) / slots_of(entry.info);
+    if (!service.engine || service.engine->memory_tokens == 0)
+    {
+        return calls;
+    }
+    // Outputs end one by one while others grow, so what is there now counts as much as what all
+    // will hold at their ends, which they don't reach at the same moment.
+    double const held = (load.tokens + load.tokens_at_end) / 2.0;
+    double const wanted = demand.prompt_tokens + demand.output_tokens / 2.0;
+    return std::max(calls, (held + wanted) / service.engine->memory_tokens);
+}
+
+std::optional<chosen_member> member_choice::choose(state::service const& service,
+                                                   call_demand const& demand,
+                                                   std::span<state::member_key const> excluded,
+                                                   std::string_view near_zone,
+                                                   state::time_point now) const
+{
+    std::optional<chosen_member> best;
+    double best_score = 0.0;
+    std::uniform_real_distribution<double> noise{0.0, spread};
+    for (state::member_key const key : directory_.members_of(service.name))
+    {
+        directory_entry const* const entry = directory_.find(key);
+        bool const fits = entry != nullptr && directory_.may_take_work(*entry, now) &&
+                          std::find(excluded.begin(), excluded.end(), key) == excluded.end();
+        if (!fits)
+        {
+            continue;
+        }
+        double const full = fullness(*entry, service, demand);
+        double const score = full + (entry->info.zone == near_zone ? 0.0 : other_zone) +
+                             aside * health_.penalty(key, now) + noise(random_);
+        if (!best || score < best_score)
+        {
+            best = chosen_member{key, full};
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+double member_choice::mean_fullness(state::service const& service, state::time_point now) const
+{
+    double sum = 0.0;
+    std::size_t count = 0;
+    for (state::member_key const key : directory_.members_of(service.name))
+    {
+        directory_entry const* const entry = directory_.find(key);
+        if (entry != nullptr && directory_.may_take_work(*entry, now))
+        {
+            sum += fullness(*entry, service, {});
+            ++count;
+        }
+    }
+    return count == 0 ? 1.0 : sum / static_cast<double>(count);
+}
+
+} // namespace plumdale::coordination
--- /dev/null
+++ b/src/protocol/fleet_codec.cpp
@@ -0,0 +1,192 @@
+#include "datagram_seal.hpp"
+#include "fleet.capnp.h"
+
+#include <plumdale/protocol/fleet_codec.hpp>
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace plumdale::protocol
+{
+namespace
+{
+
+using coordination::fleet_news;
+
+// Ten times the directory of the largest fleet, 11,000 upstreams at some 100 bytes.
+constexpr std::uint64_t most_words = 11'000ULL * 100 * 10 / sizeof(capnp::word);
+
+state::failure malformed(char const* detail)
+{
+    return {state::error_kind::invalid_request, detail};
+}
+
+void write(wire::MemberLoad::Builder to, coordination::member_load const& from)
+{
+    to.setMember(from.member.value);
+    to.setCalls(from.calls);
+    to.setTokens(from.tokens);
+    to.setTokensAtEnd(from.tokens_at_end);
+}
+
+void write(wire::ServiceMember::Builder to, state::service_member const& from)
+{
+    to.setName(from.name);
+    to.setService(from.service);
+    to.setZone(from.zone);
+    to.setAddress(from.address.address);
+    to.setPort(from.address.port);
+    to.setLeaving(from.leaving);
+    to.setListed(from.listed);
+    to.setSlots(from.slots);
+    to.setRevision(from.revision);
+    to.setColdMs(from.cold_ms);
+}
+
+template <class List, class Values>
+void write_rows(List to, Values const& from)
+{
+    unsigned int index = 0;
+    for (auto const& each : from)
+    {
+        write(to[index], each);
+        ++index;
+    }
+}
+
+coordination::member_load read(wire::MemberLoad::Reader from)
+{
+    return {state::member_key{from.getMember()}, from.getCalls(), from.getTokens(),
+            from.getTokensAtEnd()};
+}
+
+state::service_member read(wire::ServiceMember::Reader from)
+{
+    state::service_member member;
+    member.name = from.getName().cStr();
+    member.service = from.getService().cStr();
+    member.zone = from.getZone().cStr();
+    member.address = {from.getAddress(), from.getPort()};
+    member.leaving = from.getLeaving();
+    member.listed = from.getListed();
+    member.slots = from.getSlots();
+    member.revision = from.getRevision();
+    member.cold_ms = from.getColdMs();
+    return member;
+}
+
+template <class Root, class Write>
+std::string packed(Write const& write_root)
+{
+    capnp::MallocMessageBuilder builder;
+    write_root(builder.initRoot<Root>());
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, builder);
+    auto const bytes = out.getArray().asChars();
+    return {bytes.begin(), bytes.size()};
+}
+
+// Text of peers reaches Cap'n Proto's checks only here; what they refuse comes as an exception.
+template <class Root, class Value, class Read>
+state::result<Value> unpacked(std::string_view bytes, Read const& read_root)
+{
+    try
+    {
+        kj::ArrayPtr<kj::byte const> const data{reinterpret_cast<kj::byte const*>(bytes.data()),
+                                                bytes.size()};
+        kj::ArrayInputStream in{data};
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = most_words;
+        capnp::PackedMessageReader reader{in, options};
+        return read_root(reader.getRoot<Root>());
+    }
+    catch (kj::Exception const& /*malformed*/)
+    {
+        return malformed("malformed news of a peer");
+    }
+}
+
+} // namespace
+
+std::string encode(fleet_news const& news, std::string_view fleet_key)
+{
+    std::string const text = packed<wire::FleetNews>(
+        [&news](wire::FleetNews::Builder to)
+        {
+            to.setSender(news.sender.value);
+            to.setUptime(news.uptime.value);
+            to.setSequence(news.sequence);
+            to.setConfiguration(news.configuration);
+            to.setDirectory(news.directory);
+            to.setPlatformAgeMs(news.platform_age_ms);
+            to.setWhole(news.whole);
+            write_rows(to.initLoads(static_cast<unsigned int>(news.loads.size())), news.loads);
+            write_rows(to.initMembers(static_cast<unsigned int>(news.members.size())),
+                       news.members);
+        });
+    return sealed({text.data(), text.size()}, fleet_key);
+}
+
+state::result<fleet_news> decode_fleet_news(std::span<char const> datagram,
+                                            std::string_view fleet_key)
+{
+    if (!is_sealed(datagram, fleet_key, {}))
+    {
+        return malformed("wrong MAC of a peer's news");
+    }
+    std::string_view const text{datagram.data() + datagram_seal_bytes,
+                                datagram.size() - datagram_seal_bytes};
+    return unpacked<wire::FleetNews, fleet_news>(text,
+                                                 [](wire::FleetNews::Reader from)
+                                                 {
+                                                     fleet_news news;
+                                                     news.sender = state::node_id{from.getSender()};
+                                                     news.uptime =
+                                                         state::incarnation{from.getUptime()};
+                                                     news.sequence = from.getSequence();
+                                                     news.configuration = from.getConfiguration();
+                                                     news.directory = from.getDirectory();
+                                                     news.platform_age_ms = from.getPlatformAgeMs();
+                                                     news.whole = from.getWhole();
+                                                     for (auto const each : from.getLoads())
+                                                     {
+                                                         news.loads.push_back(read(each));
+                                                     }
+                                                     for (auto const each : from.getMembers())
+                                                     {
+                                                         news.members.push_back(read(each));
+                                                     }
+                                                     return news;
+                                                 });
+}
+
+std::string encode(coordination::directory_copy const& copy)
+{
+    return packed<wire::DirectoryCopy>(
+        [&copy](wire::DirectoryCopy::Builder to)
+        {
+            to.setRevision(copy.revision);
+            write_rows(to.initMembers(static_cast<unsigned int>(copy.members.size())),
+                       copy.members);
+        });
+}
+
+state::result<coordination::directory_copy> decode_directory_copy(std::string_view body)
+{
+    return unpacked<wire::DirectoryCopy, coordination::directory_copy>(
+        body,
+        [](wire::DirectoryCopy::Reader from)
+        {
+            coordination::directory_copy copy;
+            copy.revision = from.getRevision();
+            for (auto const each : from.getMembers())
+            {
+                copy.members.push_back(read(each));
+            }
+            return copy;
+        });
+}
+
+} // namespace plumdale::protocol
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -1,3 +1,4 @@
+#include "datagram_seal.hpp"
 #include "peer.capnp.h"
 
 #include <plumdale/protocol/peer_codec.hpp>
@@ -5,9 +6,6 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 
 #include <algorithm>
 #include <array>
@@ -21,23 +19,11 @@
 
 using coordination::peer_message;
 using coordination::peer_message_kind;
-using mac_bytes = std::array<char, 16>;
 
 constexpr std::size_t most_words = peer_message::max_bytes / sizeof(capnp::word);
 constexpr auto last_kind = static_cast<std::uint16_t>(peer_message_kind::news);
 constexpr auto last_health = static_cast<std::uint16_t>(state::member_health::dead);
 
-[[nodiscard]] mac_bytes mac_of(std::string_view key, std::span<char const> text)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-         reinterpret_cast<unsigned char const*>(text.data()), text.size(), digest.data(), &length);
-    mac_bytes mac{};
-    std::memcpy(mac.data(), digest.data(), mac.size());
-    return mac;
-}
-
 [[nodiscard]] state::failure malformed(char const* detail)
 {
     return {state::error_kind::invalid_request, detail};
@@ -225,13 +211,6 @@
     return to;
 }
 
-// Whether the MAC in front of a datagram was made with `key`.
-bool fits(std::string_view key, std::span<char const> datagram)
-{
-    mac_bytes const mac = mac_of(key, datagram.subspan(sizeof(mac_bytes)));
-    return CRYPTO_memcmp(mac.data(), datagram.data(), mac.size()) == 0;
-}
-
 } // namespace
 
 std::string encode(peer_message const& message, std::string_view fleet_key)
@@ -240,12 +219,7 @@
     capnp::MallocMessageBuilder builder{kj::arrayPtr(scratch.data(), scratch.size())};
     write(builder.initRoot<wire::PeerMessage>(), message);
     auto const segment = builder.getSegmentsForOutput()[0].asChars();
-    std::string datagram(sizeof(mac_bytes), '\0');
-    datagram.append(segment.begin(), segment.size());
-    mac_bytes const mac =
-        mac_of(fleet_key, std::span<char const>{datagram}.subspan(sizeof(mac_bytes)));
-    std::copy(mac.begin(), mac.end(), datagram.begin());
-    return datagram;
+    return sealed({segment.begin(), segment.size()}, fleet_key);
 }
 
 state::result<peer_message> decode_peer_message(std::span<char const> datagram,
@@ -253,18 +227,16 @@
                                                 std::span<std::string const> accepted,
                                                 coordination::safeguard_set safeguards)
 {
-    bool const sized = datagram.size() > sizeof(mac_bytes) &&
+    bool const sized = datagram.size() > datagram_seal_bytes &&
                        datagram.size() <= peer_message::max_bytes &&
-                       (datagram.size() - sizeof(mac_bytes)) % sizeof(capnp::word) == 0;
+                       (datagram.size() - datagram_seal_bytes) % sizeof(capnp::word) == 0;
     if (!sized)
     {
         return malformed("wrong size of a peer message");
     }
-    std::span<char const> const text = datagram.subspan(sizeof(mac_bytes));
+    std::span<char const> const text = datagram.subspan(datagram_seal_bytes);
     // Before anything is parsed: whoever does not hold the fleet key reaches no parser.
-    bool const genuine = fits(fleet_key, datagram) ||
-                         std::any_of(accepted.begin(), accepted.end(),
-                                     [&](std::string const& key) { return fits(key, datagram); });
+    bool const genuine = is_sealed(datagram, fleet_key, accepted);
     if (!genuine && safeguards.has(coordination::safeguard::datagram_mac))
     {
         return malformed("wrong MAC of a peer message");
--- /dev/null
+++ b/src/transport/call_admission.cpp
@@ -0,0 +1,127 @@
+#include "boot_clock.hpp"
+#include "plain_call.hpp"
+#include "stream_call.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using state::error_kind;
+
+// Without a configuration nothing is known of keys and routes; it comes within milliseconds of the
+// store's or a peer's answer.
+constexpr state::duration uninformed_come_back = std::chrono::milliseconds{300};
+
+// Streams that begin later would be cut when the platform ends the process; another entry VM can
+// take them. Plain calls end in time.
+constexpr state::duration admit_while_closing = std::chrono::seconds{3};
+
+std::string_view without_port(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+/// \brief Why a call is turned away, and what its caller is told.
+struct turned_away
+{
+    error_kind kind;
+    std::string_view why;
+};
+
+std::optional<turned_away> look_up(forward_core& core, admitted_call& admitted)
+{
+    if (!core.informed())
+    {
+        return turned_away{error_kind::not_ready, "no configuration or upstreams yet"};
+    }
+    protocol::message_head const& head = admitted.call.head;
+    bool const is_late = core.closing_since != state::never &&
+                         admitted.call.read_at > core.closing_since + admit_while_closing;
+    if (admitted.terms.id.empty() || head.count("Host") != 1)
+    {
+        return turned_away{error_kind::invalid_request, "no id, or not one host"};
+    }
+    admitted.table = core.routing;
+    admitted.route =
+        admitted.table->find_route(without_port(*head.find("Host")), path_of(head.target));
+    if (admitted.route == nullptr)
+    {
+        return turned_away{error_kind::unknown_model, "no route"};
+    }
+    bool const needs_key =
+        !admitted.table->configuration().customers.empty() && !admitted.route->is_public;
+    admitted.customer = needs_key ? admitted.table->find_customer(admitted.terms.key) : nullptr;
+    if (needs_key && admitted.customer == nullptr)
+    {
+        return turned_away{error_kind::unauthenticated, "unknown key"};
+    }
+    if (is_late && admitted.route->kind == state::call_kind::streaming)
+    {
+        return turned_away{error_kind::draining, "this entry VM shuts down"};
+    }
+    std::uniform_real_distribution<double> draw{0.0, 1.0};
+    admitted.service = admitted.table->find_service(
+        coordination::routing_table::service_of(*admitted.route, draw(core.random)));
+    if (admitted.service == nullptr)
+    {
+        return turned_away{error_kind::no_upstream, "the route's service is not configured"};
+    }
+    return std::nullopt;
+}
+
+coordination::call_demand demand_of(protocol::call_terms const& terms)
+{
+    std::uint32_t const expected =
+        terms.output_hint == 0 ? terms.output_limit / 2 : terms.output_hint;
+    return {terms.prompt_tokens, std::min(expected, terms.output_limit)};
+}
+
+} // namespace
+
+std::shared_ptr<call_handler>
+start_call(forward_core& core, std::shared_ptr<caller_channel> const& channel, whole_call call)
+{
+    core.metrics.add(forward_count::calls);
+    admitted_call admitted;
+    admitted.call = std::move(call);
+    admitted.terms = core.dialect.read_call(admitted.call.head);
+    if (auto const away = look_up(core, admitted))
+    {
+        core.log.write("call", "turned away", admitted.terms.id,
+                       {{"why", away->why},
+                        {"status", state::answer_for(away->kind).status},
+                        {"configuration",
+                         core.routing == nullptr
+                             ? 0
+                             : static_cast<std::int64_t>(core.routing->configuration().version)}});
+        core.metrics.add(forward_count::refused);
+        channel->refuse(away->kind, uninformed_come_back);
+        return nullptr;
+    }
+    admitted.demand = demand_of(admitted.terms);
+    state::duration const left = admitted.terms.time_left.value_or(admitted.route->timeout);
+    admitted.deadline = admitted.call.read_at + std::min(left, admitted.route->timeout);
+    bool const streams = admitted.route->kind == state::call_kind::streaming;
+    std::shared_ptr<forward_call> started;
+    if (streams)
+    {
+        started = std::make_shared<stream_call>(core, channel, std::move(admitted));
+    }
+    else
+    {
+        started = std::make_shared<plain_call>(core, channel, std::move(admitted));
+    }
+    started->start();
+    return started;
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/caller_channel.cpp
@@ -0,0 +1,345 @@
+#include "caller_channel.hpp"
+
+#include "boot_clock.hpp"
+
+#include <boost/asio/write.hpp>
+
+#include <cstdio>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using boost::system::error_code;
+using protocol::header_field;
+
+// After the last answer the caller's bytes are read off, so that its copy of the answer is not
+// destroyed by a reset.
+constexpr state::duration linger_time = std::chrono::seconds{1};
+
+protocol::http_reader new_reader(state::caller_limits const& limits)
+{
+    return {protocol::message_role::request, {limits.header_bytes, limits.body_bytes}};
+}
+
+std::string seconds_text(state::duration time)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
+    return text.data();
+}
+
+} // namespace
+
+caller_channel::caller_channel(tcp::socket socket, std::function<channel_terms()> terms,
+                               call_starter start, std::function<void(caller_channel&)> on_closed)
+    : socket_{std::move(socket)}, terms_{std::move(terms)}, start_{std::move(start)},
+      on_closed_{std::move(on_closed)}, timer_{socket_.get_executor()}, reader_{new_reader(
+                                                                            terms_().limits)}
+{
+}
+
+void caller_channel::start()
+{
+    error_code ignored;
+    socket_.set_option(tcp::no_delay{true}, ignored);
+    int const timeout = user_timeout_ms;
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    arm(terms_().limits.idle_timeout);
+    read();
+}
+
+// -- reading --------------------------------------------------------------------------------------
+
+void caller_channel::read()
+{
+    if (reading_ || stage_ == stage::closed || ahead_.size() > read_ahead)
+    {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(net::buffer(buffer_),
+                            [self = shared_from_this()](error_code error, std::size_t bytes)
+                            {
+                                self->reading_ = false;
+                                self->on_read(error, bytes);
+                            });
+}
+
+void caller_channel::on_read(error_code error, std::size_t bytes)
+{
+    if (stage_ == stage::closed)
+    {
+        return;
+    }
+    if (error)
+    {
+        return caller_gone();
+    }
+    if (stage_ != stage::closing)
+    {
+        ahead_.append(buffer_.data(), bytes);
+    }
+    if (stage_ == stage::idle || stage_ == stage::reading)
+    {
+        take();
+    }
+    read();
+}
+
+void caller_channel::take()
+{
+    if (stage_ == stage::idle)
+    {
+        channel_terms const terms = terms_();
+        reader_ = new_reader(terms.limits);
+        stage_ = stage::reading;
+        arm(terms.limits.header_timeout);
+    }
+    auto const progress = reader_.append(std::exchange(ahead_, {}));
+    if (progress == protocol::read_progress::malformed)
+    {
+        return refuse_malformed();
+    }
+    std::string const* const expect =
+        progress == protocol::read_progress::body ? reader_.head().find("Expect") : nullptr;
+    if (expect != nullptr && protocol::same_name(*expect, "100-continue"))
+    {
+        waiting_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        write();
+    }
+    if (progress == protocol::read_progress::whole)
+    {
+        begin_call();
+    }
+}
+
+void caller_channel::begin_call()
+{
+    stage_ = stage::in_call;
+    timer_.cancel();
+    ahead_ = reader_.rest();
+    whole_call call{reader_.head(), reader_.take_body(), boot_now()};
+    std::string const* const connection = call.head.find("Connection");
+    caller_closes_ = connection != nullptr && protocol::has_token(*connection, "close");
+    without_body_ = call.head.method == "HEAD";
+    // An answer may be given before the handler is known here, and the next call begun.
+    std::uint64_t const serial = ++calls_;
+    std::shared_ptr<call_handler> handler = start_(shared_from_this(), std::move(call));
+    if (stage_ == stage::in_call && serial == calls_)
+    {
+        handler_ = std::move(handler);
+    }
+}
+
+void caller_channel::refuse_malformed()
+{
+    stage_ = stage::in_call;
+    caller_closes_ = true;
+    refuse(reader_.is_too_large() ? state::error_kind::request_too_large
+                                  : state::error_kind::invalid_request,
+           state::duration::zero());
+}
+
+void caller_channel::caller_gone()
+{
+    auto const handler = std::exchange(handler_, nullptr);
+    close();
+    if (handler != nullptr)
+    {
+        handler->caller_left();
+    }
+}
+
+// -- answers --------------------------------------------------------------------------------------
+
+void caller_channel::head_of(unsigned status, std::string_view reason,
+                             std::vector<header_field> const& fields, bool closes)
+{
+    close_after_ = closes;
+    waiting_.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+    waiting_.append(reason).append("\r\n");
+    for (header_field const& field : fields)
+    {
+        waiting_.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    if (closes)
+    {
+        waiting_.append("Connection: close\r\n");
+    }
+}
+
+void caller_channel::answer(unsigned status, std::string_view reason,
+                            std::vector<header_field> const& fields, std::string_view body)
+{
+    if (stage_ != stage::in_call)
+    {
+        return;
+    }
+    head_of(status, reason, fields, caller_closes_ || terms_().closing);
+    waiting_.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+    if (!without_body_)
+    {
+        waiting_.append(body);
+    }
+    finish_call(!close_after_);
+}
+
+void caller_channel::refuse(state::error_kind kind, state::duration come_back)
+{
+    state::error_answer const& row = state::answer_for(kind);
+    std::vector<header_field> fields{{"Content-Type", "application/json"}};
+    if (row.retry_after)
+    {
+        fields.push_back({"Retry-After", seconds_text(come_back)});
+    }
+    std::string body{R"({"error":")"};
+    body.append(row.name).append(R"(","claim":")").append(state::claim_name(row.claim));
+    body.append(R"(","message":")").append(row.message).append("\"}");
+    answer(row.status, row.name, fields, body);
+}
+
+void caller_channel::begin(unsigned status, std::string_view reason,
+                           std::vector<header_field> const& fields)
+{
+    head_of(status, reason, fields, caller_closes_ || terms_().closing);
+    waiting_.append("Transfer-Encoding: chunked\r\n\r\n");
+    write();
+}
+
+void caller_channel::send_part(std::string_view bytes)
+{
+    if (bytes.empty() || stage_ != stage::in_call)
+    {
+        return;
+    }
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    waiting_.append(size.data()).append(bytes).append("\r\n");
+    write();
+}
+
+void caller_channel::end()
+{
+    if (stage_ == stage::in_call)
+    {
+        waiting_.append("0\r\n\r\n");
+        finish_call(!close_after_);
+    }
+}
+
+void caller_channel::break_off()
+{
+    if (stage_ == stage::in_call)
+    {
+        finish_call(false);
+    }
+}
+
+void caller_channel::finish_call(bool keep)
+{
+    handler_ = nullptr;
+    stage_ = keep ? stage::idle : stage::closing;
+    arm(keep ? terms_().limits.idle_timeout : linger_time);
+    write();
+    if (!keep)
+    {
+        return;
+    }
+    if (!ahead_.empty())
+    {
+        take();
+    }
+    read();
+}
+
+// -- writing --------------------------------------------------------------------------------------
+
+void caller_channel::write()
+{
+    if (!writing_.empty() || stage_ == stage::closed)
+    {
+        return;
+    }
+    if (waiting_.empty())
+    {
+        if (stage_ == stage::closing)
+        {
+            error_code ignored;
+            socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        return;
+    }
+    writing_ = std::exchange(waiting_, {});
+    net::async_write(socket_, net::buffer(writing_),
+                     [self = shared_from_this()](error_code error, std::size_t)
+                     { self->on_written(error); });
+}
+
+void caller_channel::on_written(error_code error)
+{
+    writing_.clear();
+    if (stage_ == stage::closed)
+    {
+        return;
+    }
+    if (error)
+    {
+        return caller_gone();
+    }
+    write();
+    if (handler_ != nullptr && !is_full())
+    {
+        auto const handler = handler_;
+        handler->caller_ready();
+    }
+}
+
+// -- time and end ---------------------------------------------------------------------------------
+
+void caller_channel::arm(state::duration time)
+{
+    timer_.expires_after(time);
+    timer_.async_wait(
+        [weak = weak_from_this()](error_code error)
+        {
+            auto const self = weak.lock();
+            if (!error && self != nullptr)
+            {
+                self->on_timer();
+            }
+        });
+}
+
+void caller_channel::on_timer()
+{
+    if (stage_ != stage::in_call)
+    {
+        close();
+    }
+}
+
+void caller_channel::cut()
+{
+    close();
+    handler_ = nullptr;
+}
+
+void caller_channel::close()
+{
+    if (stage_ == stage::closed)
+    {
+        return;
+    }
+    stage_ = stage::closed;
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+    on_closed_(*this);
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/fleet_exchange.cpp
@@ -0,0 +1,352 @@
+#include "fleet_exchange.hpp"
+
+#include "boot_clock.hpp"
+
+#include <plumdale/protocol/endpoint_text.hpp>
+#include <plumdale/protocol/fleet_codec.hpp>
+#include <plumdale/protocol/peer_codec.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using namespace coordination;
+using udp = net::ip::udp;
+using boost::system::error_code;
+
+constexpr std::string_view part = "fleet";
+// The first byte of a datagram says which codec reads the rest.
+constexpr char members_mark = 'm';
+constexpr char news_mark = 'n';
+constexpr unsigned success = 200;
+constexpr std::chrono::milliseconds peer_timeout{700};
+
+// Grows from start to start unless the time of day steps back; peers allow for that.
+state::incarnation this_uptime()
+{
+    auto const wall = std::chrono::system_clock::now().time_since_epoch();
+    return {static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(wall).count())};
+}
+
+node_settings settings_of(protocol::forward_settings const& from, state::endpoint streams)
+{
+    node_settings settings;
+    settings.self.id = state::named<state::node_id>(protocol::to_text(from.datagrams));
+    settings.self.zone = state::named<state::zone_id>(from.zone);
+    settings.self.uptime = this_uptime();
+    settings.self.datagrams = from.datagrams;
+    settings.self.streams = streams;
+    settings.fleet_key = from.fleet_key;
+    settings.seeds = from.seeds;
+    std::erase(settings.seeds, from.datagrams);
+    return settings;
+}
+
+} // namespace
+
+fleet_exchange::fleet_exchange(forward_core& core, udp::socket socket, state::endpoint streams,
+                               std::function<state::time_point()> last_read)
+    : core_{core}, socket_{std::move(socket)}, last_read_{std::move(last_read)},
+      settings_{settings_of(core.settings, streams)}, members_{settings_, core.random()}
+{
+}
+
+void fleet_exchange::start()
+{
+    receive();
+    advance();
+}
+
+// -- receiving ------------------------------------------------------------------------------------
+
+void fleet_exchange::receive()
+{
+    socket_.async_receive_from(net::buffer(received_), sender_,
+                               [this](error_code error, std::size_t bytes)
+                               {
+                                   if (error == net::error::operation_aborted)
+                                   {
+                                       return;
+                                   }
+                                   if (!error)
+                                   {
+                                       on_datagram(bytes);
+                                   }
+                                   receive();
+                               });
+}
+
+void fleet_exchange::on_datagram(std::size_t bytes)
+{
+    state::endpoint const from{sender_.address().to_v4().to_uint(), sender_.port()};
+    if (bytes == 0)
+    {
+        return;
+    }
+    std::span<char const> const text{received_.data() + 1, bytes - 1};
+    if (received_[0] == members_mark)
+    {
+        return take_peer_message(text, from);
+    }
+    auto const news = protocol::decode_fleet_news(text, settings_.fleet_key);
+    if (received_[0] != news_mark || !news)
+    {
+        core_.metrics.add(forward_count::news_rejected);
+        return;
+    }
+    core_.metrics.add(forward_count::news_received);
+    take_news(news.value(), from);
+}
+
+void fleet_exchange::take_peer_message(std::span<char const> text, state::endpoint from)
+{
+    auto const message = protocol::decode_peer_message(text, settings_.fleet_key);
+    if (!message)
+    {
+        core_.metrics.add(forward_count::news_rejected);
+        return;
+    }
+    control_actions actions;
+    members_.receive(from, message.value(), boot_now(), actions);
+    carry_out(actions);
+}
+
+void fleet_exchange::take_news(fleet_news const& news, state::endpoint from)
+{
+    state::time_point const now = boot_now();
+    // All entry VMs use the same ports.
+    state::endpoint const streams{from.address, settings_.self.streams.port};
+    if (!core_.fleet.hear(news, streams, core_.directory.digest(), now))
+    {
+        return;
+    }
+    core_.ledger.take(news.sender, news.uptime, news.sequence, news.whole, news.loads, now);
+    std::size_t const untold = core_.untold.size();
+    core_.take_members(news.members, part);
+    // The peer tells the others itself.
+    core_.untold.resize(untold);
+    std::uint64_t const version =
+        core_.routing == nullptr ? 0 : core_.routing->configuration().version;
+    if (news.configuration > version)
+    {
+        fetch_configuration(streams);
+    }
+}
+
+// -- what is lacking ------------------------------------------------------------------------------
+
+void fleet_exchange::fetch_configuration(state::endpoint peer)
+{
+    if (std::exchange(fetching_configuration_, true))
+    {
+        return;
+    }
+    fetch_request request;
+    request.address = peer;
+    request.target = configuration_target;
+    request.timeout = peer_timeout;
+    fetch(core_.context, std::move(request),
+          [this](state::result<fetch_answer> answer)
+          {
+              fetching_configuration_ = false;
+              if (answer && answer.value().status == success)
+              {
+                  core_.take_configuration(std::move(answer.value().body), part);
+                  return;
+              }
+              core_.log.write(part, "peer gave no configuration", {},
+                              {{"detail", answer ? std::to_string(answer.value().status)
+                                                 : answer.error().detail}});
+          });
+}
+
+void fleet_exchange::fetch_directory(state::endpoint peer)
+{
+    if (std::exchange(fetching_directory_, true))
+    {
+        return;
+    }
+    fetch_request request;
+    request.address = peer;
+    request.target = directory_target;
+    request.timeout = peer_timeout;
+    fetch(core_.context, std::move(request),
+          [this](state::result<fetch_answer> const& answer)
+          {
+              fetching_directory_ = false;
+              auto const copy = answer && answer.value().status == success
+                                    ? protocol::decode_directory_copy(answer.value().body)
+                                    : state::result<directory_copy>{state::failure{}};
+              if (!copy)
+              {
+                  core_.log.write(part, "peer gave no directory", {},
+                                  {{"detail", answer ? std::to_string(answer.value().status)
+                                                     : answer.error().detail}});
+                  return;
+              }
+              std::size_t const untold = core_.untold.size();
+              copy.value().revision != 0
+                  ? core_.take_list(copy.value().members, copy.value().revision, part)
+                  : core_.take_members(copy.value().members, part);
+              core_.untold.resize(untold);
+          });
+}
+
+// -- telling --------------------------------------------------------------------------------------
+
+std::vector<state::endpoint> fleet_exchange::audience() const
+{
+    std::vector<state::endpoint> peers;
+    for (state::member_entry const& entry : members_.table().entries())
+    {
+        bool const listens =
+            entry.info.id != settings_.self.id && entry.info.health != state::member_health::dead;
+        if (listens)
+        {
+            peers.push_back(entry.info.datagrams);
+        }
+    }
+    for (state::endpoint const& seed : settings_.seeds)
+    {
+        if (std::find(peers.begin(), peers.end(), seed) == peers.end())
+        {
+            peers.push_back(seed);
+        }
+    }
+    return peers;
+}
+
+void fleet_exchange::tell(bool whole)
+{
+    state::time_point const now = boot_now();
+    auto const age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - last_read_()).count();
+    fleet_news news;
+    news.sender = settings_.self.id;
+    news.uptime = settings_.self.uptime;
+    news.configuration = core_.routing == nullptr ? 0 : core_.routing->configuration().version;
+    news.directory = core_.directory.digest();
+    news.platform_age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+    std::vector<member_load> const changes = core_.ledger.take_changes();
+    std::vector<member_load> const rows = whole ? core_.ledger.all_own() : changes;
+    std::vector<state::endpoint> const peers = audience();
+    // Rows beyond a datagram's bound go in further ones; only the first may clear what was told.
+    std::size_t next_load = 0;
+    std::size_t next_member = 0;
+    do
+    {
+        news.whole = whole && next_load == 0;
+        news.sequence = ++sequence_;
+        std::size_t const loads = std::min(rows.size() - next_load, fleet_news::max_loads);
+        news.loads.assign(rows.begin() + static_cast<std::ptrdiff_t>(next_load),
+                          rows.begin() + static_cast<std::ptrdiff_t>(next_load + loads));
+        next_load += loads;
+        std::size_t const members =
+            std::min(core_.untold.size() - next_member, fleet_news::max_members);
+        news.members.assign(core_.untold.begin() + static_cast<std::ptrdiff_t>(next_member),
+                            core_.untold.begin() +
+                                static_cast<std::ptrdiff_t>(next_member + members));
+        next_member += members;
+        std::string const datagram =
+            std::string(1, news_mark) + protocol::encode(news, settings_.fleet_key);
+        for (state::endpoint const& peer : peers)
+        {
+            send(datagram, peer);
+        }
+    } while (next_load < rows.size() || next_member < core_.untold.size());
+    core_.untold.clear();
+}
+
+void fleet_exchange::send(std::string datagram, state::endpoint to)
+{
+    core_.metrics.add(forward_count::news_sent);
+    core_.metrics.add(forward_count::news_bytes, datagram.size());
+    error_code ignored;
+    // A datagram that finds no room is lost like any other; whole news follow.
+    socket_.send_to(net::buffer(datagram), udp::endpoint{net::ip::address_v4{to.address}, to.port},
+                    0, ignored);
+}
+
+void fleet_exchange::carry_out(control_actions const& actions)
+{
+    for (control_action const& action : actions)
+    {
+        if (auto const* const message = std::get_if<send_datagram>(&action))
+        {
+            send(std::string(1, members_mark) +
+                     protocol::encode(message->message, settings_.fleet_key),
+                 message->to);
+        }
+    }
+}
+
+// -- time -----------------------------------------------------------------------------------------
+
+void fleet_exchange::advance_members()
+{
+    state::time_point const now = boot_now();
+    if (now >= members_.next_deadline())
+    {
+        control_actions actions;
+        members_.advance(now, actions);
+        carry_out(actions);
+    }
+}
+
+void fleet_exchange::note_peers(state::time_point now)
+{
+    std::size_t const live = core_.fleet.live(now);
+    if (live != live_)
+    {
+        core_.log.write(part, live > live_ ? "peers joined" : "peers lost", {},
+                        {{"live", static_cast<std::int64_t>(live)},
+                         {"before", static_cast<std::int64_t>(live_)}});
+        live_ = live;
+    }
+}
+
+void fleet_exchange::advance()
+{
+    state::time_point const now = boot_now();
+    advance_members();
+    core_.ledger.forget_silent(now);
+    core_.fleet.forget_silent(now);
+    note_peers(now);
+    if (auto const peer = core_.fleet.better_directory(now))
+    {
+        fetch_directory(*peer);
+    }
+    bool const has_news = core_.ledger.has_changes() || !core_.untold.empty();
+    if (has_news && tell_at_ == state::never)
+    {
+        state::duration const delay =
+            static_cast<std::int64_t>(core_.fleet.live(now)) * change_delay_each;
+        tell_at_ = core_.untold.empty() ? now + std::max(least_change_delay, delay) : now;
+    }
+    if (now >= whole_at_)
+    {
+        whole_at_ = now + whole_interval;
+        tell_at_ = state::never;
+        tell(true);
+    }
+    else if (now >= tell_at_)
+    {
+        tell_at_ = state::never;
+        tell(false);
+    }
+}
+
+void fleet_exchange::leave()
+{
+    members_.leave(boot_now());
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/fleet_exchange.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "forward_core.hpp"
+
+#include <plumdale/coordination/membership.hpp>
+#include <plumdale/coordination/node_settings.hpp>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+/// \file
+/// \brief Membership and news between forwarding entry VMs.
+
+namespace plumdale::transport
+{
+
+/// \brief Tells peers what this VM has in flight and learnt, takes what they tell, and fetches from
+/// them what it lacks.
+class fleet_exchange
+{
+public:
+    /// \brief `last_read` returns when this VM last read the platform's store itself.
+    fleet_exchange(forward_core& core, net::ip::udp::socket socket, state::endpoint streams,
+                   std::function<state::time_point()> last_read);
+
+    void start();
+    /// \brief Does what is due; called several times a second.
+    void advance();
+    /// \brief This VM leaves the fleet.
+    void leave();
+
+    /// \brief Path at which peers give out the configuration as published.
+    static constexpr std::string_view configuration_target = "/fleet/configuration";
+    /// \brief Path at which peers give out their directory of upstreams.
+    static constexpr std::string_view directory_target = "/fleet/upstreams";
+
+    /// \brief Everything is told this often, so that lost datagrams don't matter for long.
+    static constexpr state::duration whole_interval = std::chrono::seconds{1};
+    /// \brief Changes are collected for this long for each entry VM told: telling 90 peers of each
+    /// start at once would cost more than it brings.
+    static constexpr state::duration change_delay_each = std::chrono::milliseconds{1};
+    static constexpr state::duration least_change_delay = std::chrono::milliseconds{8};
+
+private:
+    void receive();
+    void on_datagram(std::size_t bytes);
+    void take_news(coordination::fleet_news const& news, state::endpoint from);
+    void take_peer_message(std::span<char const> text, state::endpoint from);
+    void carry_out(coordination::control_actions const& actions);
+    void advance_members();
+    void tell(bool whole);
+    void send(std::string datagram, state::endpoint to);
+    void note_peers(state::time_point now);
+    void fetch_configuration(state::endpoint peer);
+    void fetch_directory(state::endpoint peer);
+    [[nodiscard]] std::vector<state::endpoint> audience() const;
+
+    forward_core& core_;
+    net::ip::udp::socket socket_;
+    net::ip::udp::endpoint sender_;
+    std::array<char, 2048> received_{};
+    std::function<state::time_point()> last_read_;
+    coordination::node_settings settings_;
+    coordination::membership members_;
+    std::uint64_t sequence_ = 0;
+    state::time_point whole_at_{};
+    state::time_point tell_at_ = state::never;
+    std::size_t live_ = 1;
+    bool fetching_configuration_ = false;
+    bool fetching_directory_ = false;
+};
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/forward_call.cpp
@@ -0,0 +1,344 @@
+#include "forward_call.hpp"
+
+#include "boot_clock.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using boost::system::error_code;
+using coordination::call_result;
+
+constexpr state::duration first_come_back = std::chrono::milliseconds{250};
+// Callers that were refused together come back spread over this time.
+constexpr state::duration come_back_spread = std::chrono::milliseconds{500};
+
+std::int64_t milliseconds(state::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+forward_call::forward_call(forward_core& core, std::shared_ptr<caller_channel> channel,
+                           admitted_call admitted)
+    : core_{core}, channel_{std::move(channel)}, admitted_{std::move(admitted)}, timer_{
+                                                                                     core.context}
+{
+    ++core_.calls_in_progress;
+}
+
+forward_call::~forward_call()
+{
+    finish();
+}
+
+void forward_call::start()
+{
+    core_.note_call(admitted_.service->name);
+    wait_until_ = admitted_.call.read_at +
+                  std::max<state::duration>(wait_step, admitted_.route->target_latency / wait_part);
+    dispatch();
+}
+
+// -- sending --------------------------------------------------------------------------------------
+
+void forward_call::dispatch()
+{
+    state::time_point const now = boot_now();
+    if (now >= admitted_.deadline)
+    {
+        return time_over();
+    }
+    auto const chosen = core_.choice.choose(*admitted_.service, admitted_.demand, excluded_,
+                                            core_.choice.own_zone(), now);
+    if (!chosen)
+    {
+        if (now >= wait_until_)
+        {
+            return may_have_run() ? refuse(state::error_kind::may_have_run, "no other upstream")
+                                  : refuse(state::error_kind::no_upstream, "no upstream");
+        }
+        excluded_.clear();
+        retry_at_ = now + wait_step;
+        return arm();
+    }
+    open(chosen->member);
+}
+
+void forward_call::open(state::member_key member)
+{
+    coordination::directory_entry const* const entry = core_.directory.find(member);
+    member_ = member;
+    load_ = {member, 1, admitted_.demand.prompt_tokens,
+             admitted_.demand.prompt_tokens + admitted_.demand.output_tokens};
+    core_.ledger.add(member, load_);
+    has_head_ = false;
+    ++tries_;
+    upstream_exchange::options options;
+    options.member = member;
+    options.address = entry->info.address;
+    options.without_body = admitted_.call.head.method == "HEAD";
+    options.longest_idle =
+        admitted_.route->kind == state::call_kind::idempotent ? idempotent_idle : doubtful_idle;
+    exchange_ = std::make_shared<upstream_exchange>(core_.context, core_.pool, options, *this);
+    exchange_->start();
+    if (!finished_)
+    {
+        arm();
+    }
+}
+
+protocol::onward_terms forward_call::onward(state::time_point now) const
+{
+    protocol::onward_terms terms;
+    terms.time_left = admitted_.deadline - now;
+    terms.member = member_name();
+    if (admitted_.customer != nullptr)
+    {
+        terms.customer = admitted_.customer->name;
+    }
+    return terms;
+}
+
+std::optional<std::string> forward_call::request()
+{
+    state::time_point const now = boot_now();
+    coordination::directory_entry const* const entry = core_.directory.find(member_);
+    // Connecting took time, and the process may have been paused meanwhile: what was true when the
+    // upstream was chosen is looked at again before anything leaves.
+    bool const may_send =
+        now < admitted_.deadline && entry != nullptr && core_.directory.may_take_work(*entry, now);
+    if (!may_send)
+    {
+        return std::nullopt;
+    }
+    send_at_ = now;
+    ++sends_;
+    core_.metrics.add(forward_count::sends);
+    core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
+                                          : forward_count::connections_opened);
+    std::string text =
+        core_.dialect.onward_head(admitted_.call.head, onward(now), admitted_.call.body.size());
+    text += admitted_.call.body;
+    return text;
+}
+
+void forward_call::redispatch(std::string_view why)
+{
+    excluded_.push_back(member_);
+    close_exchange();
+    log("upstream passed over", why);
+    bool const is_repeat = sends_ > 0;
+    if (tries_ >= try_limit)
+    {
+        return may_have_run() ? refuse(state::error_kind::may_have_run, why)
+                              : refuse(state::error_kind::overloaded, why);
+    }
+    if (is_repeat && !core_.take_repeat(admitted_.service->name))
+    {
+        return may_have_run() ? refuse(state::error_kind::may_have_run, "no repeat left")
+                              : refuse(state::error_kind::overloaded, "no repeat left");
+    }
+    dispatch();
+}
+
+void forward_call::ran_and_failed(std::string_view why)
+{
+    ++runs_;
+    core_.health.note(member_, call_result::failed, boot_now());
+    bool const may_repeat = admitted_.route->kind == state::call_kind::idempotent &&
+                            runs_ < admitted_.route->max_attempts;
+    if (may_repeat)
+    {
+        return redispatch(why);
+    }
+    refuse(state::error_kind::may_have_run, why);
+}
+
+// -- answers --------------------------------------------------------------------------------------
+
+void forward_call::on_head(protocol::message_head const& head, protocol::body_framing framing)
+{
+    head_ = head;
+    framing_ = framing;
+    answer_ = core_.dialect.read_answer(head);
+    has_head_ = true;
+    exchange_->keep_alive(answer_.keep_alive, answer_.closes);
+}
+
+void forward_call::on_end(exchange_end end)
+{
+    if (end == exchange_end::unreachable)
+    {
+        core_.health.note(member_, call_result::unreachable, boot_now());
+        return redispatch("unreachable");
+    }
+    if (end == exchange_end::not_sent)
+    {
+        return redispatch("not sent after all");
+    }
+    bool const is_other = has_head_ && !answer_.id.empty() && answer_.id != admitted_.terms.id;
+    if (is_other)
+    {
+        // The answer to an earlier call came late, on a connection that was thought to be idle.
+        core_.metrics.add(forward_count::answers_discarded);
+        return ran_and_failed("answer to another call");
+    }
+    bool const refused =
+        has_head_ && end == exchange_end::whole && (answer_.not_run || answer_.misdirected);
+    if (refused)
+    {
+        if (answer_.misdirected)
+        {
+            core_.member_replaced(member_);
+        }
+        core_.health.note(member_, call_result::busy, boot_now());
+        return redispatch(answer_.misdirected ? "another incarnation" : "refused by the upstream");
+    }
+    answer_ended(end);
+}
+
+std::vector<protocol::header_field> forward_call::answer_fields() const
+{
+    std::vector<protocol::header_field> fields;
+    for (protocol::header_field const& field : head_.fields)
+    {
+        if (!protocol::is_hop_by_hop(head_, field.name))
+        {
+            fields.push_back(field);
+        }
+    }
+    return fields;
+}
+
+state::duration forward_call::come_back()
+{
+    std::uniform_int_distribution<std::int64_t> spread{0, come_back_spread.count()};
+    return first_come_back + state::duration{spread(core_.random)};
+}
+
+void forward_call::refuse(state::error_kind kind, std::string_view why)
+{
+    log("refused", why);
+    core_.metrics.add(forward_count::refused);
+    auto const channel = channel_;
+    finish();
+    channel->refuse(kind, come_back());
+}
+
+// -- ends -----------------------------------------------------------------------------------------
+
+void forward_call::close_exchange()
+{
+    if (exchange_ != nullptr)
+    {
+        exchange_->cancel();
+        exchange_ = nullptr;
+    }
+    if (load_.calls != 0)
+    {
+        core_.ledger.remove(load_.member, load_);
+        load_ = {};
+    }
+}
+
+void forward_call::finish()
+{
+    if (finished_)
+    {
+        return;
+    }
+    finished_ = true;
+    --core_.calls_in_progress;
+    timer_.cancel();
+    close_exchange();
+}
+
+void forward_call::caller_left()
+{
+    core_.metrics.add(forward_count::callers_left);
+    log("caller left", {});
+    finish();
+}
+
+void forward_call::caller_ready() {}
+
+// -- time -----------------------------------------------------------------------------------------
+
+state::time_point forward_call::next_deadline() const
+{
+    return retry_at_;
+}
+
+void forward_call::on_timer(state::time_point now)
+{
+    if (now >= retry_at_)
+    {
+        retry_at_ = state::never;
+        dispatch();
+    }
+}
+
+void forward_call::arm()
+{
+    timer_.expires_after(until(std::min(admitted_.deadline, next_deadline())));
+    timer_.async_wait(
+        [weak = weak_from_this()](error_code error)
+        {
+            auto const self = weak.lock();
+            if (!error && self != nullptr && !self->finished_)
+            {
+                self->on_deadline_timer();
+            }
+        });
+}
+
+void forward_call::on_deadline_timer()
+{
+    state::time_point const now = boot_now();
+    if (now >= admitted_.deadline)
+    {
+        return time_over();
+    }
+    on_timer(now);
+    if (!finished_)
+    {
+        arm();
+    }
+}
+
+// -- log ------------------------------------------------------------------------------------------
+
+std::string_view forward_call::member_name() const
+{
+    coordination::directory_entry const* const entry = core_.directory.find(member_);
+    return entry == nullptr ? std::string_view{} : std::string_view{entry->info.name};
+}
+
+void forward_call::log(std::string_view decision, std::string_view why)
+{
+    state::time_point const now = boot_now();
+    coordination::directory_entry const* const entry = core_.directory.find(member_);
+    core_.log.write(
+        "call", decision, admitted_.terms.id,
+        {{"why", why},
+         {"route", admitted_.route->name},
+         {"configuration", static_cast<std::int64_t>(admitted_.table->configuration().version)},
+         {"upstream", member_name()},
+         {"listed_revision",
+          entry == nullptr ? 0 : static_cast<std::int64_t>(entry->info.revision)},
+         {"sends", sends_},
+         {"may_have_run", runs_},
+         {"status", has_head_ ? static_cast<std::int64_t>(head_.status) : 0},
+         {"age_ms", milliseconds(now - admitted_.call.read_at)},
+         {"left_ms", milliseconds(admitted_.deadline - now)}});
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/forward_call.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "caller_channel.hpp"
+#include "forward_core.hpp"
+#include "upstream_exchange.hpp"
+
+#include <plumdale/coordination/routing_table.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief One call on its way through a forwarding entry VM.
+
+namespace plumdale::transport
+{
+
+/// \brief What was decided of a call before it is sent anywhere.
+struct admitted_call
+{
+    whole_call call;
+    protocol::call_terms terms;
+    /// \brief The configuration under which it was admitted.
+    std::shared_ptr<coordination::routing_table const> table;
+    state::route const* route = nullptr;
+    state::service const* service = nullptr;
+    state::customer_keys const* customer = nullptr;
+    coordination::call_demand demand;
+    /// \brief When its caller, or its route, gives it up.
+    state::time_point deadline{};
+};
+
+/// \brief Admits a call and starts it; refuses it through the channel and returns null otherwise.
+[[nodiscard]] std::shared_ptr<call_handler>
+start_call(forward_core& core, std::shared_ptr<caller_channel> const& channel, whole_call call);
+
+/// \brief Sends a call to one upstream after another as far as it may be repeated.
+///
+/// What may have run is told by the exchanges: no byte sent, or the upstream's own statement, mean
+/// that it did not run. All else may have run, and is never refused as not run.
+class forward_call : public call_handler,
+                     public exchange_sink,
+                     public std::enable_shared_from_this<forward_call>
+{
+public:
+    forward_call(forward_core& core, std::shared_ptr<caller_channel> channel,
+                 admitted_call admitted);
+    ~forward_call() override;
+
+    void start();
+
+    void caller_left() override;
+    void caller_ready() override;
+    std::optional<std::string> request() override;
+    void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
+    void on_end(exchange_end end) override;
+
+    /// \brief Upstreams that could not be reached, or refused, before a call is given up.
+    static constexpr std::uint32_t try_limit = 6;
+    /// \brief An idempotent call is sent to a second upstream when the first takes this many times
+    /// the objective; a late answer earns less than a third.
+    static constexpr int slow_objectives = 3;
+    /// \brief Kept connections that were idle for longer are not used for calls that may not run
+    /// twice: one that the upstream closes at that moment leaves in doubt whether it ran.
+    static constexpr state::duration doubtful_idle = std::chrono::milliseconds{400};
+    static constexpr state::duration idempotent_idle = std::chrono::seconds{10};
+    /// \brief Waiting for an upstream to appear, as a part of the objective: callers that are told
+    /// at once come back in time.
+    static constexpr int wait_part = 8;
+    static constexpr state::duration wait_step = std::chrono::milliseconds{25};
+
+protected:
+    /// \brief What is passed on with the next send.
+    [[nodiscard]] virtual protocol::onward_terms onward(state::time_point now) const;
+    /// \brief The answer ended, and may be passed on or judged.
+    virtual void answer_ended(exchange_end end) = 0;
+    /// \brief The call's time is over.
+    virtual void time_over() = 0;
+    virtual void on_timer(state::time_point now);
+    /// \brief Returns when `on_timer` is due besides the deadline.
+    [[nodiscard]] virtual state::time_point next_deadline() const;
+
+    void dispatch();
+    void open(state::member_key member);
+    void redispatch(std::string_view why);
+    /// \brief The upstream failed after it may have run the call.
+    void ran_and_failed(std::string_view why);
+    void refuse(state::error_kind kind, std::string_view why);
+    /// \brief Stops everything; the channel has been answered or is gone.
+    void finish();
+    void close_exchange();
+    void arm();
+    void log(std::string_view decision, std::string_view why);
+    [[nodiscard]] bool may_have_run() const noexcept
+    {
+        return runs_ > 0;
+    }
+    [[nodiscard]] state::duration come_back();
+    [[nodiscard]] std::vector<protocol::header_field> answer_fields() const;
+    [[nodiscard]] std::string_view member_name() const;
+
+    forward_core& core_;
+    std::shared_ptr<caller_channel> channel_;
+    admitted_call admitted_;
+    net::steady_timer timer_;
+    std::shared_ptr<upstream_exchange> exchange_;
+    state::member_key member_;
+    coordination::member_load load_;
+    std::vector<state::member_key> excluded_;
+    protocol::message_head head_;
+    protocol::answer_terms answer_;
+    protocol::body_framing framing_ = protocol::body_framing::none;
+    state::time_point send_at_{};
+    state::time_point wait_until_{};
+    state::time_point retry_at_ = state::never;
+    std::uint32_t tries_ = 0;
+    std::uint32_t sends_ = 0;
+    /// \brief Sends that may have run.
+    std::uint32_t runs_ = 0;
+    bool has_head_ = false;
+    bool finished_ = false;
+
+private:
+    void on_deadline_timer();
+};
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/forward_core.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "decision_log.hpp"
+#include "forward_metrics.hpp"
+#include "http_fetch.hpp"
+#include "net.hpp"
+#include "upstream_pool.hpp"
+
+#include <plumdale/coordination/copy_schedule.hpp>
+#include <plumdale/coordination/fleet_view.hpp>
+#include <plumdale/coordination/load_ledger.hpp>
+#include <plumdale/coordination/member_choice.hpp>
+#include <plumdale/coordination/member_health.hpp>
+#include <plumdale/coordination/repeat_allowance.hpp>
+#include <plumdale/coordination/routing_table.hpp>
+#include <plumdale/coordination/service_directory.hpp>
+#include <plumdale/protocol/dialect.hpp>
+#include <plumdale/protocol/forward_settings.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+/// \file
+/// \brief What the parts of a forwarding entry VM share.
+
+namespace plumdale::transport
+{
+
+/// \brief A call that is told of its upstream's departure.
+class departure_listener
+{
+public:
+    departure_listener() = default;
+    departure_listener(departure_listener const&) = delete;
+    departure_listener& operator=(departure_listener const&) = delete;
+    virtual ~departure_listener() = default;
+
+    virtual void member_leaves(state::member_key member, coordination::departure const& when) = 0;
+};
+
+/// \brief State and decisions of one forwarding entry VM; on one loop.
+class forward_core
+{
+public:
+    forward_core(net::io_context& loop, protocol::forward_settings const& chosen,
+                 protocol::dialect const& words, decision_log& lines);
+    forward_core(forward_core const&) = delete;
+    forward_core& operator=(forward_core const&) = delete;
+    ~forward_core() = default;
+
+    // -- what this VM knows ------------------------------------------------------------
+    /// \brief Takes a configuration as published; returns whether it is newer than the one known.
+    bool take_configuration(std::string text, std::string_view source);
+    /// \brief Joins news of upstreams; passes on what changed to peers.
+    void take_members(std::span<state::service_member const> members, std::string_view source);
+    /// \brief Takes a whole list as of `revision`: what it lacks is gone.
+    void take_list(std::span<state::service_member const> members, std::uint64_t revision,
+                   std::string_view source);
+    /// \brief Another incarnation answered at this one's address.
+    void member_replaced(state::member_key member);
+    /// \brief Returns whether calls can be decided: a configuration and a list of upstreams.
+    [[nodiscard]] bool informed() const noexcept
+    {
+        return routing != nullptr && has_list;
+    }
+
+    // -- departures ------------------------------------------------------------
+    void listen(departure_listener& listener);
+    void forget(departure_listener& listener);
+    [[nodiscard]] coordination::departure const* departure_of(state::member_key member) const;
+
+    /// \brief Spends one of the repeats of a service; false when none is left.
+    [[nodiscard]] bool take_repeat(std::string const& service);
+    void note_call(std::string const& service);
+
+    net::io_context& context;
+    protocol::forward_settings const& settings;
+    protocol::dialect const& dialect;
+    decision_log& log;
+    forward_metrics metrics;
+    std::minstd_rand random;
+    coordination::service_directory directory;
+    coordination::load_ledger ledger;
+    coordination::member_health health;
+    coordination::fleet_view fleet;
+    coordination::member_choice choice;
+    upstream_pool pool;
+    /// \brief Orders to upstreams, each on a connection of its own.
+    fetcher orders;
+    std::shared_ptr<coordination::routing_table const> routing;
+    /// \brief The configuration as published, for peers that ask.
+    std::string configuration_text;
+    /// \brief The platform's revision of the newest whole list.
+    std::uint64_t list_revision = 0;
+    bool has_list = false;
+    /// \brief When SIGTERM came; `never` before.
+    state::time_point closing_since = state::never;
+    /// \brief Upstreams that peers are to be told of.
+    std::vector<state::service_member> untold;
+    std::uint32_t calls_in_progress = 0;
+
+private:
+    void take_member(state::service_member const& member, std::string_view source);
+    void member_departs(state::member_key member);
+    void ask_departure(state::member_key member);
+    void tell_departure(state::member_key member);
+    coordination::repeat_allowance& allowance_of(std::string const& service);
+
+    std::unordered_map<state::member_key, coordination::departure> departures_;
+    std::unordered_set<departure_listener*> listeners_;
+    std::unordered_map<std::string, coordination::repeat_allowance> allowances_;
+};
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/forward_metrics.cpp
@@ -0,0 +1,99 @@
+#include "forward_metrics.hpp"
+
+#include <algorithm>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+struct count_row
+{
+    std::string_view name;
+    std::string_view help;
+};
+
+constexpr std::array<count_row, static_cast<std::size_t>(forward_count::count)> rows{{
+    {"plumdale_forward_calls_total", "Calls read whole."},
+    {"plumdale_forward_answered_total", "Upstreams' answers passed on whole."},
+    {"plumdale_forward_streams_whole_total", "Streams passed on to their end."},
+    {"plumdale_forward_streams_broken_total", "Streams broken off."},
+    {"plumdale_forward_refused_total", "Calls refused as not run."},
+    {"plumdale_forward_callers_left_total", "Callers that left before their answer."},
+    {"plumdale_forward_sends_total", "Sends to upstreams."},
+    {"plumdale_forward_repeats_total", "Sends beyond the first of a call."},
+    {"plumdale_forward_repeats_denied_total", "Repeats that the allowance did not cover."},
+    {"plumdale_forward_connections_opened_total", "Connections opened to upstreams."},
+    {"plumdale_forward_connections_reused_total", "Sends on kept connections."},
+    {"plumdale_forward_answers_discarded_total", "Late, extra or spoiled answers."},
+    {"plumdale_forward_copies_first_total", "Memory copies ordered while a generation ran."},
+    {"plumdale_forward_copies_last_total", "Copies ordered that stopped a generation."},
+    {"plumdale_forward_copies_refused_total", "Orders to copy that were refused."},
+    {"plumdale_forward_resumed_total", "Generations gone on at another upstream."},
+    {"plumdale_forward_resume_refused_total", "Resumptions that did not run."},
+    {"plumdale_forward_platform_calls_total", "Calls to the platform's store."},
+    {"plumdale_forward_platform_failures_total", "Calls to the store without a good answer."},
+    {"plumdale_forward_news_sent_total", "Datagrams of news sent."},
+    {"plumdale_forward_news_received_total", "Datagrams of news taken."},
+    {"plumdale_forward_news_rejected_total", "Datagrams that were not authentic or malformed."},
+    {"plumdale_forward_news_bytes_total", "Bytes of news sent."},
+    {"plumdale_forward_pauses_total", "Times that the process did not run."},
+}};
+
+double milliseconds(state::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+} // namespace
+
+void forward_metrics::histogram::add(state::duration time)
+{
+    auto const bucket = std::lower_bound(bounds_ms.begin(), bounds_ms.end(), milliseconds(time));
+    ++buckets[static_cast<std::size_t>(bucket - bounds_ms.begin())];
+    times.add(time);
+}
+
+void forward_metrics::histogram::write(std::string& out, std::string_view name) const
+{
+    out.append("# TYPE ").append(name).append(" histogram\n");
+    std::uint64_t sum = 0;
+    for (std::size_t i = 0; i <= bounds_ms.size(); ++i)
+    {
+        sum += buckets[i];
+        std::string const bound =
+            i == bounds_ms.size() ? "+Inf" : std::to_string(bounds_ms[i] / 1000.0);
+        out.append(name).append("_bucket{le=\"").append(bound).append("\"} ");
+        out.append(std::to_string(sum)).append("\n");
+    }
+    latency_summary::values const values = times.read();
+    out.append(name).append("_sum ");
+    out.append(std::to_string(values.mean * static_cast<double>(values.count))).append("\n");
+    out.append(name).append("_count ").append(std::to_string(sum)).append("\n");
+}
+
+void forward_metrics::answered(state::duration time)
+{
+    answer_times_.add(time);
+}
+
+void forward_metrics::moved(state::duration pause)
+{
+    move_pauses_.add(pause);
+}
+
+std::string forward_metrics::text(std::uint64_t lines_dropped) const
+{
+    std::string out;
+    for (std::size_t i = 0; i < rows.size(); ++i)
+    {
+        out += counter_text(rows[i].name, counts_[i], rows[i].help);
+    }
+    out += counter_text("plumdale_forward_log_lines_dropped_total", lines_dropped,
+                        "Log lines that found no room.");
+    answer_times_.write(out, "plumdale_forward_answer_seconds");
+    move_pauses_.write(out, "plumdale_forward_move_pause_seconds");
+    return out;
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/forward_metrics.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "metrics.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+/// \file
+/// \brief What a forwarding entry VM counts.
+
+namespace plumdale::transport
+{
+
+/// \brief Everything that is counted, in the order of the page.
+enum class forward_count : std::uint8_t
+{
+    calls,
+    answered,
+    streams_whole,
+    streams_broken,
+    refused,
+    callers_left,
+    sends,
+    repeats,
+    repeats_denied,
+    connections_opened,
+    connections_reused,
+    answers_discarded,
+    copies_first,
+    copies_last,
+    copies_refused,
+    resumed,
+    resume_refused,
+    platform_calls,
+    platform_failures,
+    news_sent,
+    news_received,
+    news_rejected,
+    news_bytes,
+    pauses,
+    count ///< Number of counters; no counter itself.
+};
+
+/// \brief Counters and latency histograms of the metrics page.
+class forward_metrics
+{
+public:
+    /// \brief Upper bounds of the histograms' buckets in milliseconds; the last has none.
+    static constexpr std::array<double, 12> bounds_ms{5,   10,  25,   50,   100,  150,
+                                                      250, 500, 1000, 2000, 5000, 10000};
+
+    void add(forward_count which, std::uint64_t by = 1) noexcept
+    {
+        counts_[static_cast<std::size_t>(which)] += by;
+    }
+    [[nodiscard]] std::uint64_t value(forward_count which) const noexcept
+    {
+        return counts_[static_cast<std::size_t>(which)];
+    }
+    /// \brief Time from a call's head to its answer's end, or to a stream's first event.
+    void answered(state::duration time);
+    /// \brief Pause of a stream between two upstreams.
+    void moved(state::duration pause);
+    /// \brief Returns the page in Prometheus's text format.
+    [[nodiscard]] std::string text(std::uint64_t lines_dropped) const;
+
+private:
+    struct histogram
+    {
+        std::array<std::uint64_t, bounds_ms.size() + 1> buckets{};
+        latency_summary times;
+
+        void add(state::duration time);
+        void write(std::string& out, std::string_view name) const;
+    };
+
+    std::array<std::uint64_t, static_cast<std::size_t>(forward_count::count)> counts_{};
+    histogram answer_times_;
+    histogram move_pauses_;
+};
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/forwarder.cpp
@@ -0,0 +1,336 @@
+#include "boot_clock.hpp"
+#include "caller_channel.hpp"
+#include "fleet_exchange.hpp"
+#include "forward_call.hpp"
+#include "forward_core.hpp"
+#include "listener.hpp"
+#include "store_reader.hpp"
+
+#include <plumdale/protocol/endpoint_text.hpp>
+#include <plumdale/protocol/fleet_codec.hpp>
+#include <plumdale/transport/forwarder.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/outcome/try.hpp>
+
+#include <csignal>
+#include <unistd.h>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using boost::system::error_code;
+using udp = net::ip::udp;
+
+constexpr std::string_view part = "process";
+// Idle connections, lost news and the like are looked at this often.
+constexpr std::chrono::milliseconds chores_interval{50};
+// The balancer asks once a second and turns away after two misses.
+constexpr state::duration balancer_notices = std::chrono::milliseconds{2'800};
+// The platform ends the process at the end of the grace; the last answers need a moment to leave.
+constexpr state::duration grace_margin = std::chrono::milliseconds{150};
+// A timer that is this late means that the process did not run.
+constexpr state::duration pause_tolerance = std::chrono::milliseconds{600};
+constexpr unsigned ok = 200;
+constexpr unsigned not_ready = 503;
+constexpr unsigned not_found = 404;
+
+} // namespace
+
+class forwarder::implementation
+{
+public:
+    implementation(protocol::forward_settings settings, protocol::dialect const& words,
+                   settings_source reread)
+        : settings_{std::move(settings)}, log_{STDOUT_FILENO, settings_.name},
+          core_{context_, settings_, words, log_}, store_{core_}, reread_{std::move(reread)},
+          signals_{context_, SIGTERM, SIGINT, SIGHUP}, chores_{context_}
+    {
+    }
+
+    state::result<void> open()
+    {
+        // A caller that closed its end must not end the process.
+        std::signal(SIGPIPE, SIG_IGN);
+        BOOST_OUTCOME_TRY(open_acceptor(callers_, settings_.callers));
+        BOOST_OUTCOME_TRY(open_acceptor(ready_, settings_.ready));
+        BOOST_OUTCOME_TRY(open_acceptor(streams_, settings_.streams));
+        udp::socket datagrams{context_};
+        BOOST_OUTCOME_TRY(open_datagrams(datagrams, settings_.datagrams));
+        datagrams.non_blocking(true);
+        fleet_.emplace(core_, std::move(datagrams), settings_.streams,
+                       [this] { return store_.last_read(); });
+        return boost::outcome_v2::success();
+    }
+
+    std::uint32_t run()
+    {
+        log_.write(part, "started", {},
+                   {{"callers", protocol::to_text(settings_.callers)},
+                    {"platform", protocol::to_text(settings_.platform)},
+                    {"zone", settings_.zone}});
+        accept(callers_, [this](std::shared_ptr<caller_channel> const& channel, whole_call call)
+               { return start_call(core_, channel, std::move(call)); });
+        accept(ready_,
+               [this](std::shared_ptr<caller_channel> const& channel, whole_call const& call)
+               { return answer_operations(*channel, call); });
+        accept(streams_, [this](std::shared_ptr<caller_channel> const& channel,
+                                whole_call const& call) { return answer_peer(*channel, call); });
+        wait_for_signal();
+        store_.start();
+        fleet_->start();
+        last_chores_ = boot_now();
+        do_chores();
+        context_.run();
+        std::uint32_t const cut = core_.calls_in_progress;
+        log_.write(part, "stopped", {}, {{"calls_cut", cut}});
+        log_.flush();
+        cut_channels();
+        return cut;
+    }
+
+private:
+    // -- connections ------------------------------------------------------------
+
+    void accept(tcp::acceptor& acceptor, call_starter start)
+    {
+        acceptor.async_accept(
+            [this, &acceptor, start = std::move(start)](error_code error, tcp::socket socket)
+            {
+                if (error == net::error::operation_aborted)
+                {
+                    return;
+                }
+                if (!error)
+                {
+                    open_channel(std::move(socket), start);
+                }
+                else
+                {
+                    log_.write(part, "no connection accepted", {}, {{"detail", error.message()}});
+                }
+                accept(acceptor, start);
+            });
+    }
+
+    void open_channel(tcp::socket socket, call_starter const& start)
+    {
+        auto const channel = std::make_shared<caller_channel>(
+            std::move(socket), [this] { return terms(); }, start,
+            [this](caller_channel& closed) { channels_.erase(&closed); });
+        channels_.insert(channel.get());
+        channel->start();
+    }
+
+    [[nodiscard]] channel_terms terms() const
+    {
+        channel_terms terms;
+        if (core_.routing != nullptr)
+        {
+            terms.limits = core_.routing->configuration().limits;
+        }
+        terms.closing = core_.closing_since != state::never;
+        return terms;
+    }
+
+    // Calls use the core when they end, so they end before it does.
+    void cut_channels()
+    {
+        std::vector<std::shared_ptr<caller_channel>> open;
+        for (caller_channel* const channel : channels_)
+        {
+            open.push_back(channel->shared_from_this());
+        }
+        for (auto const& channel : open)
+        {
+            channel->cut();
+        }
+        open.clear();
+        context_.restart();
+        context_.poll();
+    }
+
+    // -- pages ------------------------------------------------------------
+
+    [[nodiscard]] bool is_ready() const
+    {
+        return core_.informed() && core_.closing_since == state::never;
+    }
+
+    std::shared_ptr<call_handler> answer_operations(caller_channel& channel, whole_call const& call)
+    {
+        if (call.head.target == core_.dialect.ready_target())
+        {
+            bool const ready = is_ready();
+            channel.answer(ready ? ok : not_ready, ready ? "ready" : "not ready", {}, {});
+        }
+        else if (call.head.target == "/metrics")
+        {
+            channel.answer(ok, "OK", {{"Content-Type", "text/plain; version=0.0.4"}},
+                           core_.metrics.text(log_.dropped()));
+        }
+        else
+        {
+            channel.answer(not_found, "Not Found", {}, {});
+        }
+        return nullptr;
+    }
+
+    std::shared_ptr<call_handler> answer_peer(caller_channel& channel, whole_call const& call)
+    {
+        if (call.head.target == fleet_exchange::configuration_target &&
+            !core_.configuration_text.empty())
+        {
+            channel.answer(ok, "OK", {}, core_.configuration_text);
+        }
+        else if (call.head.target == fleet_exchange::directory_target && core_.has_list)
+        {
+            coordination::directory_copy copy;
+            copy.revision = core_.list_revision;
+            for (auto const& [key, entry] : core_.directory.entries())
+            {
+                copy.members.push_back(entry.info);
+            }
+            channel.answer(ok, "OK", {}, protocol::encode(copy));
+        }
+        else
+        {
+            channel.answer(not_found, "Not Found", {}, {});
+        }
+        return nullptr;
+    }
+
+    // -- time and signals ------------------------------------------------------------
+
+    void do_chores()
+    {
+        state::time_point const now = boot_now();
+        if (now - last_chores_ > pause_tolerance)
+        {
+            core_.metrics.add(forward_count::pauses);
+            log_.write(
+                part, "did not run", {},
+                {{"ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - last_chores_)
+                            .count()}});
+        }
+        last_chores_ = now;
+        fleet_->advance();
+        core_.pool.sweep(now);
+        core_.directory.forget(now);
+        note_readiness();
+        log_.flush();
+        if (core_.closing_since != state::never && may_stop(now))
+        {
+            return context_.stop();
+        }
+        chores_.expires_after(chores_interval);
+        chores_.async_wait(
+            [this](error_code error)
+            {
+                if (!error)
+                {
+                    do_chores();
+                }
+            });
+    }
+
+    void note_readiness()
+    {
+        bool const ready = is_ready();
+        if (ready != was_ready_)
+        {
+            was_ready_ = ready;
+            log_.write(part, ready ? "ready" : "not ready", {}, {});
+        }
+    }
+
+    [[nodiscard]] bool may_stop(state::time_point now) const
+    {
+        state::duration const closing = now - core_.closing_since;
+        bool const idle = core_.calls_in_progress == 0 && closing >= balancer_notices;
+        return idle || closing >= settings_.grace - grace_margin;
+    }
+
+    void wait_for_signal()
+    {
+        signals_.async_wait(
+            [this](error_code error, int signal)
+            {
+                if (error)
+                {
+                    return;
+                }
+                signal == SIGHUP ? reload() : close();
+                wait_for_signal();
+            });
+    }
+
+    void close()
+    {
+        if (core_.closing_since != state::never)
+        {
+            return;
+        }
+        core_.closing_since = boot_now();
+        fleet_->leave();
+        log_.write(part, "stopping", {},
+                   {{"calls", core_.calls_in_progress},
+                    {"connections", static_cast<std::int64_t>(channels_.size())}});
+    }
+
+    // Addresses are fixed for a process's life; what may change are bounds.
+    void reload()
+    {
+        auto const read = reread_();
+        if (read)
+        {
+            settings_.grace = read->grace;
+            settings_.event_delay = read->event_delay;
+            settings_.repeats = read->repeats;
+        }
+        log_.write(part, read ? "settings reloaded" : "settings not reloaded", {}, {});
+    }
+
+    net::io_context context_{1};
+    protocol::forward_settings settings_;
+    decision_log log_;
+    forward_core core_;
+    store_reader store_;
+    std::optional<fleet_exchange> fleet_;
+    settings_source reread_;
+    net::signal_set signals_;
+    net::steady_timer chores_;
+    tcp::acceptor callers_{context_};
+    tcp::acceptor ready_{context_};
+    tcp::acceptor streams_{context_};
+    std::unordered_set<caller_channel*> channels_;
+    state::time_point last_chores_{};
+    bool was_ready_ = false;
+};
+
+forwarder::forwarder(protocol::forward_settings settings, protocol::dialect const& words,
+                     settings_source reread)
+    : implementation_{
+          std::make_unique<implementation>(std::move(settings), words, std::move(reread))}
+{
+}
+
+forwarder::~forwarder() = default;
+
+state::result<void> forwarder::open()
+{
+    return implementation_->open();
+}
+
+std::uint32_t forwarder::run()
+{
+    return implementation_->run();
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/plain_call.cpp
@@ -0,0 +1,92 @@
+#include "plain_call.hpp"
+
+#include "boot_clock.hpp"
+
+#include <algorithm>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+constexpr unsigned first_success = 200;
+constexpr unsigned first_failure = 300;
+
+} // namespace
+
+void plain_call::on_body(std::string bytes)
+{
+    body_ += bytes;
+}
+
+void plain_call::answer_ended(exchange_end end)
+{
+    if (end != exchange_end::whole)
+    {
+        // One that ended with its connection may have been cut short: that can't be told apart.
+        body_.clear();
+        return ran_and_failed(end == exchange_end::unconfirmed ? "answer of unknown length"
+                                                               : "connection broke");
+    }
+    bool const is_success = head_.status >= first_success && head_.status < first_failure;
+    if (is_success && (!answer_.sealed || answer_.encoded))
+    {
+        body_.clear();
+        core_.metrics.add(forward_count::answers_discarded);
+        return ran_and_failed("answer without a signature");
+    }
+    if (!is_success && may_send_again())
+    {
+        body_.clear();
+        return ran_and_failed("failed at the upstream");
+    }
+    core_.health.note(
+        member_, is_success ? coordination::call_result::good : coordination::call_result::failed,
+        boot_now());
+    pass_on();
+}
+
+bool plain_call::may_send_again() const
+{
+    return admitted_.route->kind == state::call_kind::idempotent &&
+           runs_ + 1 < admitted_.route->max_attempts;
+}
+
+void plain_call::pass_on()
+{
+    core_.metrics.add(forward_count::answered);
+    core_.metrics.answered(boot_now() - admitted_.call.read_at);
+    log("answered", {});
+    auto const channel = channel_;
+    exchange_ = nullptr;
+    finish();
+    channel->answer(head_.status, head_.reason, answer_fields(), body_);
+}
+
+state::time_point plain_call::next_deadline() const
+{
+    bool const waits = exchange_ != nullptr && exchange_->sent() && may_send_again();
+    state::time_point const slow =
+        waits ? send_at_ + slow_objectives * admitted_.route->target_latency : state::never;
+    return std::min(forward_call::next_deadline(), slow);
+}
+
+void plain_call::on_timer(state::time_point now)
+{
+    bool const is_slow = exchange_ != nullptr && exchange_->sent() && may_send_again() &&
+                         now >= send_at_ + slow_objectives * admitted_.route->target_latency;
+    if (is_slow)
+    {
+        body_.clear();
+        return ran_and_failed("no answer in time");
+    }
+    forward_call::on_timer(now);
+}
+
+void plain_call::time_over()
+{
+    bool const sent = may_have_run() || (exchange_ != nullptr && exchange_->sent());
+    refuse(sent ? state::error_kind::may_have_run : state::error_kind::overloaded, "time is over");
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/plain_call.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "forward_call.hpp"
+
+#include <string>
+
+/// \file
+/// \brief A call with one whole answer.
+
+namespace plumdale::transport
+{
+
+/// \brief Holds the answer back until it is whole, so that a spoiled one is never passed on and an
+/// idempotent call can be sent once more instead.
+class plain_call final : public forward_call
+{
+public:
+    using forward_call::forward_call;
+
+    void on_body(std::string bytes) override;
+
+private:
+    void answer_ended(exchange_end end) override;
+    void time_over() override;
+    void on_timer(state::time_point now) override;
+    [[nodiscard]] state::time_point next_deadline() const override;
+    [[nodiscard]] bool may_send_again() const;
+    void pass_on();
+
+    std::string body_;
+};
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/store_reader.cpp
@@ -0,0 +1,207 @@
+#include "store_reader.hpp"
+
+#include "boot_clock.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+constexpr std::string_view part = "store";
+constexpr unsigned success = 200;
+constexpr unsigned not_found = 404;
+constexpr unsigned gone = 410;
+
+std::chrono::milliseconds whole_milliseconds(state::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
+bool is_whole(state::result<fetch_answer> const& answer)
+{
+    return answer && answer.value().status == success;
+}
+
+} // namespace
+
+store_reader::store_reader(forward_core& core)
+    : core_{core}, fetcher_{core.context}, timer_{core.context}
+{
+}
+
+void store_reader::start()
+{
+    step();
+}
+
+void store_reader::step_in(state::duration time)
+{
+    timer_.expires_after(time);
+    timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                step();
+            }
+        });
+}
+
+void store_reader::step()
+{
+    if (core_.informed() && !core_.fleet.is_reader(boot_now()))
+    {
+        // What this VM heard of the store gets old; it starts over when it reads again.
+        synced_ = false;
+        has_configuration_ = false;
+        return step_in(duty_check);
+    }
+    if (!has_configuration_)
+    {
+        return read_configuration();
+    }
+    synced_ ? watch() : read_list({});
+}
+
+void store_reader::call(std::string target, state::duration timeout, fetch_handler handler)
+{
+    core_.metrics.add(forward_count::platform_calls);
+    fetch_request request;
+    request.address = core_.settings.platform;
+    request.target = std::move(target);
+    request.timeout = whole_milliseconds(timeout);
+    fetcher_.fetch(std::move(request), std::move(handler));
+}
+
+void store_reader::succeeded()
+{
+    state::time_point const now = boot_now();
+    retry_ = first_retry;
+    if (lost_)
+    {
+        state::time_point const last_known = std::max(last_read_, core_.fleet.platform_read(now));
+        bool const may_have_lapsed = now - last_known > lapse_outage;
+        core_.log.write(part, "regained", {},
+                        {{"outage_ms", whole_milliseconds(now - last_read_).count()},
+                         {"fleet_outage_ms", whole_milliseconds(now - last_known).count()}});
+        if (may_have_lapsed)
+        {
+            core_.directory.platform_returned(now);
+        }
+        lost_ = false;
+    }
+    last_read_ = now;
+}
+
+void store_reader::failed(std::string_view what, state::result<fetch_answer> const& answer)
+{
+    core_.metrics.add(forward_count::platform_failures);
+    if (!lost_)
+    {
+        lost_ = true;
+        core_.log.write(
+            part, "lost", {},
+            {{"call", what},
+             {"detail", answer ? std::to_string(answer.value().status) : answer.error().detail}});
+    }
+    std::uniform_int_distribution<std::int64_t> spread{retry_.count() / 2, retry_.count()};
+    step_in(state::duration{spread(core_.random)});
+    retry_ = std::min(longest_retry, retry_ * 2);
+}
+
+void store_reader::read_configuration()
+{
+    call(core_.dialect.configuration_target(), answer_time,
+         [this](state::result<fetch_answer> const& answer)
+         {
+             if (answer && answer.value().status == not_found)
+             {
+                 // Nothing is published yet.
+                 return step_in(first_retry);
+             }
+             auto const page = is_whole(answer)
+                                   ? core_.dialect.read_configuration(answer.value().body)
+                                   : state::result<protocol::store_page>{state::failure{}};
+             if (!page)
+             {
+                 return failed("configuration", answer);
+             }
+             succeeded();
+             has_configuration_ = true;
+             after_ = page.value().revision;
+             core_.take_configuration(page.value().configuration, part);
+             step();
+         });
+}
+
+void store_reader::read_list(std::string const& page)
+{
+    if (page.empty())
+    {
+        listed_.clear();
+        list_revision_ = 0;
+    }
+    call(core_.dialect.list_target(page), answer_time,
+         [this](state::result<fetch_answer> const& answer)
+         {
+             auto const answered = is_whole(answer)
+                                       ? core_.dialect.read_list(answer.value().body)
+                                       : state::result<protocol::store_page>{state::failure{}};
+             if (!answered)
+             {
+                 return failed("list", answer);
+             }
+             succeeded();
+             protocol::store_page const& read = answered.value();
+             // Pages are not one snapshot: changes since the first are heard from the watch.
+             list_revision_ = list_revision_ == 0 ? read.revision : list_revision_;
+             listed_.insert(listed_.end(), read.members.begin(), read.members.end());
+             if (!read.next_page.empty())
+             {
+                 return read_list(read.next_page);
+             }
+             core_.take_list(listed_, list_revision_, part);
+             synced_ = true;
+             // The configuration was read first; what came between is heard from the watch.
+             after_ = std::min(after_, list_revision_);
+             step();
+         });
+}
+
+void store_reader::watch()
+{
+    call(core_.dialect.watch_target(after_, watch_wait), watch_wait + answer_time,
+         [this](state::result<fetch_answer> const& answer)
+         {
+             if (answer && answer.value().status == gone)
+             {
+                 core_.log.write(part, "history dropped", {},
+                                 {{"after", static_cast<std::int64_t>(after_)}});
+                 synced_ = false;
+                 has_configuration_ = false;
+                 return step();
+             }
+             auto const page = is_whole(answer)
+                                   ? core_.dialect.read_changes(answer.value().body)
+                                   : state::result<protocol::store_page>{state::failure{}};
+             if (!page)
+             {
+                 return failed("watch", answer);
+             }
+             succeeded();
+             after_ = std::max(after_, page.value().revision);
+             if (!page.value().configuration.empty())
+             {
+                 core_.take_configuration(page.value().configuration, part);
+             }
+             core_.take_members(page.value().members, part);
+             step_in(watch_pause);
+         });
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/stream_call.cpp
@@ -0,0 +1,473 @@
+#include "stream_call.hpp"
+
+#include "boot_clock.hpp"
+
+#include <plumdale/protocol/endpoint_text.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using namespace coordination;
+
+constexpr unsigned success = 200;
+constexpr unsigned not_found = 404;
+constexpr unsigned conflict = 409;
+constexpr unsigned unavailable = 503;
+// First copies wait behind others on their link for as long as a notice lasts.
+constexpr std::chrono::milliseconds copy_timeout{2'500};
+
+copy_refusal refusal_of(state::result<fetch_answer> const& answer)
+{
+    if (!answer)
+    {
+        return copy_refusal::unreachable;
+    }
+    switch (answer.value().status)
+    {
+    case not_found:
+        return copy_refusal::unknown_generation;
+    case conflict:
+        return copy_refusal::in_progress;
+    case unavailable:
+        return copy_refusal::no_room;
+    default:
+        return copy_refusal::unreachable;
+    }
+}
+
+} // namespace
+
+stream_call::stream_call(forward_core& core, std::shared_ptr<caller_channel> channel,
+                         admitted_call admitted)
+    : forward_call{core, std::move(channel), std::move(admitted)}, last_progress_{
+                                                                       admitted_.call.read_at}
+{
+    core_.listen(*this);
+}
+
+stream_call::~stream_call()
+{
+    core_.forget(*this);
+}
+
+protocol::onward_terms stream_call::onward(state::time_point now) const
+{
+    protocol::onward_terms terms = forward_call::onward(now);
+    constexpr std::uint32_t least_urgent = 9;
+    std::uint32_t const rank = admitted_.customer != nullptr && admitted_.customer->priority
+                                   ? *admitted_.customer->priority
+                                   : admitted_.route->priority;
+    terms.priority = std::min(rank, least_urgent);
+    terms.resumed = resumed_;
+    return terms;
+}
+
+// -- events ---------------------------------------------------------------------------------------
+
+void stream_call::on_head(protocol::message_head const& head, protocol::body_framing framing)
+{
+    protocol::message_head const first = head_;
+    forward_call::on_head(head, framing);
+    bool const is_own = answer_.id.empty() || answer_.id == admitted_.terms.id;
+    streaming_ = head.status == success && answer_.sealed && !answer_.encoded && is_own;
+    if (begun_)
+    {
+        // The caller has the first upstream's head; a resumption brings only events.
+        head_ = first;
+    }
+}
+
+void stream_call::on_body(std::string bytes)
+{
+    if (!streaming_)
+    {
+        failure_body_ += bytes;
+        return;
+    }
+    events_.append(bytes);
+    pass_events();
+}
+
+void stream_call::pass_events()
+{
+    std::string passed;
+    while (auto event = events_.next())
+    {
+        // After a resumption an upstream may repeat what the caller has.
+        if (event->id && *event->id <= last_event_ && begun_)
+        {
+            continue;
+        }
+        last_event_ = event->id.value_or(last_event_ + 1);
+        ++events_passed_;
+        passed += event->text;
+    }
+    if (passed.empty())
+    {
+        return;
+    }
+    state::time_point const now = boot_now();
+    if (resuming_)
+    {
+        resuming_ = false;
+        core_.metrics.add(forward_count::resumed);
+        core_.metrics.moved(now - last_progress_);
+        log("resumed", "first event at the new upstream");
+        survival_->resumed(now);
+        watch_departure();
+    }
+    last_progress_ = now;
+    begin_answer();
+    channel_->send_part(passed);
+    if (channel_->is_full())
+    {
+        exchange_->pause(true);
+    }
+    grow();
+}
+
+void stream_call::begin_answer()
+{
+    if (!begun_)
+    {
+        begun_ = true;
+        core_.metrics.answered(boot_now() - admitted_.call.read_at);
+        channel_->begin(head_.status, head_.reason, answer_fields());
+    }
+}
+
+void stream_call::grow()
+{
+    std::uint32_t const per_event =
+        admitted_.service->engine ? admitted_.service->engine->tokens_per_event : 1;
+    std::uint32_t const tokens = admitted_.demand.prompt_tokens + events_passed_ * per_event;
+    if (load_.calls != 0 && tokens >= load_.tokens + events_per_update * per_event)
+    {
+        core_.ledger.remove(load_.member, load_);
+        load_.tokens = tokens;
+        load_.tokens_at_end = std::max(load_.tokens_at_end, tokens);
+        core_.ledger.add(load_.member, load_);
+    }
+}
+
+void stream_call::caller_ready()
+{
+    if (exchange_ != nullptr)
+    {
+        exchange_->pause(false);
+    }
+}
+
+// -- ends -----------------------------------------------------------------------------------------
+
+void stream_call::on_end(exchange_end end)
+{
+    if (!resuming_)
+    {
+        return begun_ ? answer_ended(end) : forward_call::on_end(end);
+    }
+    state::time_point const now = boot_now();
+    survival_actions actions;
+    if (end == exchange_end::whole && streaming_)
+    {
+        return end_whole();
+    }
+    bool const not_run = end == exchange_end::unreachable || end == exchange_end::not_sent ||
+                         (end == exchange_end::whole && (answer_.not_run || answer_.misdirected));
+    core_.metrics.add(forward_count::resume_refused);
+    log("resumption failed", not_run ? "not run" : "broke");
+    close_exchange();
+    not_run ? survival_->resume_refused(now, actions) : survival_->source_ended(now, actions);
+    apply(actions);
+}
+
+void stream_call::answer_ended(exchange_end end)
+{
+    if (end == exchange_end::whole && streaming_)
+    {
+        return end_whole();
+    }
+    if (end == exchange_end::whole && !begun_ && head_.status != success)
+    {
+        core_.health.note(member_, call_result::failed, boot_now());
+        log("answered", "failed at the upstream");
+        auto const channel = channel_;
+        exchange_ = nullptr;
+        finish();
+        return channel->answer(head_.status, head_.reason, answer_fields(), failure_body_);
+    }
+    source_ended(end == exchange_end::unconfirmed ? "stream of unknown length"
+                                                  : "connection broke");
+}
+
+void stream_call::end_whole()
+{
+    core_.health.note(member_, call_result::good, boot_now());
+    core_.metrics.add(forward_count::streams_whole);
+    begin_answer();
+    log("answered", {});
+    survival_actions actions;
+    if (survival_)
+    {
+        survival_->finished(actions);
+    }
+    apply(actions);
+    auto const channel = channel_;
+    exchange_ = nullptr;
+    finish();
+    channel->end();
+}
+
+void stream_call::source_ended(std::string_view why)
+{
+    log("source ended", why);
+    close_exchange();
+    if (!survival_)
+    {
+        survival_.emplace(
+            member_, [this](state::member_key source, std::span<state::member_key const> excluded)
+            { return choose_destination(source, excluded); });
+    }
+    survival_actions actions;
+    survival_->source_ended(boot_now(), actions);
+    apply(actions);
+}
+
+void stream_call::break_off(std::string_view why)
+{
+    if (!begun_)
+    {
+        ++runs_;
+        return refuse(state::error_kind::may_have_run, why);
+    }
+    log("broken off", why);
+    core_.metrics.add(forward_count::streams_broken);
+    auto const channel = channel_;
+    finish();
+    channel->break_off();
+}
+
+void stream_call::caller_left()
+{
+    survival_actions actions;
+    if (survival_)
+    {
+        survival_->finished(actions);
+    }
+    apply(actions);
+    forward_call::caller_left();
+}
+
+// -- survival -------------------------------------------------------------------------------------
+
+void stream_call::member_leaves(state::member_key member, departure const& when)
+{
+    bool const concerns = !finished_ && exchange_ != nullptr && member == member_ &&
+                          exchange_->sent() && admitted_.service->engine &&
+                          admitted_.service->engine->live_migration;
+    if (survival_)
+    {
+        survival_->backup_leaves(member);
+    }
+    if (!concerns)
+    {
+        return;
+    }
+    if (!survival_)
+    {
+        survival_.emplace(
+            member_, [this](state::member_key source, std::span<state::member_key const> excluded)
+            { return choose_destination(source, excluded); });
+    }
+    member_load const fleet = core_.ledger.total(member);
+    state::time_point const last_copies =
+        last_copies_from(when, *admitted_.service->engine, fleet.tokens, fleet.calls);
+    survival_actions actions;
+    survival_->source_leaves(last_copies, boot_now(), actions);
+    apply(actions);
+}
+
+void stream_call::watch_departure()
+{
+    if (departure const* const when = core_.departure_of(member_))
+    {
+        member_leaves(member_, departure{*when});
+    }
+}
+
+std::optional<state::member_key>
+stream_call::choose_destination(state::member_key source,
+                                std::span<state::member_key const> excluded)
+{
+    directory_entry const* const entry = core_.directory.find(source);
+    call_demand const demand{load_.tokens, admitted_.demand.output_tokens};
+    auto const chosen = core_.choice.choose(
+        *admitted_.service, demand, excluded,
+        entry == nullptr ? core_.choice.own_zone() : entry->info.zone, boot_now());
+    return chosen ? std::optional{chosen->member} : std::nullopt;
+}
+
+void stream_call::apply(survival_actions const& actions)
+{
+    auto const self = shared_from_this();
+    for (survival_action const& action : actions)
+    {
+        std::visit([this](auto const& each) { carry_out(each); }, action);
+    }
+    if (!finished_)
+    {
+        arm();
+    }
+}
+
+void stream_call::carry_out(order_copy const& action)
+{
+    directory_entry const* const source = core_.directory.find(action.source);
+    directory_entry const* const destination = core_.directory.find(action.destination);
+    if (source == nullptr || destination == nullptr)
+    {
+        return;
+    }
+    protocol::own_request wanted =
+        core_.dialect.copy_order(admitted_.terms.id, destination->info.address, action.last);
+    fetch_request request;
+    request.address = source->info.address;
+    request.method = std::move(wanted.method);
+    request.target = std::move(wanted.target);
+    request.body = std::move(wanted.body);
+    request.timeout = copy_timeout;
+    core_.metrics.add(action.last ? forward_count::copies_last : forward_count::copies_first);
+    log(action.last ? "last copy ordered" : "first copy ordered", destination->info.name);
+    fetch(core_.context, std::move(request),
+          [weak = weak_from_this(), last = action.last](state::result<fetch_answer> const& answer)
+          {
+              auto const self = std::static_pointer_cast<stream_call>(weak.lock());
+              if (self != nullptr)
+              {
+                  self->on_copy_answer(last, answer);
+              }
+          });
+}
+
+void stream_call::on_copy_answer(bool last, state::result<fetch_answer> const& answer)
+{
+    state::time_point const now = boot_now();
+    auto const copy = answer ? core_.dialect.read_copy_answer(answer.value().body)
+                             : state::result<protocol::copy_answer>{state::failure{}};
+    survival_actions actions;
+    if (answer && answer.value().status == success && copy)
+    {
+        survival_->copied(copy.value().handle, now, actions);
+    }
+    else
+    {
+        core_.metrics.add(forward_count::copies_refused);
+        log(last ? "last copy refused" : "first copy refused",
+            answer ? std::to_string(answer.value().status) : "no answer");
+        survival_->copy_refused(refusal_of(answer), copy ? copy.value().handle : std::string{}, now,
+                                actions);
+    }
+    if (!finished_)
+    {
+        apply(actions);
+    }
+}
+
+void stream_call::carry_out(resume_generation const& action)
+{
+    directory_entry const* const holder = core_.directory.find(action.holder);
+    directory_entry const* const at = core_.directory.find(action.at);
+    if (holder == nullptr || at == nullptr)
+    {
+        return break_off("the upstream to go on at is unknown");
+    }
+    close_exchange();
+    resumed_ = protocol::continuation{holder->info.address,
+                                      action.handle.empty() ? admitted_.terms.id : action.handle,
+                                      last_event_};
+    events_ = {};
+    streaming_ = false;
+    resuming_ = true;
+    log("resuming", at->info.name);
+    open(action.at);
+}
+
+void stream_call::carry_out(release_copy const& action)
+{
+    directory_entry const* const source = core_.directory.find(action.source);
+    if (source == nullptr)
+    {
+        return;
+    }
+    protocol::own_request wanted = core_.dialect.copy_release(action.handle);
+    fetch_request request;
+    request.address = source->info.address;
+    request.method = std::move(wanted.method);
+    request.target = std::move(wanted.target);
+    fetch(core_.context, std::move(request),
+          [&log = core_.log, id = admitted_.terms.id](state::result<fetch_answer> const& answer)
+          {
+              // The copy is freed by its lifetime otherwise.
+              if (!answer)
+              {
+                  log.write("call", "release failed", id, {{"detail", answer.error().detail}});
+              }
+          });
+}
+
+void stream_call::carry_out(abandon_generation const& /*action*/)
+{
+    break_off("the upstream broke off");
+}
+
+// -- time -----------------------------------------------------------------------------------------
+
+state::duration stream_call::patience() const
+{
+    return std::max({least_patience,
+                     state::duration{patience_objectives * admitted_.route->target_latency},
+                     state::duration{patience_gaps * admitted_.route->target_gap}});
+}
+
+state::time_point stream_call::next_deadline() const
+{
+    state::time_point const copies = survival_ ? survival_->next_deadline() : state::never;
+    return std::min({forward_call::next_deadline(), copies, last_progress_ + patience()});
+}
+
+void stream_call::on_timer(state::time_point now)
+{
+    if (now >= last_progress_ + patience())
+    {
+        return time_over();
+    }
+    if (survival_)
+    {
+        survival_actions actions;
+        survival_->advance(now, actions);
+        apply(actions);
+    }
+    if (!finished_)
+    {
+        forward_call::on_timer(now);
+    }
+}
+
+void stream_call::time_over()
+{
+    bool const sent = may_have_run() || (exchange_ != nullptr && exchange_->sent());
+    if (sent || begun_)
+    {
+        return break_off("time is over");
+    }
+    refuse(state::error_kind::overloaded, "time is over");
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/stream_call.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "forward_call.hpp"
+
+#include <plumdale/coordination/generation_survival.hpp>
+#include <plumdale/protocol/raw_event_splitter.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// \file
+/// \brief A call that is answered by a stream of events.
+
+namespace plumdale::transport
+{
+
+/// \brief Passes whole events on as they come, each once and in order, across the upstreams on
+/// which the generation runs one after another.
+class stream_call final : public forward_call, public departure_listener
+{
+public:
+    stream_call(forward_core& core, std::shared_ptr<caller_channel> channel,
+                admitted_call admitted);
+    ~stream_call() override;
+
+    void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
+    void on_body(std::string bytes) override;
+    void on_end(exchange_end end) override;
+    void caller_ready() override;
+    void caller_left() override;
+    void member_leaves(state::member_key member, coordination::departure const& when) override;
+
+    /// \brief Events after which the load told to peers is brought up to date.
+    static constexpr std::uint32_t events_per_update = 16;
+    /// \brief Callers give a stream up after a silence of this long at least, four objectives or
+    /// eight allowed pauses; work beyond that is for nobody.
+    static constexpr state::duration least_patience = std::chrono::seconds{2};
+    static constexpr int patience_objectives = 4;
+    static constexpr int patience_gaps = 8;
+
+private:
+    [[nodiscard]] protocol::onward_terms onward(state::time_point now) const override;
+    void answer_ended(exchange_end end) override;
+    void time_over() override;
+    void on_timer(state::time_point now) override;
+    [[nodiscard]] state::time_point next_deadline() const override;
+
+    void pass_events();
+    void begin_answer();
+    void grow();
+    void end_whole();
+    void source_ended(std::string_view why);
+    void apply(coordination::survival_actions const& actions);
+    void carry_out(coordination::order_copy const& action);
+    void carry_out(coordination::resume_generation const& action);
+    void carry_out(coordination::release_copy const& action);
+    void carry_out(coordination::abandon_generation const& action);
+    void on_copy_answer(bool last, state::result<fetch_answer> const& answer);
+    void break_off(std::string_view why);
+    void watch_departure();
+    [[nodiscard]] std::optional<state::member_key>
+    choose_destination(state::member_key source, std::span<state::member_key const> excluded);
+    [[nodiscard]] state::duration patience() const;
+
+    std::optional<coordination::generation_survival> survival_;
+    std::optional<protocol::continuation> resumed_;
+    protocol::raw_event_splitter events_;
+    std::string failure_body_;
+    std::uint64_t last_event_ = 0;
+    std::uint32_t events_passed_ = 0;
+    state::time_point last_progress_{};
+    bool streaming_ = false;
+    bool begun_ = false;
+    bool resuming_ = false;
+};
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/upstream_exchange.cpp
@@ -0,0 +1,230 @@
+#include "upstream_exchange.hpp"
+
+#include "boot_clock.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using boost::system::error_code;
+
+constexpr unsigned first_final_status = 200;
+
+protocol::http_reader new_reader(bool without_body)
+{
+    auto const role =
+        without_body ? protocol::message_role::answer_without_body : protocol::message_role::answer;
+    return {role, {upstream_exchange::head_limit, upstream_exchange::body_limit}};
+}
+
+} // namespace
+
+upstream_exchange::upstream_exchange(net::io_context& context, upstream_pool& pool, options chosen,
+                                     exchange_sink& sink)
+    : context_{context}, pool_{pool}, options_{chosen}, sink_{&sink}, timer_{context},
+      reader_{new_reader(chosen.without_body)}
+{
+}
+
+void upstream_exchange::start()
+{
+    if (options_.longest_idle > state::duration::zero())
+    {
+        socket_ = pool_.take(options_.member, options_.longest_idle, boot_now());
+    }
+    reused_ = socket_ != nullptr;
+    reused_ ? send() : connect();
+}
+
+void upstream_exchange::connect()
+{
+    socket_ = std::make_unique<tcp::socket>(context_);
+    timer_.expires_after(connect_timeout);
+    timer_.async_wait(
+        [self = shared_from_this()](error_code error)
+        {
+            if (!error && !self->sent_)
+            {
+                self->finish(exchange_end::unreachable);
+            }
+        });
+    socket_->async_connect(to_tcp(options_.address),
+                           [self = shared_from_this()](error_code error)
+                           {
+                               self->timer_.cancel();
+                               if (self->sink_ == nullptr)
+                               {
+                                   return;
+                               }
+                               error ? self->finish(exchange_end::unreachable) : self->send();
+                           });
+}
+
+void upstream_exchange::send()
+{
+    std::optional<std::string> request = sink_->request();
+    if (!request)
+    {
+        return finish(exchange_end::not_sent);
+    }
+    error_code ignored;
+    socket_->set_option(tcp::no_delay{true}, ignored);
+    int const timeout = user_timeout_ms;
+    ::setsockopt(socket_->native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                 sizeof(timeout));
+    request_ = std::move(*request);
+    sent_ = true;
+    net::async_write(*socket_, net::buffer(request_),
+                     [self = shared_from_this()](error_code error, std::size_t)
+                     {
+                         // A failed write shows as the end of the reading too, behind an answer
+                         // that the upstream gave before it read everything.
+                         self->written_ = !error;
+                     });
+    read();
+}
+
+void upstream_exchange::read()
+{
+    if (reading_ || paused_ || sink_ == nullptr)
+    {
+        return;
+    }
+    reading_ = true;
+    socket_->async_read_some(net::buffer(buffer_),
+                             [self = shared_from_this()](error_code error, std::size_t bytes)
+                             {
+                                 self->reading_ = false;
+                                 if (self->sink_ != nullptr)
+                                 {
+                                     self->on_read(error, bytes);
+                                 }
+                             });
+}
+
+void upstream_exchange::on_read(error_code error, std::size_t bytes)
+{
+    if (bytes > 0)
+    {
+        take({buffer_.data(), bytes});
+    }
+    if (sink_ == nullptr)
+    {
+        return;
+    }
+    if (!error)
+    {
+        return read();
+    }
+    bool const in_order = error == net::error::eof;
+    if (in_order && reader_.append_end() == protocol::read_progress::whole)
+    {
+        report_progress();
+        if (sink_ != nullptr)
+        {
+            finish(exchange_end::unconfirmed);
+        }
+        return;
+    }
+    finish(exchange_end::broken);
+}
+
+void upstream_exchange::take(std::string_view bytes)
+{
+    reader_.append(bytes);
+    while (reader_.progress() == protocol::read_progress::whole &&
+           reader_.head().status < first_final_status)
+    {
+        // An interim answer; the final one follows.
+        std::string const rest{reader_.rest()};
+        reader_ = new_reader(options_.without_body);
+        reader_.append(rest);
+    }
+    report_progress();
+    if (sink_ != nullptr && reader_.progress() == protocol::read_progress::malformed)
+    {
+        return finish(exchange_end::broken);
+    }
+    if (sink_ != nullptr && reader_.progress() == protocol::read_progress::whole)
+    {
+        finish(exchange_end::whole);
+    }
+}
+
+void upstream_exchange::report_progress()
+{
+    using enum protocol::read_progress;
+    bool const has_head = reader_.progress() == body || reader_.progress() == whole;
+    if (has_head && !head_told_)
+    {
+        head_told_ = true;
+        sink_->on_head(reader_.head(), reader_.framing());
+    }
+    if (sink_ != nullptr && head_told_)
+    {
+        if (std::string arrived = reader_.take_body(); !arrived.empty())
+        {
+            sink_->on_body(std::move(arrived));
+        }
+    }
+}
+
+void upstream_exchange::finish(exchange_end end)
+{
+    exchange_sink* const sink = std::exchange(sink_, nullptr);
+    timer_.cancel();
+    // Bytes behind the answer belong to no call, and an upstream that answered before it read the
+    // whole body still reads: neither connection may carry another call.
+    bool const reusable = end == exchange_end::whole && options_.keep && written_ && !closes_ &&
+                          reader_.rest().empty();
+    if (reusable)
+    {
+        pool_.keep(options_.member, std::move(*socket_),
+                   keep_alive_.value_or(upstream_pool::default_keep_alive), boot_now());
+    }
+    else if (socket_ != nullptr)
+    {
+        error_code ignored;
+        socket_->close(ignored);
+    }
+    if (sink != nullptr)
+    {
+        sink->on_end(end);
+    }
+}
+
+void upstream_exchange::cancel()
+{
+    sink_ = nullptr;
+    timer_.cancel();
+    if (socket_ != nullptr)
+    {
+        error_code ignored;
+        socket_->close(ignored);
+    }
+}
+
+void upstream_exchange::pause(bool paused)
+{
+    paused_ = paused;
+    if (!paused && sent_)
+    {
+        read();
+    }
+}
+
+void upstream_exchange::keep_alive(std::optional<state::duration> time, bool closes)
+{
+    keep_alive_ = time;
+    closes_ = closes;
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/upstream_exchange.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "net.hpp"
+#include "upstream_pool.hpp"
+
+#include <plumdale/protocol/http_reader.hpp>
+#include <plumdale/state/service_member.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+/// \file
+/// \brief One call sent to one upstream, and its answer.
+
+namespace plumdale::transport
+{
+
+/// \brief How an exchange ended.
+enum class exchange_end : std::uint8_t
+{
+    whole,       ///< The answer ended as its framing says.
+    unconfirmed, ///< It ended with the connection, in order; a break can look the same.
+    unreachable, ///< No connection: nothing was sent.
+    not_sent,    ///< `exchange_sink::request` declined: nothing was sent.
+    broken,      ///< The connection ended first, or sent what is no answer.
+};
+
+/// \brief Who sent the call. Called on the loop, not after `upstream_exchange::cancel()`.
+class exchange_sink
+{
+public:
+    exchange_sink() = default;
+    exchange_sink(exchange_sink const&) = delete;
+    exchange_sink& operator=(exchange_sink const&) = delete;
+    virtual ~exchange_sink() = default;
+
+    /// \brief Returns the whole request, made at the last moment; none to send nothing after all.
+    virtual std::optional<std::string> request() = 0;
+    virtual void on_head(protocol::message_head const& head, protocol::body_framing framing) = 0;
+    virtual void on_body(std::string bytes) = 0;
+    virtual void on_end(exchange_end end) = 0;
+};
+
+/// \brief Connects or takes a kept connection, writes, reads; keeps the connection when it may.
+class upstream_exchange : public std::enable_shared_from_this<upstream_exchange>
+{
+public:
+    struct options
+    {
+        state::member_key member;
+        state::endpoint address;
+        bool without_body = false;
+        /// \brief Longest idle time of a kept connection; zero for a new one always.
+        state::duration longest_idle{};
+        /// \brief Keeps the connection afterwards.
+        bool keep = true;
+    };
+
+    upstream_exchange(net::io_context& context, upstream_pool& pool, options chosen,
+                      exchange_sink& sink);
+
+    void start();
+    /// \brief Ends the exchange; closes the connection, from which most upstreams stop the work.
+    void cancel();
+    /// \brief Stops and goes on reading, while the caller takes no more.
+    void pause(bool paused);
+    /// \brief How long the upstream keeps the idle connection, from its answer's head.
+    void keep_alive(std::optional<state::duration> time, bool closes);
+    /// \brief Returns whether a byte of the request may have left.
+    [[nodiscard]] bool sent() const noexcept
+    {
+        return sent_;
+    }
+    [[nodiscard]] bool reused() const noexcept
+    {
+        return reused_;
+    }
+
+    /// \brief An upstream in another zone answers within 3 ms; one whose queue of connections is
+    /// full drops the first packet, which is sent again after a second: too late to wait for.
+    static constexpr auto connect_timeout = std::chrono::milliseconds{350};
+    /// \brief Unacknowledged bytes for this long mean that the path is gone.
+    static constexpr unsigned user_timeout_ms = 3'000;
+    /// \brief Heads of upstreams' answers.
+    static constexpr std::uint32_t head_limit = 16 * 1024;
+    static constexpr std::uint64_t body_limit = 64ULL * 1024 * 1024;
+
+private:
+    void connect();
+    void send();
+    void read();
+    void on_read(boost::system::error_code error, std::size_t bytes);
+    void take(std::string_view bytes);
+    void report_progress();
+    void finish(exchange_end end);
+
+    net::io_context& context_;
+    upstream_pool& pool_;
+    options options_;
+    exchange_sink* sink_;
+    std::unique_ptr<tcp::socket> socket_;
+    net::steady_timer timer_;
+    protocol::http_reader reader_;
+    std::string request_;
+    std::array<char, 4096> buffer_{};
+    std::optional<state::duration> keep_alive_;
+    bool closes_ = false;
+    bool sent_ = false;
+    bool written_ = false;
+    bool reused_ = false;
+    bool head_told_ = false;
+    bool paused_ = false;
+    bool reading_ = false;
+};
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/upstream_pool.cpp
@@ -0,0 +1,66 @@
+#include "upstream_pool.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+// An end, or bytes that no request asked for, such as an extra answer: the next answer read on such
+// a connection would not be that of the next call.
+bool is_quiet(tcp::socket& socket)
+{
+    char byte = 0;
+    ssize_t const got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+std::unique_ptr<tcp::socket>
+upstream_pool::take(state::member_key member, state::duration longest_idle, state::time_point now)
+{
+    auto const found = idle_.find(member);
+    while (found != idle_.end() && !found->second.empty())
+    {
+        kept_connection kept = std::move(found->second.back());
+        found->second.pop_back();
+        state::duration const idle = now - kept.idle_since;
+        if (idle < std::min(kept.usable, longest_idle) && is_quiet(kept.socket))
+        {
+            return std::make_unique<tcp::socket>(std::move(kept.socket));
+        }
+    }
+    return nullptr;
+}
+
+void upstream_pool::keep(state::member_key member, tcp::socket socket, state::duration keep_alive,
+                         state::time_point now)
+{
+    std::vector<kept_connection>& kept = idle_[member];
+    if (kept.size() < most_idle)
+    {
+        kept.push_back({std::move(socket), now, keep_alive / usable_part});
+    }
+}
+
+void upstream_pool::sweep(state::time_point now)
+{
+    for (auto& [member, kept] : idle_)
+    {
+        std::erase_if(kept, [now](kept_connection const& each)
+                      { return now - each.idle_since >= each.usable; });
+    }
+    std::erase_if(idle_, [](auto const& each) { return each.second.empty(); });
+}
+
+void upstream_pool::drop(state::member_key member)
+{
+    idle_.erase(member);
+}
+
+} // namespace plumdale::transport
