Backups where memory is free, last copies timed by the known departure

The trace shows last copies ordered while first copies of other entry VMs still held the link: the departure was guessed 0.5 s too early since reports lag, copies crossed zones, and questions that end within the notice were copied too.

--- a/include/plumdale/coordination/copy_schedule.hpp
+++ b/include/plumdale/coordination/copy_schedule.hpp
@@ -20,6 +20,9 @@
     std::optional<state::time_point> leaves_at;
 };
 
+/// \brief Returns when the upstream is gone, as far as it is known.
+[[nodiscard]] state::time_point gone_at(departure const& leaving) noexcept;
+
 /// \brief Returns how long one copy of `tokens` takes on an idle link.
 [[nodiscard]] state::duration copy_time(state::engine_limits const& engine, std::uint64_t tokens,
                                         bool to_other_zone) noexcept;
@@ -39,9 +42,9 @@
 /// \brief Shortest notice given: upstreams were gone 1.5 to 2.1 s after it.
 inline constexpr state::duration shortest_notice = std::chrono::milliseconds{1'500};
 /// \brief How late a notice may be heard: pacing of the watch, the answer, a datagram.
-inline constexpr state::duration notice_delay = std::chrono::milliseconds{250};
+inline constexpr state::duration notice_delay = std::chrono::milliseconds{180};
 /// \brief Kept free before the departure: for ordering last copies, a refusal, and a second try.
-inline constexpr state::duration departure_margin = std::chrono::milliseconds{350};
+inline constexpr state::duration departure_margin = std::chrono::milliseconds{280};
 /// \brief Time of one last copy and its resumption on an idle link, measured 7 ms and 13 to 58 ms;
 /// the link is held only by the first.
 inline constexpr state::duration last_copy_time = std::chrono::milliseconds{10};
--- a/include/plumdale/coordination/generation_survival.hpp
+++ b/include/plumdale/coordination/generation_survival.hpp
@@ -83,9 +83,10 @@
     {
         backup_ = member;
     }
-    /// \brief The upstream that keeps the backup leaves or is gone.
-    void backup_leaves(state::member_key member) noexcept;
-    /// \brief The source leaves; `last_copy_at` is when its last copies may begin.
+    /// \brief An upstream leaves or is gone; if it keeps the backup, there is none any more.
+    void backup_leaves(state::member_key member, survival_actions& actions);
+    /// \brief The source leaves; `last_copy_at` is when its last copies may begin. Told again when
+    /// more is known.
     void source_leaves(state::time_point last_copy_at, state::time_point now,
                        survival_actions& actions);
     /// \brief The source answered an order to copy.
@@ -165,6 +166,7 @@
     state::time_point due_ = state::never;
     std::uint32_t resumes_ = 0;
     bool source_ended_ = false;
+    bool source_leaves_ = false;
 };
 
 } // namespace plumdale::coordination
--- a/include/plumdale/coordination/member_choice.hpp
+++ b/include/plumdale/coordination/member_choice.hpp
@@ -44,12 +44,11 @@
                   member_health const& health, std::string_view own_zone, std::minstd_rand& random);
 
     /// \brief Returns the best upstream of a service that is none of `excluded`; none when there is
-    /// no upstream that may take work. `near_zone` is preferred.
-    [[nodiscard]] std::optional<chosen_member> choose(state::service const& service,
-                                                      call_demand const& demand,
-                                                      std::span<state::member_key const> excluded,
-                                                      std::string_view near_zone,
-                                                      state::time_point now) const;
+    /// no upstream that may take work. One that is not in `near_zone` counts as fuller by `far`.
+    [[nodiscard]] std::optional<chosen_member>
+    choose(state::service const& service, call_demand const& demand,
+           std::span<state::member_key const> excluded, std::string_view near_zone,
+           state::time_point now, double far = other_zone) const;
     /// \brief Returns how full an upstream would be with this call.
     [[nodiscard]] double fullness(directory_entry const& entry, state::service const& service,
                                   call_demand const& demand) const;
--- a/src/coordination/copy_schedule.cpp
+++ b/src/coordination/copy_schedule.cpp
@@ -11,7 +11,7 @@
 constexpr state::duration copy_overhead = std::chrono::milliseconds{4};
 // Destinations in other zones, and what runs generate meanwhile, make first copies longer than the
 // tokens known at the notice say.
-constexpr double first_copies_excess = 1.2;
+constexpr double first_copies_excess = 2.0;
 
 } // namespace
 
@@ -31,15 +31,19 @@
                                std::chrono::duration<double>{seconds * crossing});
 }
 
+state::time_point gone_at(departure const& leaving) noexcept
+{
+    return leaving.leaves_at.value_or(leaving.learnt_at + shortest_notice - notice_delay);
+}
+
 state::time_point last_copies_from(departure const& leaving, state::engine_limits const& engine,
                                    std::uint64_t fleet_tokens, std::uint32_t fleet_calls) noexcept
 {
     state::duration const one_by_one = copy_time(engine, fleet_tokens, false);
     auto const first_copies = std::chrono::duration_cast<state::duration>(
         first_copies_excess * one_by_one + fleet_calls * copy_overhead);
-    state::time_point const gone =
-        leaving.leaves_at.value_or(leaving.learnt_at + shortest_notice - notice_delay);
-    state::time_point const latest = gone - departure_margin - fleet_calls * last_copy_time;
+    state::time_point const latest =
+        gone_at(leaving) - departure_margin - fleet_calls * last_copy_time;
     return std::max(leaving.learnt_at, std::min(leaving.learnt_at + first_copies, latest));
 }
 
--- a/src/coordination/generation_survival.cpp
+++ b/src/coordination/generation_survival.cpp
@@ -1,5 +1,6 @@
 #include <plumdale/coordination/generation_survival.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace plumdale::coordination
@@ -12,24 +13,34 @@
 
 // -- copies ---------------------------------------------------------------------------------------
 
-void generation_survival::source_leaves(state::time_point last_copy_at, state::time_point /*now*/,
+void generation_survival::source_leaves(state::time_point last_copy_at, state::time_point now,
                                         survival_actions& actions)
 {
+    source_leaves_ = true;
+    last_copy_at_ = last_copy_at;
+    if (phase_ == phase::copied)
+    {
+        due_ = std::max(now, last_copy_at_);
+    }
     // A backup needs no copy: the generation runs on until the source is gone, and goes on there.
-    if (phase_ != phase::steady || backup_)
+    if (phase_ == phase::steady && !backup_)
     {
-        return;
+        excluded_.assign({source_});
+        order_first(actions);
     }
-    last_copy_at_ = last_copy_at;
-    excluded_.assign({source_});
-    order_first(actions);
 }
 
-void generation_survival::backup_leaves(state::member_key member) noexcept
+void generation_survival::backup_leaves(state::member_key member, survival_actions& actions)
 {
-    if (backup_ == member)
+    if (backup_ != member)
     {
-        backup_ = {};
+        return;
+    }
+    backup_ = {};
+    if (source_leaves_ && phase_ == phase::steady)
+    {
+        excluded_.assign({source_, member});
+        order_first(actions);
     }
 }
 
@@ -199,11 +210,9 @@
     due_ = state::never;
     handle_.clear();
     destination_ = {};
-    // A backup is used up by resuming from it.
-    if (backup_ == source_)
-    {
-        backup_ = {};
-    }
+    // The backup was of the run before; a resumption asks for one of its own.
+    backup_ = {};
+    source_leaves_ = false;
     resumes_ = 0;
 }
 
--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -42,7 +42,7 @@
                                                    call_demand const& demand,
                                                    std::span<state::member_key const> excluded,
                                                    std::string_view near_zone,
-                                                   state::time_point now) const
+                                                   state::time_point now, double far) const
 {
     std::optional<chosen_member> best;
     double best_score = 0.0;
@@ -57,7 +57,7 @@
             continue;
         }
         double const full = fullness(*entry, service, demand);
-        double const score = full + (entry->info.zone == near_zone ? 0.0 : other_zone) +
+        double const score = full + (entry->info.zone == near_zone ? 0.0 : far) +
                              aside * health_.penalty(key, now) + noise(random_);
         if (!best || score < best_score)
         {
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -76,8 +76,8 @@
 {
     coordination::directory_entry const* const entry = core_.directory.find(member);
     member_ = member;
-    load_ = {member, 1, admitted_.demand.prompt_tokens,
-             admitted_.demand.prompt_tokens + admitted_.demand.output_tokens};
+    std::uint32_t const at_end = admitted_.demand.prompt_tokens + admitted_.demand.output_tokens;
+    load_ = {member, 1, tokens_held(), std::max(tokens_held(), at_end)};
     core_.ledger.add(member, load_);
     has_head_ = false;
     ++tries_;
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -84,6 +84,12 @@
     /// \brief Returns when `on_timer` is due besides the deadline.
     [[nodiscard]] virtual state::time_point next_deadline() const;
 
+    /// \brief Returns the tokens that the call has in memory at its upstream by now.
+    [[nodiscard]] virtual std::uint32_t tokens_held() const
+    {
+        return admitted_.demand.prompt_tokens;
+    }
+
     void dispatch();
     void open(state::member_key member);
     void redispatch(std::string_view why);
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -5,6 +5,7 @@
 #include <plumdale/protocol/endpoint_text.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -19,6 +20,9 @@
 constexpr std::string_view part = "directory";
 // An upstream that leaves answers within a millisecond or two; later its answer is no use.
 constexpr std::chrono::milliseconds report_timeout{300};
+// Upstreams' reports tell of the time this long ago: 500 ms in all that were seen.
+constexpr std::chrono::milliseconds report_lag{500};
+constexpr std::chrono::milliseconds report_slack{60};
 
 std::string_view change_name(directory_change change)
 {
@@ -170,12 +174,29 @@
     if (departures_.try_emplace(member, coordination::departure{boot_now(), std::nullopt}).second)
     {
         pool.drop(member);
+        tell_departure(member);
         // Only who has generations there needs to know when it goes.
-        bool const concerned = ledger.own(member).tokens > 0;
-        concerned ? ask_departure(member) : tell_departure(member);
+        if (ledger.own(member).tokens > 0)
+        {
+            ask_departure_later(member);
+        }
     }
 }
 
+// Reports are as old as `report_lag`: asked at once, one would still say that the upstream stays.
+void forward_core::ask_departure_later(state::member_key member)
+{
+    auto const timer = std::make_shared<net::steady_timer>(context, report_lag + report_slack);
+    timer->async_wait(
+        [this, member, timer](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                ask_departure(member);
+            }
+        });
+}
+
 void forward_core::ask_departure(state::member_key member)
 {
     coordination::directory_entry const* const entry = directory.find(member);
@@ -185,26 +206,26 @@
     request.method = wanted.method;
     request.target = wanted.target;
     request.timeout = report_timeout;
-    fetch(context, std::move(request),
-          [this, member](state::result<fetch_answer> const& answer)
-          {
-              auto const report = answer && answer.value().status == 200
-                                      ? dialect.read_report(answer.value().body)
-                                      : state::result<protocol::member_report>{state::failure{}};
-              if (report && report.value().leaves_in)
-              {
-                  departures_[member].leaves_at = boot_now() + *report.value().leaves_in;
-              }
-              log.write(
-                  part, "departure asked", {},
-                  {{"member", static_cast<std::int64_t>(member.value)},
-                   {"leaves_in_ms", report && report.value().leaves_in
-                                        ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                                              *report.value().leaves_in)
-                                              .count()
-                                        : -1}});
-              tell_departure(member);
-          });
+    fetch(
+        context, std::move(request),
+        [this, member](state::result<fetch_answer> const& answer)
+        {
+            auto const report = answer && answer.value().status == 200
+                                    ? dialect.read_report(answer.value().body)
+                                    : state::result<protocol::member_report>{state::failure{}};
+            if (report && report.value().leaves_in)
+            {
+                departures_[member].leaves_at = boot_now() + *report.value().leaves_in - report_lag;
+            }
+            log.write(part, "departure asked", {},
+                      {{"member", static_cast<std::int64_t>(member.value)},
+                       {"leaves_in_ms", report && report.value().leaves_in
+                                            ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                  *report.value().leaves_in)
+                                                  .count()
+                                            : -1}});
+            tell_departure(member);
+        });
 }
 
 void forward_core::tell_departure(state::member_key member)
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -107,6 +107,7 @@
 private:
     void take_member(state::service_member const& member, std::string_view source);
     void member_departs(state::member_key member);
+    void ask_departure_later(state::member_key member);
     void ask_departure(state::member_key member);
     void tell_departure(state::member_key member);
     coordination::repeat_allowance& allowance_of(std::string const& service);
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace plumdale::transport
@@ -23,6 +24,11 @@
 // First copies wait behind others on their link for as long as a notice lasts.
 constexpr std::chrono::milliseconds copy_timeout{2'500};
 
+std::int64_t whole_milliseconds(state::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 copy_refusal refusal_of(state::result<fetch_answer> const& answer)
 {
     if (!answer)
@@ -55,6 +61,7 @@
 stream_call::~stream_call()
 {
     core_.forget(*this);
+    drop_backup();
 }
 
 protocol::onward_terms stream_call::onward(state::time_point now) const
@@ -66,6 +73,7 @@
                                    : admitted_.route->priority;
     terms.priority = std::min(rank, least_urgent);
     terms.resumed = resumed_;
+    terms.backup = backup_address_;
     return terms;
 }
 
@@ -114,13 +122,28 @@
         return;
     }
     state::time_point const now = boot_now();
+    bool const is_first_of_run = resuming_ || !begun_;
+    if (!begun_)
+    {
+        first_event_at_ = now;
+    }
     if (resuming_)
     {
         resuming_ = false;
         core_.metrics.add(forward_count::resumed);
         core_.metrics.moved(now - last_progress_);
-        log("resumed", "first event at the new upstream");
+        core_.log.write("call", "resumed", admitted_.terms.id,
+                        {{"upstream", member_name()},
+                         {"pause_ms", whole_milliseconds(now - last_progress_)},
+                         {"after_event", static_cast<std::int64_t>(last_event_)}});
         survival_->resumed(now);
+    }
+    if (backup_load_.calls != 0)
+    {
+        survival().backed_up_at(backup_load_.member);
+    }
+    if (is_first_of_run)
+    {
         watch_departure();
     }
     last_progress_ = now;
@@ -133,6 +156,13 @@
     grow();
 }
 
+std::uint32_t stream_call::tokens_held() const
+{
+    std::uint32_t const per_event =
+        admitted_.service->engine ? admitted_.service->engine->tokens_per_event : 1;
+    return admitted_.demand.prompt_tokens + events_passed_ * per_event;
+}
+
 void stream_call::begin_answer()
 {
     if (!begun_)
@@ -145,15 +175,17 @@
 
 void stream_call::grow()
 {
-    std::uint32_t const per_event =
-        admitted_.service->engine ? admitted_.service->engine->tokens_per_event : 1;
-    std::uint32_t const tokens = admitted_.demand.prompt_tokens + events_passed_ * per_event;
-    if (load_.calls != 0 && tokens >= load_.tokens + events_per_update * per_event)
+    std::uint32_t const tokens = tokens_held();
+    bool const is_due = events_passed_ % events_per_update == 0;
+    for (member_load* const load : {&load_, &backup_load_})
     {
-        core_.ledger.remove(load_.member, load_);
-        load_.tokens = tokens;
-        load_.tokens_at_end = std::max(load_.tokens_at_end, tokens);
-        core_.ledger.add(load_.member, load_);
+        if (is_due && load->calls != 0)
+        {
+            core_.ledger.remove(load->member, *load);
+            load->tokens = tokens;
+            load->tokens_at_end = std::max(load->tokens_at_end, tokens);
+            core_.ledger.add(load->member, *load);
+        }
     }
 }
 
@@ -229,14 +261,8 @@
 {
     log("source ended", why);
     close_exchange();
-    if (!survival_)
-    {
-        survival_.emplace(
-            member_, [this](state::member_key source, std::span<state::member_key const> excluded)
-            { return choose_destination(source, excluded); });
-    }
     survival_actions actions;
-    survival_->source_ended(boot_now(), actions);
+    survival().source_ended(boot_now(), actions);
     apply(actions);
 }
 
@@ -272,28 +298,104 @@
     bool const concerns = !finished_ && exchange_ != nullptr && member == member_ &&
                           exchange_->sent() && admitted_.service->engine &&
                           admitted_.service->engine->live_migration;
-    if (survival_)
+    if (survival_ && !finished_)
     {
-        survival_->backup_leaves(member);
+        survival_actions actions;
+        survival_->backup_leaves(member, actions);
+        apply(actions);
     }
-    if (!concerns)
+    // One that ends before its upstream is gone would only hold up the copies of others.
+    bool const outlives = expected_left(boot_now()) > gone_at(when) - boot_now();
+    if (!concerns || !outlives)
     {
         return;
     }
+    member_load const fleet = core_.ledger.total(member);
+    state::time_point const last_copies =
+        last_copies_from(when, *admitted_.service->engine, fleet.tokens, fleet.calls);
+    state::time_point const now = boot_now();
+    core_.log.write("call", "upstream leaves", admitted_.terms.id,
+                    {{"upstream", member_name()},
+                     {"learnt_ms_ago", whole_milliseconds(now - when.learnt_at)},
+                     {"leaves_in_ms", when.leaves_at ? whole_milliseconds(*when.leaves_at - now)
+                                                     : std::int64_t{-1}},
+                     {"last_copies_in_ms", whole_milliseconds(last_copies - now)},
+                     {"fleet_calls", fleet.calls},
+                     {"fleet_tokens", fleet.tokens}});
+    survival_actions actions;
+    survival().source_leaves(last_copies, now, actions);
+    apply(actions);
+}
+
+generation_survival& stream_call::survival()
+{
     if (!survival_)
     {
         survival_.emplace(
             member_, [this](state::member_key source, std::span<state::member_key const> excluded)
             { return choose_destination(source, excluded); });
     }
-    member_load const fleet = core_.ledger.total(member);
-    state::time_point const last_copies =
-        last_copies_from(when, *admitted_.service->engine, fleet.tokens, fleet.calls);
-    survival_actions actions;
-    survival_->source_leaves(last_copies, boot_now(), actions);
-    apply(actions);
+    return *survival_;
+}
+
+// The caller's hint is right at the median. An answer that has passed it is taken to go on for half
+// of what it has: lengths vary by more than their mean.
+state::duration stream_call::expected_left(state::time_point now) const
+{
+    std::uint32_t const made = tokens_held() - admitted_.demand.prompt_tokens;
+    std::uint32_t const hinted = admitted_.demand.output_tokens;
+    std::uint32_t const left = std::max(hinted > made ? hinted - made : 0U, made / 2);
+    state::duration const each =
+        made == 0 ? usual_token_time : (now - first_event_at_) / static_cast<std::int64_t>(made);
+    return static_cast<std::int64_t>(left) * std::min(each, 4 * usual_token_time);
+}
+
+// -- backups --------------------------------------------------------------------------------------
+
+std::optional<std::string> stream_call::request()
+{
+    choose_backup();
+    return forward_call::request();
 }
 
+void stream_call::choose_backup()
+{
+    drop_backup();
+    state::service const& service = *admitted_.service;
+    bool const wanted = service.engine && service.engine->backups &&
+                        admitted_.demand.output_tokens >= backup_least_tokens &&
+                        core_.choice.mean_fullness(service, boot_now()) < backup_mean_limit;
+    if (!wanted)
+    {
+        return;
+    }
+    directory_entry const* const source = core_.directory.find(member_);
+    std::array<state::member_key, 1> const excluded{member_};
+    call_demand const demand{tokens_held(), admitted_.demand.output_tokens};
+    auto const chosen = core_.choice.choose(
+        service, demand, excluded, source == nullptr ? core_.choice.own_zone() : source->info.zone,
+        boot_now());
+    if (!chosen || chosen->fullness > backup_member_limit)
+    {
+        return;
+    }
+    backup_address_ = core_.directory.find(chosen->member)->info.address;
+    backup_load_ = {chosen->member, 1, load_.tokens, load_.tokens_at_end};
+    core_.ledger.add(backup_load_.member, backup_load_);
+}
+
+void stream_call::drop_backup()
+{
+    backup_address_.reset();
+    if (backup_load_.calls != 0)
+    {
+        core_.ledger.remove(backup_load_.member, backup_load_);
+        backup_load_ = {};
+    }
+}
+
+// -- departures -----------------------------------------------------------------------------------
+
 void stream_call::watch_departure()
 {
     if (departure const* const when = core_.departure_of(member_))
@@ -310,7 +412,7 @@
     call_demand const demand{load_.tokens, admitted_.demand.output_tokens};
     auto const chosen = core_.choice.choose(
         *admitted_.service, demand, excluded,
-        entry == nullptr ? core_.choice.own_zone() : entry->info.zone, boot_now());
+        entry == nullptr ? core_.choice.own_zone() : entry->info.zone, boot_now(), far_destination);
     return chosen ? std::optional{chosen->member} : std::nullopt;
 }
 
@@ -364,6 +466,7 @@
     survival_actions actions;
     if (answer && answer.value().status == success && copy)
     {
+        log(last ? "last copy complete" : "first copy complete", {});
         survival_->copied(copy.value().handle, now, actions);
     }
     else
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -33,6 +33,17 @@
 
     /// \brief Events after which the load told to peers is brought up to date.
     static constexpr std::uint32_t events_per_update = 16;
+    /// \brief A backup doubles the memory of a generation, so one is kept only where this much
+    /// would still be free of the service, and of the upstream that keeps it.
+    static constexpr double backup_mean_limit = 0.45;
+    static constexpr double backup_member_limit = 0.6;
+    /// \brief Shorter answers end before a backup of their prompt is of use.
+    static constexpr std::uint32_t backup_least_tokens = 100;
+    /// \brief Time of one token until this generation's own is known: a step takes 7 ms and 0.12 ms
+    /// for each other one, and prompts are read in between.
+    static constexpr state::duration usual_token_time = std::chrono::milliseconds{12};
+    /// \brief Added to a destination in another zone: a copy across takes twice the link's time.
+    static constexpr double far_destination = 0.3;
     /// \brief Callers give a stream up after a silence of this long at least, four objectives or
     /// eight allowed pauses; work beyond that is for nobody.
     static constexpr state::duration least_patience = std::chrono::seconds{2};
@@ -46,6 +57,13 @@
     void on_timer(state::time_point now) override;
     [[nodiscard]] state::time_point next_deadline() const override;
 
+    [[nodiscard]] std::uint32_t tokens_held() const override;
+    std::optional<std::string> request() override;
+
+    void choose_backup();
+    void drop_backup();
+    [[nodiscard]] coordination::generation_survival& survival();
+    [[nodiscard]] state::duration expected_left(state::time_point now) const;
     void pass_events();
     void begin_answer();
     void grow();
@@ -70,6 +88,10 @@
     std::uint64_t last_event_ = 0;
     std::uint32_t events_passed_ = 0;
     state::time_point last_progress_{};
+    /// \brief Memory held for the backup, at the upstream that keeps it.
+    coordination::member_load backup_load_;
+    std::optional<state::endpoint> backup_address_;
+    state::time_point first_event_at_{};
     bool streaming_ = false;
     bool begun_ = false;
     bool resuming_ = false;
