A reader that lost the store says so; configurations are read from the store by all

Ruled out: the join (versions never went back), the watch (the new reader had the change 30 ms after it took over).

--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -55,12 +55,16 @@
 
     /// \brief Returns whether this entry VM is to read the store itself.
     [[nodiscard]] bool is_reader(state::time_point now) const;
-    /// \brief Returns where a configuration newer than `version` can be had; none if nowhere.
-    [[nodiscard]] std::optional<state::endpoint> newer_configuration(std::uint64_t version,
-                                                                     state::time_point now) const;
+    /// \brief Returns the greatest version that a live peer follows.
+    [[nodiscard]] std::uint64_t newest_configuration(state::time_point now) const;
+    /// \brief Returns one of the peers that follow a version newer than `version`, by a draw; none
+    /// if none does. A draw, since all that lack it would ask the first that had it.
+    [[nodiscard]] std::optional<state::endpoint>
+    newer_configuration(std::uint64_t version, std::uint64_t draw, state::time_point now) const;
     /// \brief Returns whom to ask for its directory: a peer that read the store lately and has
-    /// differed for longer than news are under way; none if all agree.
-    [[nodiscard]] std::optional<state::endpoint> better_directory(state::time_point now) const;
+    /// differed for longer than news are under way, by a draw; none if all agree.
+    [[nodiscard]] std::optional<state::endpoint> better_directory(std::uint64_t draw,
+                                                                  state::time_point now) const;
     /// \brief Returns the number of entry VMs heard lately, this one included.
     [[nodiscard]] std::size_t live(state::time_point now) const;
     /// \brief Returns the most entry VMs that were live at once.
@@ -77,16 +81,21 @@
 
     /// \brief Two readers: one may fall silent without a gap in what the fleet hears.
     static constexpr std::size_t readers = 2;
-    /// \brief A peer that is silent for this long is not counted on: two and a half of the periodic
-    /// messages, of which one may be lost.
-    static constexpr state::duration silence = std::chrono::milliseconds{2'500};
-    /// \brief A reader whose last read is older is not counted on. A calm watch answers each
-    /// second; between two answers a periodic message may be lost.
-    static constexpr state::duration stale_read = std::chrono::milliseconds{3'000};
+    /// \brief Longest time between two messages of a live peer.
+    static constexpr state::duration whole_interval = std::chrono::seconds{1};
+    /// \brief A peer that is silent for this long does not live, as far as it can be counted on:
+    /// two and a half of the longest intervals, of which one message may be lost.
+    static constexpr state::duration silence = whole_interval * 5 / 2;
+    /// \brief A reader whose last read is older, by its last message, is not counted on: a calm
+    /// watch answers after 0.6 s, and small fleets hear each other every 0.35 s. Configurations
+    /// have to be in force after 2 s, and a reader may fall silent just before one comes.
+    static constexpr state::duration stale_read = std::chrono::milliseconds{1'300};
     /// \brief News of a change reach all within this; above it a difference is a loss.
     static constexpr state::duration settling = std::chrono::milliseconds{600};
 
 private:
+    template <class Fits>
+    [[nodiscard]] std::optional<state::endpoint> drawn(std::uint64_t draw, Fits const& fits) const;
     [[nodiscard]] bool is_live(peer_state const& peer, state::time_point now) const noexcept;
 
     state::node_id self_;
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -40,7 +40,10 @@
     peer.configuration = news.configuration;
     peer.directory = news.directory;
     peer.heard = now;
-    peer.platform_read = now - std::chrono::milliseconds{news.platform_age_ms};
+    constexpr std::uint32_t not_at_all = UINT32_MAX;
+    peer.platform_read = news.platform_age_ms == not_at_all
+                             ? state::time_point{}
+                             : now - std::chrono::milliseconds{news.platform_age_ms};
     if (peer.directory == own_directory)
     {
         peer.differs_since = state::never;
@@ -84,35 +87,52 @@
     return static_cast<std::size_t>(before) < readers;
 }
 
-std::optional<state::endpoint> fleet_view::newer_configuration(std::uint64_t version,
-                                                               state::time_point now) const
+std::uint64_t fleet_view::newest_configuration(state::time_point now) const
 {
-    peer_state const* best = nullptr;
+    std::uint64_t newest = 0;
     for (auto const& [node, peer] : peers_)
     {
-        bool const better = is_live(peer, now) && peer.configuration > version;
-        if (better && (best == nullptr || peer.configuration > best->configuration))
-        {
-            best = &peer;
-        }
+        newest = is_live(peer, now) ? std::max(newest, peer.configuration) : newest;
     }
-    return best == nullptr ? std::nullopt : std::optional{best->streams};
+    return newest;
 }
 
-std::optional<state::endpoint> fleet_view::better_directory(state::time_point now) const
+// The peer of the greatest rank under this draw among those that fit.
+template <class Fits>
+std::optional<state::endpoint> fleet_view::drawn(std::uint64_t draw, Fits const& fits) const
 {
-    peer_state const* best = nullptr;
+    std::optional<state::endpoint> chosen;
+    std::uint64_t best = 0;
     for (auto const& [node, peer] : peers_)
     {
-        bool const differs =
-            peer.differs_since != state::never && peer.differs_since + settling < now;
-        bool const knows = is_live(peer, now) && peer.platform_read + stale_read >= now;
-        if (differs && knows && (best == nullptr || peer.platform_read > best->platform_read))
+        std::uint64_t const rank = state::mix(node.value, draw);
+        if (fits(peer) && (!chosen || rank > best))
         {
-            best = &peer;
+            chosen = peer.streams;
+            best = rank;
         }
     }
-    return best == nullptr ? std::nullopt : std::optional{best->streams};
+    return chosen;
+}
+
+std::optional<state::endpoint> fleet_view::newer_configuration(std::uint64_t version,
+                                                               std::uint64_t draw,
+                                                               state::time_point now) const
+{
+    return drawn(draw, [this, version, now](peer_state const& peer)
+                 { return is_live(peer, now) && peer.configuration > version; });
+}
+
+std::optional<state::endpoint> fleet_view::better_directory(std::uint64_t draw,
+                                                            state::time_point now) const
+{
+    return drawn(draw,
+                 [this, now](peer_state const& peer)
+                 {
+                     bool const differs =
+                         peer.differs_since != state::never && peer.differs_since + settling < now;
+                     return differs && is_live(peer, now) && peer.platform_read + stale_read >= now;
+                 });
 }
 
 std::size_t fleet_view::live(state::time_point now) const
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -50,12 +50,20 @@
     return settings;
 }
 
+std::uint32_t age_of(state::duration time)
+{
+    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+}
+
 } // namespace
 
 fleet_exchange::fleet_exchange(forward_core& core, udp::socket socket, state::endpoint streams,
-                               std::function<state::time_point()> last_read)
+                               std::function<std::optional<state::time_point>()> last_read,
+                               std::function<void()> read_newer)
     : core_{core}, socket_{std::move(socket)}, last_read_{std::move(last_read)},
-      settings_{settings_of(core.settings, streams)}, members_{settings_, core.random()}
+      read_newer_{std::move(read_newer)}, settings_{settings_of(core.settings, streams)},
+      members_{settings_, core.random()}
 {
 }
 
@@ -133,24 +141,23 @@
     core_.take_members(news.members, part);
     // The peer tells the others itself.
     core_.untold.resize(untold);
-    std::uint64_t const version =
-        core_.routing == nullptr ? 0 : core_.routing->configuration().version;
-    if (news.configuration > version)
+    if (news.configuration > core_.version())
     {
-        fetch_configuration(streams);
+        read_newer_();
     }
 }
 
 // -- what is lacking ------------------------------------------------------------------------------
 
-void fleet_exchange::fetch_configuration(state::endpoint peer)
+void fleet_exchange::fetch_configuration()
 {
-    if (std::exchange(fetching_configuration_, true))
+    auto const peer = core_.fleet.newer_configuration(core_.version(), core_.random(), boot_now());
+    if (!peer || std::exchange(fetching_configuration_, true))
     {
         return;
     }
     fetch_request request;
-    request.address = peer;
+    request.address = *peer;
     request.target = configuration_target;
     request.timeout = peer_timeout;
     fetch(core_.context, std::move(request),
@@ -227,14 +234,16 @@
 void fleet_exchange::tell(bool whole)
 {
     state::time_point const now = boot_now();
-    auto const age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - last_read_()).count();
+    auto const read = last_read_();
+    told_lost_ = !read;
     fleet_news news;
     news.sender = settings_.self.id;
     news.uptime = settings_.self.uptime;
-    news.configuration = core_.routing == nullptr ? 0 : core_.routing->configuration().version;
+    news.configuration = core_.version();
+    told_configuration_ = news.configuration;
     news.directory = core_.directory.digest();
-    news.platform_age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+    // A reader that lost the store says so, and another takes its place at once.
+    news.platform_age_ms = read ? age_of(now - *read) : UINT32_MAX;
     std::vector<member_load> const changes = core_.ledger.take_changes();
     std::vector<member_load> const rows = whole ? core_.ledger.all_own() : changes;
     std::vector<state::endpoint> const peers = audience();
@@ -320,20 +329,26 @@
     core_.ledger.forget_silent(now);
     core_.fleet.forget_silent(now);
     note_peers(now);
-    if (auto const peer = core_.fleet.better_directory(now))
+    if (auto const peer = core_.fleet.better_directory(core_.random(), now))
     {
         fetch_directory(*peer);
     }
-    bool const has_news = core_.ledger.has_changes() || !core_.untold.empty();
-    if (has_news && tell_at_ == state::never)
+    bool const lost = !last_read_();
+    bool const is_urgent =
+        !core_.untold.empty() || core_.version() != told_configuration_ || lost != told_lost_;
+    if (is_urgent)
+    {
+        tell_at_ = now;
+    }
+    else if (core_.ledger.has_changes() && tell_at_ == state::never)
     {
         state::duration const delay =
             static_cast<std::int64_t>(core_.fleet.live(now)) * change_delay_each;
-        tell_at_ = core_.untold.empty() ? now + std::max(least_change_delay, delay) : now;
+        tell_at_ = now + std::max(least_change_delay, delay);
     }
     if (now >= whole_at_)
     {
-        whole_at_ = now + whole_interval;
+        whole_at_ = now + whole_interval(now);
         tell_at_ = state::never;
         tell(true);
     }
@@ -344,6 +359,13 @@
     }
 }
 
+state::duration fleet_exchange::whole_interval(state::time_point now) const
+{
+    state::duration const by_size =
+        static_cast<std::int64_t>(core_.fleet.live(now)) * whole_interval_each;
+    return std::clamp(by_size, least_whole_interval, most_whole_interval);
+}
+
 void fleet_exchange::leave()
 {
     members_.leave(boot_now());
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <vector>
 
 /// \file
@@ -24,13 +25,17 @@
 class fleet_exchange
 {
 public:
-    /// \brief `last_read` returns when this VM last read the platform's store itself.
+    /// \brief `last_read` returns when this VM last read the platform's store itself, none while it
+    /// can't; `read_newer` reads the configuration there.
     fleet_exchange(forward_core& core, net::ip::udp::socket socket, state::endpoint streams,
-                   std::function<state::time_point()> last_read);
+                   std::function<std::optional<state::time_point>()> last_read,
+                   std::function<void()> read_newer);
 
     void start();
     /// \brief Does what is due; called several times a second.
     void advance();
+    /// \brief Asks a peer for the configuration, when one follows a newer one than this VM.
+    void fetch_configuration();
     /// \brief This VM leaves the fleet.
     void leave();
 
@@ -39,8 +44,11 @@
     /// \brief Path at which peers give out their directory of upstreams.
     static constexpr std::string_view directory_target = "/fleet/upstreams";
 
-    /// \brief Everything is told this often, so that lost datagrams don't matter for long.
-    static constexpr state::duration whole_interval = std::chrono::seconds{1};
+    /// \brief Everything is told this often, so that lost datagrams don't matter for long: every
+    /// 10 ms for each entry VM within these bounds.
+    static constexpr state::duration whole_interval_each = std::chrono::milliseconds{10};
+    static constexpr state::duration least_whole_interval = std::chrono::milliseconds{350};
+    static constexpr state::duration most_whole_interval = coordination::fleet_view::whole_interval;
     /// \brief Changes are collected for this long for each entry VM told: telling 90 peers of each
     /// start at once would cost more than it brings.
     static constexpr state::duration change_delay_each = std::chrono::milliseconds{1};
@@ -56,20 +64,23 @@
     void tell(bool whole);
     void send(std::string datagram, state::endpoint to);
     void note_peers(state::time_point now);
-    void fetch_configuration(state::endpoint peer);
     void fetch_directory(state::endpoint peer);
     [[nodiscard]] std::vector<state::endpoint> audience() const;
+    [[nodiscard]] state::duration whole_interval(state::time_point now) const;
 
     forward_core& core_;
     net::ip::udp::socket socket_;
     net::ip::udp::endpoint sender_;
     std::array<char, 2048> received_{};
-    std::function<state::time_point()> last_read_;
+    std::function<std::optional<state::time_point>()> last_read_;
+    std::function<void()> read_newer_;
     coordination::node_settings settings_;
     coordination::membership members_;
     std::uint64_t sequence_ = 0;
     state::time_point whole_at_{};
     state::time_point tell_at_ = state::never;
+    std::uint64_t told_configuration_ = 0;
+    bool told_lost_ = false;
     std::size_t live_ = 1;
     bool fetching_configuration_ = false;
     bool fetching_directory_ = false;
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -67,17 +67,17 @@
                   {{"source", source}, {"detail", decoded.error().detail}});
         return false;
     }
-    std::uint64_t const known = routing == nullptr ? 0 : routing->configuration().version;
-    std::uint64_t const version = decoded.value().version;
+    std::uint64_t const known = version();
+    std::uint64_t const newer = decoded.value().version;
     // Versions join by maximum: a store that lags, or a peer, never takes this process back.
-    if (version <= known)
+    if (newer <= known)
     {
         return false;
     }
     routing = std::make_shared<coordination::routing_table const>(std::move(decoded.value()));
     configuration_text = std::move(text);
     log.write("configuration", "in force", {},
-              {{"version", static_cast<std::int64_t>(version)},
+              {{"version", static_cast<std::int64_t>(newer)},
                {"before", static_cast<std::int64_t>(known)},
                {"source", source},
                {"routes", static_cast<std::int64_t>(routing->configuration().routes.size())}});
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -56,6 +56,11 @@
     // -- what this VM knows ------------------------------------------------------------
     /// \brief Takes a configuration as published; returns whether it is newer than the one known.
     bool take_configuration(std::string text, std::string_view source);
+    /// \brief Returns the version in force here; zero before there is one.
+    [[nodiscard]] std::uint64_t version() const noexcept
+    {
+        return routing == nullptr ? 0 : routing->configuration().version;
+    }
     /// \brief Joins news of upstreams; passes on what changed to peers.
     void take_members(std::span<state::service_member const> members, std::string_view source);
     /// \brief Takes a whole list as of `revision`: what it lacks is gone.
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -64,8 +64,10 @@
         udp::socket datagrams{context_};
         BOOST_OUTCOME_TRY(open_datagrams(datagrams, settings_.datagrams));
         datagrams.non_blocking(true);
-        fleet_.emplace(core_, std::move(datagrams), settings_.streams,
-                       [this] { return store_.last_read(); });
+        fleet_.emplace(
+            core_, std::move(datagrams), settings_.streams,
+            [this] { return store_.is_lost() ? std::nullopt : std::optional{store_.last_read()}; },
+            [this] { read_newer(); });
         return boost::outcome_v2::success();
     }
 
@@ -96,6 +98,13 @@
     }
 
 private:
+    // The store has it whole and its link is wide; peers are asked when it turns this VM away.
+    void read_newer()
+    {
+        store_.is_lost() ? fleet_->fetch_configuration()
+                         : store_.read_once([this] { fleet_->fetch_configuration(); });
+    }
+
     // -- connections ------------------------------------------------------------
 
     void accept(tcp::acceptor& acceptor, call_starter start)
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace plumdale::transport
@@ -139,6 +140,40 @@
          });
 }
 
+void store_reader::read_once(std::function<void()> otherwise)
+{
+    if (std::exchange(reading_once_, true))
+    {
+        return;
+    }
+    auto const timer = std::make_shared<net::steady_timer>(core_.context);
+    std::uniform_int_distribution<std::int64_t> spread{0, read_once_spread.count()};
+    timer->expires_after(state::duration{spread(core_.random)});
+    timer->async_wait(
+        [this, timer, otherwise = std::move(otherwise)](boost::system::error_code error)
+        {
+            if (error)
+            {
+                return;
+            }
+            call(core_.dialect.configuration_target(), answer_time,
+                 [this, otherwise](state::result<fetch_answer> const& answer)
+                 {
+                     reading_once_ = false;
+                     auto const page = is_whole(answer)
+                                           ? core_.dialect.read_configuration(answer.value().body)
+                                           : state::result<protocol::store_page>{state::failure{}};
+                     bool const is_newer =
+                         page && core_.take_configuration(page.value().configuration, part);
+                     if (!is_newer)
+                     {
+                         core_.metrics.add(forward_count::platform_failures);
+                         otherwise();
+                     }
+                 });
+        });
+}
+
 void store_reader::read_list(std::string const& page)
 {
     if (page.empty())
