--- a/include/plumdale/coordination/load_ledger.hpp
+++ b/include/plumdale/coordination/load_ledger.hpp
@@ -24,6 +24,9 @@
     std::uint32_t tokens = 0;
     /// \brief Tokens in memory when all of them have ended as estimated.
     std::uint32_t tokens_at_end = 0;
+    /// \brief Prompt tokens of calls that have no event yet: what an upstream reads before another
+    /// call's first event.
+    std::uint32_t unread = 0;
 
     friend constexpr bool operator==(member_load const&, member_load const&) noexcept = default;
 };
@@ -35,9 +38,9 @@
 /// to its peers within a datagram's delay. Example:
 /// \code
 /// load_ledger ledger;
-/// ledger.add(member, {1, 3000, 3900});     // a call begins
+/// ledger.add(member, {member, 1, 3000, 3900, 3000});     // a call begins
 /// ledger.total(member, now).tokens;        // own and peers'
-/// ledger.remove(member, {1, 3400, 3900});  // it ended
+/// ledger.remove(member, {member, 1, 3400, 3900, 0});  // it ended
 /// \endcode
 class load_ledger
 {
--- a/include/plumdale/coordination/member_choice.hpp
+++ b/include/plumdale/coordination/member_choice.hpp
@@ -32,6 +32,8 @@
     /// \brief Projected share of memory, or of the batch or slots where that is greater, with this
     /// call.
     double fullness = 0.0;
+    /// \brief Time until its first event, as worked out from the prompts to be read before.
+    state::duration first_event{};
 };
 
 /// \brief Takes the upstream that will be least full, its own zone and sound ones first.
@@ -52,6 +54,9 @@
     /// \brief Returns how full an upstream would be with this call.
     [[nodiscard]] double fullness(directory_entry const& entry, state::service const& service,
                                   call_demand const& demand) const;
+    /// \brief Returns how long an upstream takes to this call's first event.
+    [[nodiscard]] state::duration first_event(directory_entry const& entry,
+                                              call_demand const& demand) const;
     /// \brief Returns the mean projected share of memory over a service's upstreams.
     [[nodiscard]] double mean_fullness(state::service const& service, state::time_point now) const;
     [[nodiscard]] std::string_view own_zone() const noexcept
@@ -64,6 +69,15 @@
     static constexpr double other_zone = 0.04;
     /// \brief Spread of a random part, so that entry VMs that see the same don't choose the same.
     static constexpr double spread = 0.03;
+    /// \brief Prompt tokens that an upstream reads in a millisecond beside its running batch: a
+    /// chunk of 112 in each step of 7 ms and 8 ms for the chunk.
+    static constexpr double prompt_tokens_per_ms = 7.0;
+    /// \brief Share of fullness that a wait of a second for the first event is worth avoiding: the
+    /// objective is 1.5 to 1.8 s, and a late answer earns a sixth.
+    static constexpr double wait_weight = 1.0;
+    /// \brief Above this share of memory running generations are soon preempted.
+    static constexpr double crowded = 0.85;
+    static constexpr double crowded_weight = 4.0;
     /// \brief Added in full for an upstream that is set aside: above any fullness.
     static constexpr double aside = 10.0;
 
--- a/src/coordination/load_ledger.cpp
+++ b/src/coordination/load_ledger.cpp
@@ -17,6 +17,7 @@
     sum.calls += by.calls;
     sum.tokens += by.tokens;
     sum.tokens_at_end += by.tokens_at_end;
+    sum.unread += by.unread;
 }
 
 void lower(member_load& sum, member_load const& by) noexcept
@@ -24,6 +25,7 @@
     sum.calls = minus(sum.calls, by.calls);
     sum.tokens = minus(sum.tokens, by.tokens);
     sum.tokens_at_end = minus(sum.tokens_at_end, by.tokens_at_end);
+    sum.unread = minus(sum.unread, by.unread);
 }
 
 } // namespace
@@ -111,7 +113,7 @@
 member_load load_ledger::own(state::member_key member) const
 {
     auto const found = own_.find(member);
-    return found == own_.end() ? member_load{member, 0, 0, 0} : found->second;
+    return found == own_.end() ? member_load{member, 0, 0, 0, 0} : found->second;
 }
 
 member_load load_ledger::total(state::member_key member) const
--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -38,6 +38,15 @@
     return std::max(calls, (held + wanted) / service.engine->memory_tokens);
 }
 
+state::duration member_choice::first_event(directory_entry const& entry,
+                                           call_demand const& demand) const
+{
+    member_load const load = ledger_.total(state::key_of(entry.info));
+    double const ms = (load.unread + demand.prompt_tokens) / prompt_tokens_per_ms;
+    return std::chrono::duration_cast<state::duration>(
+        std::chrono::duration<double, std::milli>{ms});
+}
+
 std::optional<chosen_member> member_choice::choose(state::service const& service,
                                                    call_demand const& demand,
                                                    std::span<state::member_key const> excluded,
@@ -57,11 +66,14 @@
             continue;
         }
         double const full = fullness(*entry, service, demand);
-        double const score = full + (entry->info.zone == near_zone ? 0.0 : far) +
+        state::duration const wait = first_event(*entry, demand);
+        double const score = full + crowded_weight * std::max(0.0, full - crowded) +
+                             wait_weight * std::chrono::duration<double>(wait).count() +
+                             (entry->info.zone == near_zone ? 0.0 : far) +
                              aside * health_.penalty(key, now) + noise(random_);
         if (!best || score < best_score)
         {
-            best = chosen_member{key, full};
+            best = chosen_member{key, full, wait};
             best_score = score;
         }
     }
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -10,6 +10,7 @@
   calls @1 :UInt32;
   tokens @2 :UInt32;
   tokensAtEnd @3 :UInt32;
+  unread @4 :UInt32;
 }
 
 struct ServiceMember {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -29,6 +29,7 @@
     to.setCalls(from.calls);
     to.setTokens(from.tokens);
     to.setTokensAtEnd(from.tokens_at_end);
+    to.setUnread(from.unread);
 }
 
 void write(wire::ServiceMember::Builder to, state::service_member const& from)
@@ -59,7 +60,7 @@
 coordination::member_load read(wire::MemberLoad::Reader from)
 {
     return {state::member_key{from.getMember()}, from.getCalls(), from.getTokens(),
-            from.getTokensAtEnd()};
+            from.getTokensAtEnd(), from.getUnread()};
 }
 
 state::service_member read(wire::ServiceMember::Reader from)
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -7,6 +7,7 @@
 #include <plumdale/protocol/peer_codec.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -342,9 +343,7 @@
     }
     else if (core_.ledger.has_changes() && tell_at_ == state::never)
     {
-        state::duration const delay =
-            static_cast<std::int64_t>(core_.fleet.live(now)) * change_delay_each;
-        tell_at_ = now + std::max(least_change_delay, delay);
+        tell_at_ = now + change_delay;
     }
     if (now >= whole_at_)
     {
@@ -359,6 +358,31 @@
     }
 }
 
+void fleet_exchange::tell_start()
+{
+    constexpr double usual_datagram = 110.0;
+    state::time_point const now = boot_now();
+    double const cost = usual_datagram * static_cast<double>(core_.fleet.live(now));
+    double const gained =
+        change_bytes_per_second * std::chrono::duration<double>(now - budget_at_).count();
+    change_budget_ = std::min(change_burst * cost, change_budget_ + gained);
+    budget_at_ = now;
+    if (telling_ || change_budget_ < cost)
+    {
+        return;
+    }
+    change_budget_ -= cost;
+    telling_ = true;
+    // Behind the events at hand: what they change goes along.
+    net::post(core_.context,
+              [this]
+              {
+                  telling_ = false;
+                  tell_at_ = state::never;
+                  tell(false);
+              });
+}
+
 state::duration fleet_exchange::whole_interval(state::time_point now) const
 {
     state::duration const by_size =
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -36,6 +36,8 @@
     void advance();
     /// \brief Asks a peer for the configuration, when one follows a newer one than this VM.
     void fetch_configuration();
+    /// \brief A call began: tells it at once, as far as the budget goes.
+    void tell_start();
     /// \brief This VM leaves the fleet.
     void leave();
 
@@ -49,10 +51,13 @@
     static constexpr state::duration whole_interval_each = std::chrono::milliseconds{10};
     static constexpr state::duration least_whole_interval = std::chrono::milliseconds{350};
     static constexpr state::duration most_whole_interval = coordination::fleet_view::whole_interval;
-    /// \brief Changes are collected for this long for each entry VM told: telling 90 peers of each
-    /// start at once would cost more than it brings.
-    static constexpr state::duration change_delay_each = std::chrono::milliseconds{1};
-    static constexpr state::duration least_change_delay = std::chrono::milliseconds{8};
+    /// \brief Starts of calls are told at once while this lasts, else with the next round: half of
+    /// what an entry VM may spend on control.
+    static constexpr double change_bytes_per_second = 11'000.0;
+    /// \brief Starts that may be told at once in a row.
+    static constexpr double change_burst = 4.0;
+    /// \brief Ends and growth are collected for this long.
+    static constexpr state::duration change_delay = std::chrono::milliseconds{100};
 
 private:
     void receive();
@@ -81,6 +86,9 @@
     state::time_point tell_at_ = state::never;
     std::uint64_t told_configuration_ = 0;
     bool told_lost_ = false;
+    double change_budget_ = 0.0;
+    state::time_point budget_at_{};
+    bool telling_ = false;
     std::size_t live_ = 1;
     bool fetching_configuration_ = false;
     bool fetching_directory_ = false;
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -69,6 +69,7 @@
         retry_at_ = now + wait_step;
         return arm();
     }
+    fullness_ = chosen->fullness;
     open(chosen->member);
 }
 
@@ -77,8 +78,9 @@
     coordination::directory_entry const* const entry = core_.directory.find(member);
     member_ = member;
     std::uint32_t const at_end = admitted_.demand.prompt_tokens + admitted_.demand.output_tokens;
-    load_ = {member, 1, tokens_held(), std::max(tokens_held(), at_end)};
+    load_ = {member, 1, tokens_held(), std::max(tokens_held(), at_end), unread()};
     core_.ledger.add(member, load_);
+    core_.load_changed();
     has_head_ = false;
     ++tries_;
     upstream_exchange::options options;
@@ -120,6 +122,7 @@
         return std::nullopt;
     }
     send_at_ = now;
+    first_send_at_ = sends_ == 0 ? now : first_send_at_;
     ++sends_;
     core_.metrics.add(forward_count::sends);
     core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -90,6 +90,12 @@
         return admitted_.demand.prompt_tokens;
     }
 
+    /// \brief Returns the prompt tokens that its upstream has to read before the first event.
+    [[nodiscard]] virtual std::uint32_t unread() const
+    {
+        return admitted_.demand.prompt_tokens;
+    }
+
     void dispatch();
     void open(state::member_key member);
     void redispatch(std::string_view why);
@@ -121,6 +127,9 @@
     protocol::answer_terms answer_;
     protocol::body_framing framing_ = protocol::body_framing::none;
     state::time_point send_at_{};
+    state::time_point first_send_at_{};
+    /// \brief How full the upstream was to be with this call, when it was chosen.
+    double fullness_ = 0.0;
     state::time_point wait_until_{};
     state::time_point retry_at_ = state::never;
     std::uint32_t tries_ = 0;
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -108,6 +108,9 @@
     /// \brief Upstreams that peers are to be told of.
     std::vector<state::service_member> untold;
     std::uint32_t calls_in_progress = 0;
+    /// \brief Called when a call began, or its prompt was read: peers choose by that.
+    std::function<void()> load_changed = [] {
+    };
 
 private:
     void take_member(state::service_member const& member, std::string_view source);
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -68,6 +68,10 @@
             core_, std::move(datagrams), settings_.streams,
             [this] { return store_.is_lost() ? std::nullopt : std::optional{store_.last_read()}; },
             [this] { read_newer(); });
+        core_.load_changed = [this]
+        {
+            fleet_->tell_start();
+        };
         return boost::outcome_v2::success();
     }
 
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -127,6 +127,10 @@
     {
         first_event_at_ = now;
     }
+    else
+    {
+        longest_gap_ = std::max(longest_gap_, now - last_progress_);
+    }
     if (resuming_)
     {
         resuming_ = false;
@@ -144,6 +148,7 @@
     }
     if (is_first_of_run)
     {
+        prompt_read();
         watch_departure();
     }
     last_progress_ = now;
@@ -156,6 +161,23 @@
     grow();
 }
 
+// A resumption reads only what its copy lacks.
+std::uint32_t stream_call::unread() const
+{
+    return resumed_ ? 0 : admitted_.demand.prompt_tokens;
+}
+
+void stream_call::prompt_read()
+{
+    if (load_.unread != 0)
+    {
+        core_.ledger.remove(load_.member, load_);
+        load_.unread = 0;
+        core_.ledger.add(load_.member, load_);
+        core_.load_changed();
+    }
+}
+
 std::uint32_t stream_call::tokens_held() const
 {
     std::uint32_t const per_event =
@@ -244,7 +266,7 @@
     core_.health.note(member_, call_result::good, boot_now());
     core_.metrics.add(forward_count::streams_whole);
     begin_answer();
-    log("answered", {});
+    log_timing();
     survival_actions actions;
     if (survival_)
     {
@@ -257,6 +279,23 @@
     channel->end();
 }
 
+// The two figures that decide whether a stream was on time.
+void stream_call::log_timing()
+{
+    core_.log.write(
+        "call", "answered", admitted_.terms.id,
+        {{"upstream", member_name()},
+         {"route", admitted_.route->name},
+         {"first_event_ms", whole_milliseconds(first_event_at_ - admitted_.call.read_at)},
+         {"longest_gap_ms", whole_milliseconds(longest_gap_)},
+         {"events", events_passed_},
+         {"hinted_tokens", admitted_.demand.output_tokens},
+         {"prompt_tokens", admitted_.demand.prompt_tokens},
+         {"fullness_percent", static_cast<std::int64_t>(100.0 * fullness_)},
+         {"sent_after_ms", whole_milliseconds(first_send_at_ - admitted_.call.read_at)},
+         {"age_ms", whole_milliseconds(boot_now() - admitted_.call.read_at)}});
+}
+
 void stream_call::source_ended(std::string_view why)
 {
     log("source ended", why);
@@ -380,7 +419,7 @@
         return;
     }
     backup_address_ = core_.directory.find(chosen->member)->info.address;
-    backup_load_ = {chosen->member, 1, load_.tokens, load_.tokens_at_end};
+    backup_load_ = {chosen->member, 1, load_.tokens, load_.tokens_at_end, 0};
     core_.ledger.add(backup_load_.member, backup_load_);
 }
 
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -58,10 +58,13 @@
     [[nodiscard]] state::time_point next_deadline() const override;
 
     [[nodiscard]] std::uint32_t tokens_held() const override;
+    [[nodiscard]] std::uint32_t unread() const override;
+    void prompt_read();
     std::optional<std::string> request() override;
 
     void choose_backup();
     void drop_backup();
+    void log_timing();
     [[nodiscard]] coordination::generation_survival& survival();
     [[nodiscard]] state::duration expected_left(state::time_point now) const;
     void pass_events();
@@ -92,6 +95,7 @@
     coordination::member_load backup_load_;
     std::optional<state::endpoint> backup_address_;
     state::time_point first_event_at_{};
+    state::duration longest_gap_{};
     bool streaming_ = false;
     bool begun_ = false;
     bool resuming_ = false;
