Wait for room here and refuse what can only be late; draw candidates in large fleets

Calls queued at upstreams, where they are late and, when the upstream is reclaimed, in doubt; and whenever an upstream came, ten calls met at it within 60 ms (traced by upstream).

--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -67,6 +67,8 @@
                                                                   state::time_point now) const;
     /// \brief Returns the number of entry VMs heard lately, this one included.
     [[nodiscard]] std::size_t live(state::time_point now) const;
+    /// \brief Returns the time between two periodic messages in a fleet of this size.
+    [[nodiscard]] state::duration interval() const noexcept;
     /// \brief Returns the most entry VMs that were live at once.
     [[nodiscard]] std::size_t most_live() const noexcept
     {
@@ -81,21 +83,25 @@
 
     /// \brief Two readers: one may fall silent without a gap in what the fleet hears.
     static constexpr std::size_t readers = 2;
-    /// \brief Longest time between two messages of a live peer.
-    static constexpr state::duration whole_interval = std::chrono::seconds{1};
+    /// \brief Time between two periodic messages of an entry VM: 10 ms for each one that hears it,
+    /// within these bounds.
+    static constexpr state::duration interval_each = std::chrono::milliseconds{10};
+    static constexpr state::duration least_interval = std::chrono::milliseconds{350};
+    static constexpr state::duration most_interval = std::chrono::seconds{1};
     /// \brief A peer that is silent for this long does not live, as far as it can be counted on:
     /// two and a half of the longest intervals, of which one message may be lost.
-    static constexpr state::duration silence = whole_interval * 5 / 2;
-    /// \brief A reader whose last read is older, by its last message, is not counted on: a calm
-    /// watch answers after 0.6 s, and small fleets hear each other every 0.35 s. Configurations
-    /// have to be in force after 2 s, and a reader may fall silent just before one comes.
-    static constexpr state::duration stale_read = std::chrono::milliseconds{1'300};
+    static constexpr state::duration silence = most_interval * 5 / 2;
+    /// \brief A reader whose last read is older than this and one interval, by its last message, is
+    /// not counted on: a calm watch answers after 0.6 s. Configurations have to be in force after
+    /// 2 s in small fleets, and a reader may fall silent just before one comes.
+    static constexpr state::duration stale_read = std::chrono::milliseconds{950};
     /// \brief News of a change reach all within this; above it a difference is a loss.
     static constexpr state::duration settling = std::chrono::milliseconds{600};
 
 private:
     template <class Fits>
     [[nodiscard]] std::optional<state::endpoint> drawn(std::uint64_t draw, Fits const& fits) const;
+    [[nodiscard]] bool reads(peer_state const& peer, state::time_point now) const noexcept;
     [[nodiscard]] bool is_live(peer_state const& peer, state::time_point now) const noexcept;
 
     state::node_id self_;
--- a/include/plumdale/coordination/member_choice.hpp
+++ b/include/plumdale/coordination/member_choice.hpp
@@ -59,6 +59,8 @@
                                               call_demand const& demand) const;
     /// \brief Returns the mean projected share of memory over a service's upstreams.
     [[nodiscard]] double mean_fullness(state::service const& service, state::time_point now) const;
+    /// \brief Returns the chance with which each upstream of a service is looked at.
+    [[nodiscard]] double look_chance(std::size_t members) const noexcept;
     [[nodiscard]] std::string_view own_zone() const noexcept
     {
         return own_zone_;
@@ -78,10 +80,21 @@
     /// \brief Above this share of memory running generations are soon preempted.
     static constexpr double crowded = 0.85;
     static constexpr double crowded_weight = 4.0;
+    /// \brief Of more upstreams than this, about as many are drawn for each choice. All entry VMs
+    /// see an upstream that has just come, and with all of them to choose from ten calls met at it
+    /// within 0.1 s; drawn ones spread, and eight are enough to find one that is nearly the best.
+    static constexpr std::size_t drawn_candidates = 8;
     /// \brief Added in full for an upstream that is set aside: above any fullness.
     static constexpr double aside = 10.0;
 
 private:
+    template <class Looked>
+    [[nodiscard]] std::optional<chosen_member>
+    best_of(std::span<state::member_key const> members, state::service const& service,
+            call_demand const& demand, std::span<state::member_key const> excluded,
+            std::string_view near_zone, state::time_point now, double far,
+            Looked const& looked) const;
+
     service_directory const& directory_;
     load_ledger const& ledger_;
     member_health const& health_;
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -75,15 +75,23 @@
     return peer.heard + silence >= now;
 }
 
+bool fleet_view::reads(peer_state const& peer, state::time_point now) const noexcept
+{
+    return is_live(peer, now) && peer.platform_read + stale_read + interval() >= now;
+}
+
+state::duration fleet_view::interval() const noexcept
+{
+    return std::clamp(static_cast<std::int64_t>(most_live_) * interval_each, least_interval,
+                      most_interval);
+}
+
 bool fleet_view::is_reader(state::time_point now) const
 {
-    auto const before = std::count_if(peers_.begin(), peers_.end(),
-                                      [this, now](auto const& each)
-                                      {
-                                          return is_live(each.second, now) &&
-                                                 each.second.platform_read + stale_read >= now &&
-                                                 rank_of(each.first) < rank_of(self_);
-                                      });
+    auto const before =
+        std::count_if(peers_.begin(), peers_.end(),
+                      [this, now](auto const& each)
+                      { return reads(each.second, now) && rank_of(each.first) < rank_of(self_); });
     return static_cast<std::size_t>(before) < readers;
 }
 
@@ -131,7 +139,7 @@
                  {
                      bool const differs =
                          peer.differs_since != state::never && peer.differs_since + settling < now;
-                     return differs && is_live(peer, now) && peer.platform_read + stale_read >= now;
+                     return differs && reads(peer, now);
                  });
 }
 
--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -52,16 +52,41 @@
                                                    std::span<state::member_key const> excluded,
                                                    std::string_view near_zone,
                                                    state::time_point now, double far) const
+{
+    std::span<state::member_key const> const members = directory_.members_of(service.name);
+    std::uniform_real_distribution<double> draw{0.0, 1.0};
+    double const chance = look_chance(members.size());
+    auto best = best_of(members, service, demand, excluded, near_zone, now, far,
+                        [&] { return chance >= 1.0 || draw(random_) < chance; });
+    // None of those drawn may take work: then any will do.
+    return best ? best
+                : best_of(members, service, demand, excluded, near_zone, now, far,
+                          [] { return true; });
+}
+
+double member_choice::look_chance(std::size_t members) const noexcept
+{
+    return members <= 2 * drawn_candidates
+               ? 1.0
+               : static_cast<double>(drawn_candidates) / static_cast<double>(members);
+}
+
+template <class Looked>
+std::optional<chosen_member>
+member_choice::best_of(std::span<state::member_key const> members, state::service const& service,
+                       call_demand const& demand, std::span<state::member_key const> excluded,
+                       std::string_view near_zone, state::time_point now, double far,
+                       Looked const& looked) const
 {
     std::optional<chosen_member> best;
     double best_score = 0.0;
     std::uniform_real_distribution<double> noise{0.0, spread};
-    for (state::member_key const key : directory_.members_of(service.name))
+    for (state::member_key const key : members)
     {
         directory_entry const* const entry = directory_.find(key);
         bool const fits = entry != nullptr && directory_.may_take_work(*entry, now) &&
                           std::find(excluded.begin(), excluded.end(), key) == excluded.end();
-        if (!fits)
+        if (!fits || !looked())
         {
             continue;
         }
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -347,7 +347,7 @@
     }
     if (now >= whole_at_)
     {
-        whole_at_ = now + whole_interval(now);
+        whole_at_ = now + core_.fleet.interval();
         tell_at_ = state::never;
         tell(true);
     }
@@ -383,13 +383,6 @@
               });
 }
 
-state::duration fleet_exchange::whole_interval(state::time_point now) const
-{
-    state::duration const by_size =
-        static_cast<std::int64_t>(core_.fleet.live(now)) * whole_interval_each;
-    return std::clamp(by_size, least_whole_interval, most_whole_interval);
-}
-
 void fleet_exchange::leave()
 {
     members_.leave(boot_now());
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -46,11 +46,6 @@
     /// \brief Path at which peers give out their directory of upstreams.
     static constexpr std::string_view directory_target = "/fleet/upstreams";
 
-    /// \brief Everything is told this often, so that lost datagrams don't matter for long: every
-    /// 10 ms for each entry VM within these bounds.
-    static constexpr state::duration whole_interval_each = std::chrono::milliseconds{10};
-    static constexpr state::duration least_whole_interval = std::chrono::milliseconds{350};
-    static constexpr state::duration most_whole_interval = coordination::fleet_view::whole_interval;
     /// \brief Starts of calls are told at once while this lasts, else with the next round: half of
     /// what an entry VM may spend on control.
     static constexpr double change_bytes_per_second = 11'000.0;
@@ -71,7 +66,6 @@
     void note_peers(state::time_point now);
     void fetch_directory(state::endpoint peer);
     [[nodiscard]] std::vector<state::endpoint> audience() const;
-    [[nodiscard]] state::duration whole_interval(state::time_point now) const;
 
     forward_core& core_;
     net::ip::udp::socket socket_;
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -42,8 +42,7 @@
 void forward_call::start()
 {
     core_.note_call(admitted_.service->name);
-    wait_until_ = admitted_.call.read_at +
-                  std::max<state::duration>(wait_step, admitted_.route->target_latency / wait_part);
+    wait_until_ = admitted_.call.read_at + longest_wait();
     dispatch();
 }
 
@@ -58,21 +57,44 @@
     }
     auto const chosen = core_.choice.choose(*admitted_.service, admitted_.demand, excluded_,
                                             core_.choice.own_zone(), now);
-    if (!chosen)
+    if (!chosen || !admits(*chosen, now))
     {
-        if (now >= wait_until_)
-        {
-            return may_have_run() ? refuse(state::error_kind::may_have_run, "no other upstream")
-                                  : refuse(state::error_kind::no_upstream, "no upstream");
-        }
-        excluded_.clear();
-        retry_at_ = now + wait_step;
-        return arm();
+        return wait_or_refuse(chosen.has_value(), now);
     }
     fullness_ = chosen->fullness;
+    expected_first_event_ = chosen->first_event;
     open(chosen->member);
 }
 
+void forward_call::wait_or_refuse(bool crowded, state::time_point now)
+{
+    if (now < wait_until_)
+    {
+        excluded_.clear();
+        std::uniform_int_distribution<std::int64_t> step{wait_step.count() / 2,
+                                                         2 * wait_step.count()};
+        retry_at_ = now + state::duration{step(core_.random)};
+        return arm();
+    }
+    if (may_have_run())
+    {
+        return refuse(state::error_kind::may_have_run, "no other upstream");
+    }
+    crowded ? refuse(state::error_kind::overloaded, "all upstreams are crowded")
+            : refuse(state::error_kind::no_upstream, "no upstream");
+}
+
+bool forward_call::admits(coordination::chosen_member const& /*best*/,
+                          state::time_point /*now*/) const
+{
+    return true;
+}
+
+state::duration forward_call::longest_wait() const
+{
+    return std::max<state::duration>(wait_step, admitted_.route->target_latency / wait_part);
+}
+
 void forward_call::open(state::member_key member)
 {
     coordination::directory_entry const* const entry = core_.directory.find(member);
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -81,6 +81,11 @@
     /// \brief The call's time is over.
     virtual void time_over() = 0;
     virtual void on_timer(state::time_point now);
+    /// \brief Returns whether the call may be sent to the best upstream there is.
+    [[nodiscard]] virtual bool admits(coordination::chosen_member const& best,
+                                      state::time_point now) const;
+    /// \brief Returns how long a call may wait here until an upstream can take it.
+    [[nodiscard]] virtual state::duration longest_wait() const;
     /// \brief Returns when `on_timer` is due besides the deadline.
     [[nodiscard]] virtual state::time_point next_deadline() const;
 
@@ -97,6 +102,7 @@
     }
 
     void dispatch();
+    void wait_or_refuse(bool crowded, state::time_point now);
     void open(state::member_key member);
     void redispatch(std::string_view why);
     /// \brief The upstream failed after it may have run the call.
@@ -130,6 +136,7 @@
     state::time_point first_send_at_{};
     /// \brief How full the upstream was to be with this call, when it was chosen.
     double fullness_ = 0.0;
+    state::duration expected_first_event_{};
     state::time_point wait_until_{};
     state::time_point retry_at_ = state::never;
     std::uint32_t tries_ = 0;
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -108,7 +108,7 @@
     /// \brief Upstreams that peers are to be told of.
     std::vector<state::service_member> untold;
     std::uint32_t calls_in_progress = 0;
-    /// \brief Called when a call began, or its prompt was read: peers choose by that.
+    /// \brief Called when a call began at an upstream: peers choose by that.
     std::function<void()> load_changed = [] {
     };
 
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -55,7 +55,9 @@
 
 void store_reader::step()
 {
-    if (core_.informed() && !core_.fleet.is_reader(boot_now()))
+    bool const reads = !core_.informed() || core_.fleet.is_reader(boot_now());
+    note_duty(reads);
+    if (!reads)
     {
         // What this VM heard of the store gets old; it starts over when it reads again.
         synced_ = false;
@@ -69,6 +71,18 @@
     synced_ ? watch() : read_list({});
 }
 
+void store_reader::note_duty(bool reads)
+{
+    if (reads != reads_)
+    {
+        reads_ = reads;
+        core_.log.write(
+            part, reads ? "reading" : "hearing from peers", {},
+            {{"live", static_cast<std::int64_t>(core_.fleet.live(boot_now()))},
+             {"last_read_ms_ago", whole_milliseconds(boot_now() - last_read_).count()}});
+    }
+}
+
 void store_reader::call(std::string target, state::duration timeout, fetch_handler handler)
 {
     core_.metrics.add(forward_count::platform_calls);
@@ -122,8 +136,7 @@
          {
              if (answer && answer.value().status == not_found)
              {
-                 // Nothing is published yet.
-                 return step_in(first_retry);
+                 return step_in(unpublished_retry);
              }
              auto const page = is_whole(answer)
                                    ? core_.dialect.read_configuration(answer.value().body)
--- a/src/transport/store_reader.hpp
+++ b/src/transport/store_reader.hpp
@@ -45,6 +45,8 @@
     /// \brief Beyond the wait; the store answers in 4 ms, and 60 times later on a slow day.
     static constexpr state::duration answer_time = std::chrono::milliseconds{700};
     static constexpr state::duration first_retry = std::chrono::milliseconds{150};
+    /// \brief Nothing is published before the first start; all entry VMs ask then.
+    static constexpr state::duration unpublished_retry = std::chrono::milliseconds{400};
     static constexpr state::duration longest_retry = std::chrono::milliseconds{900};
     /// \brief How often an entry VM that is no reader looks whether it has to be one.
     static constexpr state::duration duty_check = std::chrono::milliseconds{100};
@@ -62,6 +64,7 @@
     void read_list(std::string const& page);
     void watch();
     void call(std::string target, state::duration timeout, fetch_handler handler);
+    void note_duty(bool reads);
     void succeeded();
     void failed(std::string_view what, state::result<fetch_answer> const& answer);
 
@@ -73,6 +76,7 @@
     std::uint64_t after_ = 0;
     state::time_point last_read_{};
     state::duration retry_ = first_retry;
+    bool reads_ = false;
     bool reading_once_ = false;
     bool synced_ = false;
     bool lost_ = false;
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -62,6 +62,7 @@
 {
     core_.forget(*this);
     drop_backup();
+    drop_load(copy_load_);
 }
 
 protocol::onward_terms stream_call::onward(state::time_point now) const
@@ -77,6 +78,26 @@
     return terms;
 }
 
+// A call that can only be late takes memory from others that would be on time: it waits here, where
+// it can still be sent anywhere or truly refused, and not in the queue of an upstream.
+bool stream_call::admits(chosen_member const& best, state::time_point now) const
+{
+    if (!admitted_.service->engine)
+    {
+        return true;
+    }
+    bool const is_long = admitted_.demand.output_tokens >= backup_least_tokens;
+    bool const has_room = best.fullness <= (is_long ? long_limit : short_limit);
+    state::time_point const due = admitted_.call.read_at + admitted_.route->target_latency;
+    return has_room && now + best.first_event <= due;
+}
+
+state::duration stream_call::longest_wait() const
+{
+    return std::chrono::duration_cast<state::duration>(waiting_part *
+                                                       admitted_.route->target_latency);
+}
+
 // -- events ---------------------------------------------------------------------------------------
 
 void stream_call::on_head(protocol::message_head const& head, protocol::body_framing framing)
@@ -174,7 +195,6 @@
         core_.ledger.remove(load_.member, load_);
         load_.unread = 0;
         core_.ledger.add(load_.member, load_);
-        core_.load_changed();
     }
 }
 
@@ -292,6 +312,7 @@
          {"hinted_tokens", admitted_.demand.output_tokens},
          {"prompt_tokens", admitted_.demand.prompt_tokens},
          {"fullness_percent", static_cast<std::int64_t>(100.0 * fullness_)},
+         {"expected_first_event_ms", whole_milliseconds(expected_first_event_)},
          {"sent_after_ms", whole_milliseconds(first_send_at_ - admitted_.call.read_at)},
          {"age_ms", whole_milliseconds(boot_now() - admitted_.call.read_at)}});
 }
@@ -426,11 +447,7 @@
 void stream_call::drop_backup()
 {
     backup_address_.reset();
-    if (backup_load_.calls != 0)
-    {
-        core_.ledger.remove(backup_load_.member, backup_load_);
-        backup_load_ = {};
-    }
+    drop_load(backup_load_);
 }
 
 // -- departures -----------------------------------------------------------------------------------
@@ -468,6 +485,23 @@
     }
 }
 
+void stream_call::hold_copy(state::member_key destination)
+{
+    drop_load(copy_load_);
+    copy_load_ = {destination, 1, load_.tokens, load_.tokens_at_end, 0};
+    core_.ledger.add(destination, copy_load_);
+    core_.load_changed();
+}
+
+void stream_call::drop_load(member_load& load)
+{
+    if (load.calls != 0)
+    {
+        core_.ledger.remove(load.member, load);
+        load = {};
+    }
+}
+
 void stream_call::carry_out(order_copy const& action)
 {
     directory_entry const* const source = core_.directory.find(action.source);
@@ -476,6 +510,7 @@
     {
         return;
     }
+    hold_copy(action.destination);
     protocol::own_request wanted =
         core_.dialect.copy_order(admitted_.terms.id, destination->info.address, action.last);
     fetch_request request;
@@ -510,6 +545,7 @@
     }
     else
     {
+        drop_load(copy_load_);
         core_.metrics.add(forward_count::copies_refused);
         log(last ? "last copy refused" : "first copy refused",
             answer ? std::to_string(answer.value().status) : "no answer");
@@ -535,6 +571,7 @@
                                       action.handle.empty() ? admitted_.terms.id : action.handle,
                                       last_event_};
     events_ = {};
+    drop_load(copy_load_);
     streaming_ = false;
     resuming_ = true;
     log("resuming", at->info.name);
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -44,6 +44,13 @@
     static constexpr state::duration usual_token_time = std::chrono::milliseconds{12};
     /// \brief Added to a destination in another zone: a copy across takes twice the link's time.
     static constexpr double far_destination = 0.3;
+    /// \brief Projected share of memory up to which an upstream takes long answers, and short ones,
+    /// which end before those it has have grown.
+    static constexpr double long_limit = 0.95;
+    static constexpr double short_limit = 1.05;
+    /// \brief Part of the objective that a call may wait here for room; the prompt has to be read
+    /// in the rest.
+    static constexpr double waiting_part = 0.45;
     /// \brief Callers give a stream up after a silence of this long at least, four objectives or
     /// eight allowed pauses; work beyond that is for nobody.
     static constexpr state::duration least_patience = std::chrono::seconds{2};
@@ -52,6 +59,9 @@
 
 private:
     [[nodiscard]] protocol::onward_terms onward(state::time_point now) const override;
+    [[nodiscard]] bool admits(coordination::chosen_member const& best,
+                              state::time_point now) const override;
+    [[nodiscard]] state::duration longest_wait() const override;
     void answer_ended(exchange_end end) override;
     void time_over() override;
     void on_timer(state::time_point now) override;
@@ -65,6 +75,8 @@
     void choose_backup();
     void drop_backup();
     void log_timing();
+    void hold_copy(state::member_key destination);
+    void drop_load(coordination::member_load& load);
     [[nodiscard]] coordination::generation_survival& survival();
     [[nodiscard]] state::duration expected_left(state::time_point now) const;
     void pass_events();
@@ -93,6 +105,8 @@
     state::time_point last_progress_{};
     /// \brief Memory held for the backup, at the upstream that keeps it.
     coordination::member_load backup_load_;
+    /// \brief ... and for a copy that was ordered, at its destination.
+    coordination::member_load copy_load_;
     std::optional<state::endpoint> backup_address_;
     state::time_point first_event_at_{};
     state::duration longest_gap_{};
