Prefer the own zone by a fifth of an upstream

Cause: streams across zones stand still or break while a zone is cut off; a backup there can't be reached either. Change: another zone counts as fuller by 0.2, before 0.04.

--- a/include/plumdale/coordination/member_choice.hpp
+++ b/include/plumdale/coordination/member_choice.hpp
@@ -68,7 +68,7 @@
 
     /// \brief Share of fullness that a call to another zone is worth avoiding: about one run of 24.
     /// Its bytes are paid for, and a copy of its memory takes twice as long.
-    static constexpr double other_zone = 0.04;
+    static constexpr double other_zone = 0.2;
     /// \brief Spread of a random part, so that entry VMs that see the same don't choose the same.
     static constexpr double spread = 0.03;
     /// \brief Prompt tokens that an upstream reads in a millisecond beside its running batch: a
