Callers that come back are told by their time left, wait for room and yield to fresh ones

Change: refused streams come back over 0.4 to 0.95 of the third of their time that callers obey; returning ones wait up to 0.6 of their caller's patience for an upstream under 70%, and are late anyway.

--- a/src/transport/call_admission.cpp
+++ b/src/transport/call_admission.cpp
@@ -110,6 +110,7 @@
     admitted.demand = demand_of(admitted.terms);
     state::duration const left = admitted.terms.time_left.value_or(admitted.route->timeout);
     admitted.deadline = admitted.call.read_at + std::min(left, admitted.route->timeout);
+    admitted.returns = core.comes_back(admitted.route->name, left);
     bool const streams = admitted.route->kind == state::call_kind::streaming;
     std::shared_ptr<forward_call> started;
     if (streams)
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -32,6 +32,8 @@
     coordination::call_demand demand;
     /// \brief When its caller, or its route, gives it up.
     state::time_point deadline{};
+    /// \brief It has less time than others of its route had from the start: it was refused before.
+    bool returns = false;
 };
 
 /// \brief Admits a call and starts it; refuses it through the channel and returns null otherwise.
@@ -117,7 +119,8 @@
     {
         return runs_ > 0;
     }
-    [[nodiscard]] state::duration come_back();
+    /// \brief Returns when a caller that is refused now had best come back.
+    [[nodiscard]] virtual state::duration come_back();
     [[nodiscard]] std::vector<protocol::header_field> answer_fields() const;
     [[nodiscard]] std::string_view member_name() const;
 
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -242,6 +242,11 @@
     }
 }
 
+bool forward_core::comes_back(std::string const& route, state::duration time_left)
+{
+    return patience_[route].note(time_left);
+}
+
 // -- repeats --------------------------------------------------------------------------------------
 
 coordination::repeat_allowance& forward_core::allowance_of(std::string const& service)
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -14,6 +14,7 @@
 #include <plumdale/coordination/repeat_allowance.hpp>
 #include <plumdale/coordination/routing_table.hpp>
 #include <plumdale/coordination/service_directory.hpp>
+#include <plumdale/coordination/usual_patience.hpp>
 #include <plumdale/protocol/dialect.hpp>
 #include <plumdale/protocol/forward_settings.hpp>
 
@@ -79,6 +80,9 @@
     void forget(departure_listener& listener);
     [[nodiscard]] coordination::departure const* departure_of(state::member_key member) const;
 
+    /// \brief Notes how long a caller of a route waits; returns whether that is so much less than
+    /// others waited from the start that this one was refused before.
+    [[nodiscard]] bool comes_back(std::string const& route, state::duration time_left);
     /// \brief Spends one of the repeats of a service; false when none is left.
     [[nodiscard]] bool take_repeat(std::string const& service);
     void note_call(std::string const& service);
@@ -123,6 +127,7 @@
     std::unordered_map<state::member_key, coordination::departure> departures_;
     std::unordered_set<departure_listener*> listeners_;
     std::unordered_map<std::string, coordination::repeat_allowance> allowances_;
+    std::unordered_map<std::string, coordination::usual_patience> patience_;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -87,17 +87,28 @@
         return true;
     }
     bool const is_long = admitted_.demand.output_tokens >= backup_least_tokens;
-    bool const has_room = best.fullness <= (is_long ? long_limit : short_limit);
+    double const limit = is_long ? long_limit : short_limit;
+    bool const has_room = best.fullness <= (admitted_.returns ? return_limit : limit);
     state::time_point const due = admitted_.call.read_at + admitted_.route->target_latency;
     auto const likely =
         std::chrono::duration_cast<state::duration>(first_event_margin * best.first_event);
-    return has_room && now + likely <= due;
+    return has_room && (admitted_.returns || now + likely <= due);
 }
 
 state::duration stream_call::longest_wait() const
 {
-    return std::chrono::duration_cast<state::duration>(waiting_part *
-                                                       admitted_.route->target_latency);
+    double const part = admitted_.returns ? return_waiting_part : waiting_part;
+    state::duration const whole = admitted_.returns ? patience() : admitted_.route->target_latency;
+    return std::chrono::duration_cast<state::duration>(part * whole);
+}
+
+state::duration stream_call::come_back()
+{
+    constexpr int obeyed_part = 3;
+    state::duration const obeyed = (admitted_.deadline - boot_now()) / obeyed_part;
+    std::uniform_real_distribution<double> part{come_back_from, come_back_to};
+    return std::max(state::duration::zero(),
+                    std::chrono::duration_cast<state::duration>(part(core_.random) * obeyed));
 }
 
 // -- events ---------------------------------------------------------------------------------------
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -54,6 +54,15 @@
     /// \brief Part of the objective that a call may wait here for room; the prompt has to be read
     /// in the rest.
     static constexpr double waiting_part = 0.45;
+    /// \brief A call that comes back is late already; a second refusal would be its last. It waits
+    /// for room for this part of its caller's patience.
+    static constexpr double return_waiting_part = 0.6;
+    /// \brief ... and yields to those that can still be on time.
+    static constexpr double return_limit = 0.7;
+    /// \brief Callers come back when told within a third of the time they have left. Crowds last
+    /// for seconds, so refused calls come back over this part of that third, spread evenly.
+    static constexpr double come_back_from = 0.4;
+    static constexpr double come_back_to = 0.95;
     /// \brief Callers give a stream up after a silence of this long at least, four objectives or
     /// eight allowed pauses; work beyond that is for nobody.
     static constexpr state::duration least_patience = std::chrono::seconds{2};
@@ -65,6 +74,7 @@
     [[nodiscard]] bool admits(coordination::chosen_member const& best,
                               state::time_point now) const override;
     [[nodiscard]] state::duration longest_wait() const override;
+    [[nodiscard]] state::duration come_back() override;
     void answer_ended(exchange_end end) override;
     void time_over() override;
     void on_timer(state::time_point now) override;
