--- /dev/null
+++ b/tests/coordination/test_generation_survival.cpp
@@ -0,0 +1,253 @@
+#include <plumdale/coordination/generation_survival.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+using namespace plumdale;
+using namespace plumdale::coordination;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr state::member_key source{1};
+constexpr state::member_key first_choice{2};
+constexpr state::member_key second_choice{3};
+constexpr state::time_point start{100s};
+
+std::optional<state::member_key> choose(state::member_key /*source*/,
+                                        std::span<state::member_key const> excluded)
+{
+    for (state::member_key const each : {first_choice, second_choice})
+    {
+        if (std::find(excluded.begin(), excluded.end(), each) == excluded.end())
+        {
+            return each;
+        }
+    }
+    return std::nullopt;
+}
+
+template <class Action>
+Action const* last(survival_actions const& actions)
+{
+    return actions.empty() ? nullptr : std::get_if<Action>(&actions.back());
+}
+
+} // namespace
+
+TEST_CASE("a generation is copied while it runs, stopped by a last copy, and goes on elsewhere",
+          "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival_actions actions;
+    survival.source_leaves(start + 1s, start, actions);
+    REQUIRE(last<order_copy>(actions) != nullptr);
+    CHECK_FALSE(last<order_copy>(actions)->last);
+    CHECK(last<order_copy>(actions)->destination == first_choice);
+
+    survival.copied("h1", start + 200ms, actions);
+    CHECK(survival.next_deadline() == start + 1s);
+    survival.advance(start + 1s, actions);
+    REQUIRE(last<order_copy>(actions) != nullptr);
+    CHECK(last<order_copy>(actions)->last);
+
+    survival.copied("h2", start + 1'010ms, actions);
+    survival.source_ended(start + 1'012ms, actions);
+    REQUIRE(last<resume_generation>(actions) != nullptr);
+    CHECK(last<resume_generation>(actions)->at == first_choice);
+    CHECK(last<resume_generation>(actions)->holder == source);
+    CHECK(last<resume_generation>(actions)->handle == "h2");
+    survival.resumed(start + 1'050ms);
+    CHECK(survival.source() == first_choice);
+    CHECK_FALSE(survival.between());
+}
+
+// The caller's draft runs on an upstream whose queue is not read yet; the order to copy finds no
+// such generation. It is ordered again until the generation has begun.
+TEST_CASE("a generation that has not begun is copied once it has", "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival_actions actions;
+    survival.source_leaves(start + 1s, start, actions);
+    survival.copy_refused(copy_refusal::unknown_generation, {}, start, actions);
+    survival.advance(start + generation_survival::copy_retry, actions);
+    CHECK(actions.size() == 2);
+    CHECK(last<order_copy>(actions)->destination == first_choice);
+}
+
+TEST_CASE("a destination without room is replaced by another", "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival_actions actions;
+    survival.source_leaves(start + 1s, start, actions);
+    survival.copy_refused(copy_refusal::no_room, {}, start, actions);
+    survival.advance(start + generation_survival::copy_retry, actions);
+    CHECK(last<order_copy>(actions)->destination == second_choice);
+}
+
+// The upstream crashes before its time, between the first copy and the last. The first copy holds
+// all but the newest tokens; without it the caller's draft would be cut.
+TEST_CASE("a crash after the first copy goes on from it", "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival_actions actions;
+    survival.source_leaves(start + 1s, start, actions);
+    survival.copied("h1", start + 200ms, actions);
+    survival.source_ended(start + 300ms, actions);
+    REQUIRE(last<resume_generation>(actions) != nullptr);
+    CHECK(last<resume_generation>(actions)->handle == "h1");
+}
+
+TEST_CASE("a crash without copy or backup ends the generation", "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival_actions actions;
+    survival.source_ended(start, actions);
+    CHECK(last<abandon_generation>(actions) != nullptr);
+}
+
+TEST_CASE("with a backup a notice costs nothing and a crash is survived", "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival.backed_up_at(second_choice);
+    survival_actions actions;
+    survival.source_leaves(start + 1s, start, actions);
+    CHECK(actions.empty());
+    survival.source_ended(start + 1s, actions);
+    REQUIRE(last<resume_generation>(actions) != nullptr);
+    CHECK(last<resume_generation>(actions)->at == second_choice);
+    CHECK(last<resume_generation>(actions)->handle.empty());
+}
+
+// Source and backup are reclaimed in the same wave. A generation that relied on its backup would be
+// cut; it is copied as soon as the backup's notice is heard.
+TEST_CASE("a generation whose backup leaves too is copied after all", "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival.backed_up_at(second_choice);
+    survival_actions actions;
+    survival.source_leaves(start + 1s, start, actions);
+    survival.backup_leaves(second_choice, actions);
+    REQUIRE(last<order_copy>(actions) != nullptr);
+    CHECK(last<order_copy>(actions)->destination == first_choice);
+}
+
+TEST_CASE("a last copy that found no room leaves the memory at the source", "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival_actions actions;
+    survival.source_leaves(start, start, actions);
+    survival.copied("h1", start, actions);
+    survival.advance(start, actions);
+    survival.copy_refused(copy_refusal::no_room, "h2", start + 5ms, actions);
+    survival.source_ended(start + 6ms, actions);
+    REQUIRE(last<resume_generation>(actions) != nullptr);
+    CHECK(last<resume_generation>(actions)->at == source);
+    CHECK(last<resume_generation>(actions)->handle == "h2");
+}
+
+TEST_CASE("a refused resumption is tried where the memory was left, then given up", "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival_actions actions;
+    survival.source_leaves(start, start, actions);
+    survival.copied("h1", start, actions);
+    survival.advance(start, actions);
+    survival.copied("h2", start, actions);
+    survival.source_ended(start, actions);
+    state::time_point now = start;
+    std::vector<state::member_key> tried;
+    while (last<resume_generation>(actions) != nullptr)
+    {
+        tried.push_back(last<resume_generation>(actions)->at);
+        survival.resume_refused(now, actions);
+        now += generation_survival::resume_retry;
+        survival.advance(now, actions);
+    }
+    CHECK(tried == std::vector{first_choice, source, first_choice, source});
+    CHECK(last<abandon_generation>(actions) != nullptr);
+}
+
+TEST_CASE("a copy that is not used is freed", "[survival]")
+{
+    generation_survival survival{source, choose};
+    survival_actions actions;
+    survival.source_leaves(start + 1s, start, actions);
+    survival.copied("h1", start, actions);
+    survival.finished(actions);
+    REQUIRE(last<release_copy>(actions) != nullptr);
+    CHECK(last<release_copy>(actions)->handle == "h1");
+}
+
+// Any order of answers, breaks, timers and notices: what a caller would see doubled is a generation
+// resumed while its source's stream has neither ended nor been stopped by a last copy.
+TEST_CASE("no order of events resumes a generation that still runs", "[survival][seeds]")
+{
+    for (std::uint32_t seed = 1; seed <= 3'000; ++seed)
+    {
+        std::minstd_rand random{seed};
+        generation_survival survival{source, choose};
+        state::time_point now = start;
+        bool runs = true;
+        bool stopped = false;
+        bool last_ordered = false;
+        bool ended = false;
+        survival_actions actions;
+        for (int step = 0; step < 40 && !ended; ++step)
+        {
+            now += state::duration{std::chrono::milliseconds{random() % 400}};
+            actions.clear();
+            switch (random() % 8)
+            {
+            case 0:
+                survival.source_leaves(now + 500ms, now, actions);
+                break;
+            case 1:
+                stopped = stopped || last_ordered;
+                survival.copied("h", now, actions);
+                break;
+            case 2:
+                survival.copy_refused(copy_refusal::unknown_generation, {}, now, actions);
+                break;
+            case 3:
+                survival.copy_refused(copy_refusal::no_room, last_ordered ? "h" : "", now, actions);
+                stopped = stopped || last_ordered;
+                break;
+            case 4:
+                if (runs)
+                {
+                    runs = false;
+                    survival.source_ended(now, actions);
+                }
+                break;
+            case 5:
+                survival.backed_up_at(second_choice);
+                break;
+            case 6:
+                survival.backup_leaves(second_choice, actions);
+                break;
+            default:
+                survival.advance(now, actions);
+                break;
+            }
+            for (survival_action const& action : actions)
+            {
+                if (auto const* const order = std::get_if<order_copy>(&action))
+                {
+                    last_ordered = last_ordered || order->last;
+                }
+                if (std::holds_alternative<resume_generation>(action))
+                {
+                    INFO("seed " << seed);
+                    CHECK((!runs || stopped));
+                    ended = true;
+                }
+                ended = ended || std::holds_alternative<abandon_generation>(action);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/coordination/test_member_choice.cpp
@@ -0,0 +1,158 @@
+#include <plumdale/coordination/member_choice.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+
+using namespace plumdale;
+using namespace plumdale::coordination;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr state::time_point now{10s};
+
+state::service lists()
+{
+    state::service service;
+    service.name = "lists";
+    service.engine = state::engine_limits{};
+    service.engine->memory_tokens = 20'000;
+    return service;
+}
+
+struct scene
+{
+    service_directory directory;
+    load_ledger ledger;
+    member_health health;
+    std::minstd_rand random{1};
+    member_choice choice{directory, ledger, health, "a", random};
+
+    state::member_key add(std::string const& name, std::string const& zone)
+    {
+        state::service_member member;
+        member.name = name;
+        member.service = "lists";
+        member.zone = zone;
+        member.slots = 24;
+        member.revision = 1;
+        directory.join(member, now);
+        return state::key_of(member);
+    }
+};
+
+} // namespace
+
+TEST_CASE("the least full upstream of the own zone is taken", "[member_choice]")
+{
+    scene fleet;
+    state::member_key const full = fleet.add("i-1", "a");
+    state::member_key const free = fleet.add("i-2", "a");
+    fleet.add("i-3", "b");
+    fleet.ledger.add(full, {full, 4, 12'000, 14'000, 0});
+    auto const chosen = fleet.choice.choose(lists(), {3'000, 500}, {}, "a", now);
+    REQUIRE(chosen);
+    CHECK(chosen->member == free);
+}
+
+TEST_CASE("another zone takes over when the own one is crowded", "[member_choice]")
+{
+    scene fleet;
+    state::member_key const own = fleet.add("i-1", "a");
+    state::member_key const other = fleet.add("i-2", "b");
+    fleet.ledger.add(own, {own, 5, 15'000, 17'000, 0});
+    CHECK(fleet.choice.choose(lists(), {3'000, 500}, {}, "a", now)->member == other);
+}
+
+// A question waits 1.3 s for its first event though its upstream's memory is almost empty: three
+// long prompts are read before it. Memory alone doesn't show that.
+TEST_CASE("prompts that are still to be read weigh like the wait they mean", "[member_choice]")
+{
+    scene fleet;
+    state::member_key const reading = fleet.add("i-1", "a");
+    state::member_key const busy = fleet.add("i-2", "a");
+    fleet.ledger.add(reading, {reading, 3, 9'000, 9'000, 9'000});
+    fleet.ledger.add(busy, {busy, 3, 11'000, 12'000, 0});
+    auto const chosen = fleet.choice.choose(lists(), {2'100, 12}, {}, "a", now);
+    REQUIRE(chosen);
+    CHECK(chosen->member == busy);
+    CHECK(chosen->first_event == 300ms);
+}
+
+TEST_CASE("an upstream that fails gets nothing while another can take it", "[member_choice]")
+{
+    scene fleet;
+    state::member_key const failing = fleet.add("i-1", "a");
+    state::member_key const other = fleet.add("i-2", "b");
+    fleet.health.note(failing, call_result::unreachable, now);
+    CHECK(fleet.choice.choose(lists(), {}, {}, "a", now)->member == other);
+    std::array<state::member_key, 1> const excluded{other};
+    CHECK(fleet.choice.choose(lists(), {}, excluded, "a", now)->member == failing);
+}
+
+TEST_CASE("there is no choice among upstreams that leave", "[member_choice]")
+{
+    scene fleet;
+    fleet.add("i-1", "a");
+    state::service_member leaving;
+    leaving.name = "i-1";
+    leaving.service = "lists";
+    leaving.leaving = true;
+    leaving.revision = 2;
+    fleet.directory.join(leaving, now);
+    CHECK_FALSE(fleet.choice.choose(lists(), {}, {}, "a", now));
+}
+
+// Load pattern: 45 crowded upstreams, one comes, and thirty entry VMs with waiting calls decide
+// before any hears of the others' starts. Each start occupies the upstream's reading for 0.4 s, so
+// callers of all but the first few are late. Bound: a quarter of the deciders, twice what drawing 8
+// of 46 gives.
+TEST_CASE("deciders that don't hear each other don't all take the upstream that came",
+          "[member_choice][load]")
+{
+    constexpr std::size_t deciders = 30;
+    std::size_t met = 0;
+    for (std::size_t decider = 0; decider < deciders; ++decider)
+    {
+        scene fleet;
+        fleet.random.seed(static_cast<std::minstd_rand::result_type>(decider + 1));
+        for (int i = 0; i < 45; ++i)
+        {
+            state::member_key const crowded =
+                fleet.add("i-" + std::to_string(i), i % 4 == 0 ? "a" : "b");
+            fleet.ledger.add(crowded, {crowded, 6, 18'000, 20'000, 3'000});
+        }
+        state::member_key const fresh = fleet.add("i-new", "a");
+        met += fleet.choice.choose(lists(), {3'000, 700}, {}, "a", now)->member == fresh ? 1 : 0;
+    }
+    CHECK(met <= deciders / 3);
+}
+
+// Load pattern: nine entry VMs that hear of each start before the next decision give 60 drafts to
+// 12 equal upstreams of three zones: no upstream gets more than two above its share.
+TEST_CASE("deciders that hear each other spread drafts evenly", "[member_choice][load]")
+{
+    scene fleet;
+    for (int i = 0; i < 12; ++i)
+    {
+        fleet.add("i-" + std::to_string(i), std::string(1, static_cast<char>('a' + i % 3)));
+    }
+    std::map<state::member_key, int> taken;
+    for (int i = 0; i < 60; ++i)
+    {
+        std::string const zone(1, static_cast<char>('a' + i % 3));
+        auto const chosen = fleet.choice.choose(lists(), {3'000, 900}, {}, zone, now);
+        REQUIRE(chosen);
+        ++taken[chosen->member];
+        fleet.ledger.add(chosen->member, {chosen->member, 1, 3'000, 3'900, 0});
+    }
+    for (auto const& [member, count] : taken)
+    {
+        CHECK(count <= 60 / 12 + 2);
+    }
+}
--- /dev/null
+++ b/tests/coordination/test_member_health.cpp
@@ -0,0 +1,54 @@
+#include <plumdale/coordination/member_health.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace plumdale;
+using namespace plumdale::coordination;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr state::member_key upstream{7};
+
+} // namespace
+
+TEST_CASE("the usual share of failures sets no upstream aside", "[member_health]")
+{
+    member_health health;
+    state::time_point now{10s};
+    for (int i = 0; i < 200; ++i)
+    {
+        now += 20ms;
+        health.note(upstream, i % 7 == 0 ? call_result::failed : call_result::good, now);
+        CHECK(health.penalty(upstream, now) == 0.0);
+    }
+}
+
+TEST_CASE("an upstream that fails most calls is set aside and tried again", "[member_health]")
+{
+    member_health health;
+    state::time_point const now{10s};
+    for (int i = 0; i < 4; ++i)
+    {
+        health.note(upstream, call_result::failed, now);
+    }
+    CHECK(health.penalty(upstream, now) == 1.0);
+    CHECK(health.penalty(upstream, now + member_health::first_pause + 1ms) < 1.0);
+    for (int i = 0; i < 4; ++i)
+    {
+        health.note(upstream, call_result::good, now + 1s);
+    }
+    CHECK(health.penalty(upstream, now + 1s) == 0.0);
+}
+
+TEST_CASE("being full says nothing of an upstream's health", "[member_health]")
+{
+    member_health health;
+    state::time_point const now{10s};
+    for (int i = 0; i < 20; ++i)
+    {
+        health.note(upstream, call_result::busy, now);
+    }
+    CHECK(health.penalty(upstream, now) == 0.0);
+}
--- /dev/null
+++ b/tests/platform/forward_scene.cpp
@@ -0,0 +1,272 @@
+#include "forward_scene.hpp"
+
+#include <plumdale/protocol/endpoint_text.hpp>
+
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <fcntl.h>
+
+namespace plumdale::test
+{
+namespace
+{
+
+namespace net = transport::net;
+using transport::tcp;
+
+constexpr std::string_view configuration =
+    R"({"version":3,"routes":[)"
+    R"({"name":"fetch","host":"a.example","prefix":"/fetch/","routeType":"idempotent","timeoutMs":1500,)"
+    R"("targetLatencyMs":150,"maxAttempts":2,"service":"plain"},)"
+    R"({"name":"event","host":"a.example","prefix":"/event/","routeType":"non_idempotent","timeoutMs":1500,)"
+    R"("targetLatencyMs":150,"maxAttempts":1,"service":"plain"},)"
+    R"({"name":"short","host":"a.example","prefix":"/short/","routeType":"non_idempotent","timeoutMs":200,)"
+    R"("targetLatencyMs":150,"maxAttempts":1,"service":"plain"},)"
+    R"({"name":"draft","host":"a.example","prefix":"/draft/","routeType":"streaming","timeoutMs":39000,)"
+    R"("targetLatencyMs":1800,"targetGapMs":180,"maxAttempts":1,"service":"engine"}],)"
+    R"("services":[{"name":"plain"},{"name":"engine","inferenceEngine":{"slots":24,"kvCapacityTokens":34288,)"
+    R"("kvBytes":131072,"linkMbps":19000.0,"migrations":true,"backups":true,"stride":4,"handleTtlS":5.0}}],)"
+    R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
+    R"("tenants":[{"name":"customer","apiKeys":["key"]}]})";
+
+protocol::forward_settings scene_settings()
+{
+    protocol::forward_settings settings;
+    settings.name = "vm";
+    settings.zone = "a";
+    settings.datagrams = {0x7f000001, 7200};
+    settings.repeats = {0.2, 50.0, std::chrono::seconds{10}};
+    return settings;
+}
+
+int null_descriptor()
+{
+    static int const descriptor = ::open("/dev/null", O_WRONLY);
+    return descriptor;
+}
+
+} // namespace
+
+// -- script_connection ----------------------------------------------------------------------------
+
+void script_connection::read()
+{
+    socket_.async_read_some(
+        net::buffer(buffer_),
+        [self = shared_from_this()](boost::system::error_code error, std::size_t bytes)
+        {
+            self->received.append(self->buffer_.data(), bytes);
+            self->ended = static_cast<bool>(error);
+            if (!error)
+            {
+                self->read();
+            }
+        });
+}
+
+void script_connection::send(std::string_view bytes)
+{
+    boost::system::error_code ignored;
+    net::write(socket_, net::buffer(bytes), ignored);
+}
+
+void script_connection::close()
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void script_connection::reset()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(net::socket_base::linger{true, 0}, ignored);
+    socket_.close(ignored);
+}
+
+// -- script_upstream ------------------------------------------------------------------------------
+
+script_upstream::script_upstream(net::io_context& context, std::string name, std::string zone)
+    : name_{std::move(name)}, zone_{std::move(zone)},
+      acceptor_{context, tcp::endpoint{net::ip::address_v4::loopback(), 0}}
+{
+    accept();
+}
+
+void script_upstream::accept()
+{
+    acceptor_.async_accept(
+        [this](boost::system::error_code error, tcp::socket socket)
+        {
+            if (!error)
+            {
+                connections.push_back(std::make_shared<script_connection>(std::move(socket)));
+                connections.back()->read();
+                accept();
+            }
+        });
+}
+
+state::service_member script_upstream::listing(std::string service, std::uint64_t revision) const
+{
+    state::service_member member;
+    member.name = name_;
+    member.service = std::move(service);
+    member.zone = zone_;
+    member.slots = 24;
+    member.address = transport::from_tcp(acceptor_.local_endpoint());
+    member.revision = revision;
+    return member;
+}
+
+std::vector<std::shared_ptr<script_connection>>
+script_upstream::connections_with(std::string_view text) const
+{
+    std::vector<std::shared_ptr<script_connection>> found;
+    for (auto const& each : connections)
+    {
+        if (each->received.find(text) != std::string::npos)
+        {
+            found.push_back(each);
+        }
+    }
+    return found;
+}
+
+// -- forward_scene --------------------------------------------------------------------------------
+
+forward_scene::forward_scene()
+    : settings{scene_settings()}, log{null_descriptor(), "vm"}, core{context, settings, words, log},
+      callers_{context, tcp::endpoint{net::ip::address_v4::loopback(), 0}}
+{
+    std::vector<state::service_member> members;
+    for (int i = 0; i < 5; ++i)
+    {
+        upstreams.push_back(
+            std::make_unique<script_upstream>(context, "i-" + std::to_string(i), "a"));
+        members.push_back(upstreams.back()->listing(i < 2 ? "plain" : "engine", 1));
+    }
+    core.take_configuration(std::string{configuration}, "test");
+    core.take_list(members, 1, "test");
+    accept();
+}
+
+forward_scene::~forward_scene()
+{
+    for (auto const& channel : channels_)
+    {
+        channel->cut();
+    }
+    context.restart();
+    context.poll();
+}
+
+void forward_scene::accept()
+{
+    callers_.async_accept(
+        [this](boost::system::error_code error, tcp::socket socket)
+        {
+            if (error)
+            {
+                return;
+            }
+            channels_.push_back(std::make_shared<transport::caller_channel>(
+                std::move(socket),
+                [this]
+                {
+                    transport::channel_terms terms;
+                    terms.closing = core.closing_since != state::never;
+                    return terms;
+                },
+                [this](std::shared_ptr<transport::caller_channel> const& channel,
+                       transport::whole_call call)
+                { return transport::start_call(core, channel, std::move(call)); },
+                [](transport::caller_channel&) {}));
+            channels_.back()->start();
+            accept();
+        });
+}
+
+std::shared_ptr<script_caller> forward_scene::call(std::string_view path, std::string_view id,
+                                                   std::string_view more_fields,
+                                                   std::string_view body)
+{
+    tcp::socket socket{context};
+    socket.connect(callers_.local_endpoint());
+    auto const caller = std::make_shared<script_caller>(std::move(socket));
+    std::string text = "POST " + std::string{path} + " HTTP/1.1\r\nHost: a.example\r\n";
+    text += "Plumdale-Request-Id: " + std::string{id} + "\r\nPlumdale-Key: key\r\n";
+    text += std::string{more_fields};
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string{body};
+    caller->send(text);
+    caller->read();
+    return caller;
+}
+
+void forward_scene::run_until(std::function<bool()> const& condition)
+{
+    auto const limit = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+    while (!condition())
+    {
+        REQUIRE(std::chrono::steady_clock::now() < limit);
+        context.restart();
+        context.run_one_for(std::chrono::milliseconds{20});
+    }
+}
+
+std::size_t forward_scene::sends(std::string_view text) const
+{
+    std::size_t count = 0;
+    for (auto const& upstream : upstreams)
+    {
+        count += upstream->connections_with(text).size();
+    }
+    return count;
+}
+
+script_upstream& forward_scene::upstream_of(std::string_view text)
+{
+    run_until([this, text] { return sends(text) > 0; });
+    for (auto const& upstream : upstreams)
+    {
+        if (!upstream->connections_with(text).empty())
+        {
+            return *upstream;
+        }
+    }
+    throw std::logic_error{"no upstream"};
+}
+
+std::shared_ptr<script_connection> forward_scene::sent(std::string_view text)
+{
+    return upstream_of(text).connections_with(text).front();
+}
+
+// -- texts ----------------------------------------------------------------------------------------
+
+std::string answer_text(unsigned status, std::string_view id, std::string_view body,
+                        std::string_view more_fields)
+{
+    return "HTTP/1.1 " + std::to_string(status) +
+           " Text\r\nPlumdale-Request-Id: " + std::string{id} + "\r\n" + std::string{more_fields} +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string{body};
+}
+
+std::string stream_head(std::string_view id)
+{
+    return "HTTP/1.1 200 OK\r\nPlumdale-Request-Id: " + std::string{id} +
+           "\r\nPlumdale-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string event_chunk(std::uint64_t id)
+{
+    std::string const event =
+        "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+    return size.data() + event + "\r\n";
+}
+
+} // namespace plumdale::test
--- /dev/null
+++ b/tests/platform/forward_scene.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "platform/platform_dialect.hpp"
+#include "transport/caller_channel.hpp"
+#include "transport/forward_call.hpp"
+#include "transport/forward_core.hpp"
+#include "transport/net.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief One entry VM's calls between scripted callers and upstreams, on one loop.
+
+namespace plumdale::test
+{
+
+/// \brief A connection of a scripted upstream; collects what it is sent.
+class script_connection : public std::enable_shared_from_this<script_connection>
+{
+public:
+    explicit script_connection(transport::tcp::socket socket) : socket_{std::move(socket)} {}
+
+    void read();
+    void send(std::string_view bytes);
+    /// \brief Ends in order.
+    void close();
+    /// \brief Ends with a reset.
+    void reset();
+
+    std::string received;
+    bool ended = false;
+
+private:
+    transport::tcp::socket socket_;
+    std::array<char, 8192> buffer_{};
+};
+
+/// \brief A listening upstream; the test plays its answers.
+class script_upstream
+{
+public:
+    script_upstream(transport::net::io_context& context, std::string name, std::string zone);
+
+    [[nodiscard]] state::service_member listing(std::string service, std::uint64_t revision) const;
+    /// \brief Connections whose requests hold `text`.
+    [[nodiscard]] std::vector<std::shared_ptr<script_connection>>
+    connections_with(std::string_view text) const;
+
+    std::vector<std::shared_ptr<script_connection>> connections;
+
+private:
+    void accept();
+
+    std::string name_;
+    std::string zone_;
+    transport::tcp::acceptor acceptor_;
+};
+
+/// \brief A caller's connection.
+using script_caller = script_connection;
+
+/// \brief The entry VM under test with two upstreams of a plain service and three of an engine's.
+class forward_scene
+{
+public:
+    forward_scene();
+    ~forward_scene();
+
+    /// \brief Sends a call on a new connection.
+    std::shared_ptr<script_caller> call(std::string_view path, std::string_view id,
+                                        std::string_view more_fields = {},
+                                        std::string_view body = {});
+    /// \brief Runs the loop until `condition` holds; fails after ten seconds.
+    void run_until(std::function<bool()> const& condition);
+    /// \brief Returns the only connection of any upstream whose request holds `text`.
+    std::shared_ptr<script_connection> sent(std::string_view text);
+    /// \brief Returns the upstream that has a connection whose request holds `text`.
+    script_upstream& upstream_of(std::string_view text);
+    [[nodiscard]] std::size_t sends(std::string_view text) const;
+
+    transport::net::io_context context;
+    protocol::forward_settings settings;
+    platform::platform_dialect words;
+    transport::decision_log log;
+    transport::forward_core core;
+    std::vector<std::unique_ptr<script_upstream>> upstreams;
+
+private:
+    void accept();
+
+    transport::tcp::acceptor callers_;
+    std::vector<std::shared_ptr<transport::caller_channel>> channels_;
+};
+
+/// \brief Returns a whole answer with the upstream's signature.
+[[nodiscard]] std::string answer_text(unsigned status, std::string_view id, std::string_view body,
+                                      std::string_view more_fields = {});
+/// \brief Returns the head of a stream of events in chunks.
+[[nodiscard]] std::string stream_head(std::string_view id);
+/// \brief Returns an event as a chunk.
+[[nodiscard]] std::string event_chunk(std::uint64_t id);
+
+} // namespace plumdale::test
--- /dev/null
+++ b/tests/platform/test_dialect.cpp
@@ -0,0 +1,204 @@
+#include "platform/platform_dialect.hpp"
+
+#include <plumdale/protocol/endpoint_text.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace plumdale;
+using namespace std::chrono_literals;
+using platform::platform_dialect;
+
+namespace
+{
+
+protocol::message_head call_head()
+{
+    protocol::message_head head;
+    head.method = "POST";
+    head.target = "/lists/2f?x=1";
+    head.fields = {{"Host", "a.example"},
+                   {"Plumdale-Request-Id", "9c41"},
+                   {"Plumdale-Token-Usage", "1460,80"},
+                   {"Plumdale-Request-Deadline-Ms", "39000"},
+                   {"Plumdale-Length-Hint", "70"},
+                   {"plumdale-key", "secret"},
+                   {"Content-Length", "3"},
+                   {"Connection", "keep-alive, X-Local"},
+                   {"X-Local", "1"},
+                   {"X-Kept", "2"}};
+    return head;
+}
+
+bool has(std::string const& head, std::string_view line)
+{
+    return head.find("\r\n" + std::string{line} + "\r\n") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("a caller's head is decoded once", "[dialect]")
+{
+    protocol::call_terms const terms = platform_dialect{}.read_call(call_head());
+    CHECK(terms.id == "9c41");
+    CHECK(terms.key == "secret");
+    CHECK(terms.time_left == 39s);
+    CHECK(terms.prompt_tokens == 1'460);
+    CHECK(terms.output_limit == 80);
+    CHECK(terms.output_hint == 70);
+}
+
+TEST_CASE("malformed figures in a caller's head read as missing", "[dialect]")
+{
+    for (char const* const text : {"", "soon", "-5", "nan", "inf"})
+    {
+        protocol::message_head head;
+        head.fields = {{"Plumdale-Request-Deadline-Ms", text}, {"Plumdale-Token-Usage", text}};
+        protocol::call_terms const terms = platform_dialect{}.read_call(head);
+        CHECK_FALSE(terms.time_left);
+        CHECK(terms.prompt_tokens == 0);
+    }
+}
+
+TEST_CASE("the head passed on has the system's fields and not the caller's", "[dialect]")
+{
+    protocol::onward_terms terms;
+    terms.time_left = 1'500ms;
+    terms.member = "i-7";
+    terms.customer = "huka";
+    terms.priority = 3;
+    std::string const head = platform_dialect{}.onward_head(call_head(), terms, 3);
+    CHECK(head.starts_with("POST /lists/2f?x=1 HTTP/1.1\r\n"));
+    CHECK(has(head, "Plumdale-Request-Id: 9c41"));
+    CHECK(has(head, "Plumdale-Request-Deadline-Ms: 1500"));
+    CHECK(has(head, "Plumdale-Expect-Instance: i-7"));
+    CHECK(has(head, "Plumdale-Tenant: huka"));
+    CHECK(has(head, "Plumdale-Request-Priority: 3"));
+    CHECK(has(head, "Content-Length: 3"));
+    CHECK(has(head, "X-Kept: 2"));
+    CHECK(head.find("secret") == std::string::npos);
+    CHECK(head.find("X-Local") == std::string::npos);
+    CHECK(head.find("39000") == std::string::npos);
+}
+
+// A caller sets a field that only the system may set, in any case. An upstream would bill another
+// customer, or go on from the memory of someone else's draft.
+TEST_CASE("fields of the system are never taken from a caller", "[dialect]")
+{
+    for (char const* const name :
+         {"Plumdale-Tenant", "plumdale-hold", "PLUMDALE-PIN-MS", "Plumdale-Kv-Backup", "kv-from",
+          "Kv-Fetch", "Plumdale-Request-Priority", "Plumdale-Expect-Instance",
+          "Plumdale-Expect-Version"})
+    {
+        INFO(name);
+        protocol::message_head head = call_head();
+        head.fields.push_back({name, "forged"});
+        protocol::onward_terms terms;
+        terms.time_left = 1s;
+        terms.member = "i-7";
+        CHECK(platform_dialect{}.onward_head(head, terms, 0).find("forged") == std::string::npos);
+    }
+}
+
+TEST_CASE("a resumed generation names its memory and its last event", "[dialect]")
+{
+    protocol::onward_terms terms;
+    terms.time_left = 1s;
+    terms.member = "i-8";
+    terms.resumed = protocol::continuation{{0x0a000001, 80}, "h-9", 41};
+    terms.backup = state::endpoint{0x0a000002, 81};
+    protocol::message_head head = call_head();
+    head.fields.push_back({"Last-Event-Id", "7"});
+    std::string const text = platform_dialect{}.onward_head(head, terms, 0);
+    CHECK(has(text, "Kv-From: 10.0.0.1:80/h-9"));
+    CHECK(has(text, "Last-Event-Id: 41"));
+    CHECK(text.find("Last-Event-Id: 7") == std::string::npos);
+    CHECK(has(text, "Plumdale-Kv-Backup: 10.0.0.2:81"));
+}
+
+TEST_CASE("an upstream's head is decoded once", "[dialect]")
+{
+    protocol::message_head head;
+    head.status = 421;
+    head.fields = {{"plumdale-request-id", "9c41"},
+                   {"Plumdale-Response-Seal", "x"},
+                   {"Keep-Alive", "timeout=5, max=9"},
+                   {"Connection", "Close"},
+                   {"Content-Encoding", "gzip"}};
+    protocol::answer_terms const terms = platform_dialect{}.read_answer(head);
+    CHECK(terms.id == "9c41");
+    CHECK(terms.sealed);
+    CHECK(terms.misdirected);
+    CHECK(terms.encoded);
+    CHECK(terms.closes);
+    CHECK(terms.keep_alive == 5s);
+    CHECK_FALSE(terms.not_run);
+}
+
+TEST_CASE("changes of the store are decoded", "[dialect]")
+{
+    // {"service":"s","address":"10.0.0.9:80","zone":"a","slots":24,"state":"draining"}
+    std::string const body =
+        R"({"events":[{"key":"servers/i-1","value":"eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJhIiwic2xvdHMiOjI0LCJzdGF0ZSI6ImRyYWluaW5nIn0=","revision":12},)"
+        R"({"key":"servers/i-2","revision":13,"deleted":true},{"key":"other","value":"eA==","revision":9},)"
+        R"({"key":"servers/i-3","value":"!!","revision":14},7],"atRev":14})";
+    auto const page = platform_dialect{}.read_changes(body);
+    REQUIRE(page);
+    CHECK(page.value().revision == 14);
+    REQUIRE(page.value().members.size() == 2);
+    CHECK(page.value().members[0].name == "i-1");
+    CHECK(page.value().members[0].leaving);
+    CHECK(page.value().members[0].slots == 24);
+    CHECK(page.value().members[0].address == state::endpoint{0x0a000009, 80});
+    CHECK_FALSE(page.value().members[1].listed);
+    CHECK(page.value().members[1].revision == 13);
+}
+
+TEST_CASE("a configuration is decoded into types", "[dialect]")
+{
+    auto const configuration = platform_dialect{}.decode_configuration(
+        R"({"version":7,"routes":[{"name":"r","host":"a","prefix":"/l/","routeType":"streaming","timeoutMs":39000,)"
+        R"("targetLatencyMs":1800,"targetGapMs":180,"priority":1,"maxAttempts":2,"public":true,)"
+        R"("weightedServices":[{"service":"s","weight":90},{"service":"t","weight":10}]},)"
+        R"({"name":"q","host":"a","prefix":"/q/","routeType":"new kind","service":"t"}],)"
+        R"("services":[{"name":"s","maxConnections":252,"inferenceEngine":{"slots":24,"kvCapacityTokens":34288,)"
+        R"("kvBytes":131072,"linkMbps":19000.0,"migrations":true,"backups":true,"stride":4,"handleTtlS":5.0}},{"name":"t"}],)"
+        R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
+        R"("tenants":[{"name":"c","apiKeys":["k"],"priority":2}]})");
+    REQUIRE(configuration);
+    state::routing_configuration const& read = configuration.value();
+    CHECK(read.version == 7);
+    REQUIRE(read.routes.size() == 2);
+    CHECK(read.routes[0].kind == state::call_kind::streaming);
+    CHECK(read.routes[0].timeout == 39s);
+    CHECK(read.routes[0].target_gap == 180ms);
+    CHECK(read.routes[0].services[0].weight == 90.0);
+    CHECK(read.routes[0].is_public);
+    // A kind that is not known here must not run twice.
+    CHECK(read.routes[1].kind == state::call_kind::non_idempotent);
+    CHECK(read.routes[1].services[0].service == "t");
+    REQUIRE(read.services[0].engine);
+    CHECK(read.services[0].engine->memory_tokens == 34'288);
+    CHECK(read.services[0].engine->tokens_per_event == 4);
+    CHECK(read.services[0].engine->live_migration);
+    CHECK_FALSE(read.services[1].engine);
+    CHECK(read.limits.idle_timeout == 15s);
+    CHECK(read.customers[0].priority == 2U);
+}
+
+TEST_CASE("malformed bodies fail and say so", "[dialect]")
+{
+    platform_dialect const words;
+    for (char const* const body : {"", "[", "7", "{\"a\":", "[1]"})
+    {
+        CHECK_FALSE(words.decode_configuration(body));
+        CHECK_FALSE(words.read_changes(body));
+        CHECK_FALSE(words.read_copy_answer(body));
+        CHECK_FALSE(words.read_report(body));
+    }
+    CHECK_FALSE(words.decode_configuration("{}"));
+    CHECK_FALSE(words.read_copy_answer("{}"));
+    CHECK(words.read_report(R"({"leaves_ms":1500})").value().leaves_in == 1'500ms);
+    CHECK_FALSE(words.read_report("{}").value().leaves_in);
+}
--- /dev/null
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -0,0 +1,102 @@
+#include "mutation.hpp"
+
+#include <plumdale/protocol/fleet_codec.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace plumdale;
+using namespace plumdale::coordination;
+using namespace plumdale::protocol;
+
+namespace
+{
+
+constexpr std::string_view key = "sixteen letters!";
+
+state::service_member member()
+{
+    state::service_member member;
+    member.name = "i-1";
+    member.service = "lists";
+    member.zone = "heredia-a";
+    member.address = {0x0a010203, 8'080};
+    member.slots = 24;
+    member.leaving = true;
+    member.listed = false;
+    member.revision = 77;
+    member.cold_ms = 900;
+    return member;
+}
+
+fleet_news news()
+{
+    fleet_news news;
+    news.sender = state::node_id{1};
+    news.uptime = state::incarnation{2};
+    news.sequence = 3;
+    news.configuration = 4;
+    news.directory = 5;
+    news.platform_age_ms = 6;
+    news.whole = true;
+    news.loads = {{state::member_key{7}, 8, 9, 10, 11}};
+    news.members = {member()};
+    return news;
+}
+
+} // namespace
+
+TEST_CASE("news comes out as it went in", "[fleet_codec]")
+{
+    std::string const datagram = encode(news(), key);
+    auto const read = decode_fleet_news(datagram, key);
+    REQUIRE(read);
+    CHECK(read.value().sequence == 3);
+    CHECK(read.value().whole);
+    CHECK(read.value().loads == news().loads);
+    REQUIRE(read.value().members.size() == 1);
+    CHECK(read.value().members[0].address == member().address);
+    CHECK(read.value().members[0].leaving);
+    CHECK_FALSE(read.value().members[0].listed);
+}
+
+TEST_CASE("full news fits into a datagram", "[fleet_codec]")
+{
+    fleet_news full = news();
+    full.loads.assign(fleet_news::max_loads,
+                      {state::member_key{0x123456789abcdef0}, 24, 30'000, 34'000, 9'000});
+    state::service_member long_named = member();
+    long_named.name = "i-0123456789abcdef";
+    long_named.service = "a-service-with-a-long-name";
+    full.members.assign(fleet_news::max_members, long_named);
+    CHECK(encode(full, key).size() < 1'400);
+}
+
+TEST_CASE("a directory comes out as it went in", "[fleet_codec]")
+{
+    directory_copy copy;
+    copy.revision = 99;
+    copy.members.assign(500, member());
+    auto const read = decode_directory_copy(encode(copy));
+    REQUIRE(read);
+    CHECK(read.value().revision == 99);
+    CHECK(read.value().members.size() == 500);
+}
+
+TEST_CASE("what was made without the fleet key, or damaged, is refused", "[fleet_codec][seeds]")
+{
+    std::string const datagram = encode(news(), key);
+    CHECK_FALSE(decode_fleet_news(datagram, "another sixteen!"));
+    CHECK_FALSE(decode_fleet_news(std::string_view{}, key));
+    for (std::uint32_t seed = 1; seed <= 2'000; ++seed)
+    {
+        std::string const damaged = plumdale::test::mutate(datagram, seed);
+        if (damaged != datagram)
+        {
+            CHECK_FALSE(decode_fleet_news(damaged, key));
+        }
+        // The directory has no MAC: it must refuse or read, and not fail otherwise.
+        static_cast<void>(decode_directory_copy(damaged));
+    }
+}
--- /dev/null
+++ b/tests/protocol/test_forward_settings.cpp
@@ -0,0 +1,62 @@
+#include <plumdale/protocol/forward_settings.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace plumdale;
+using namespace plumdale::protocol;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string settings_with(std::string_view more)
+{
+    return R"({"mode":"forward","name":"vm-1","zone":"a","callers":"10.0.0.1:80","ready":"10.0.0.1:81",)"
+           R"("datagrams":"10.0.0.1:7200","streams":"10.0.0.1:7200","platform":"10.9.9.9:70",)"
+           R"("fleet_key":"sixteen letters!")" +
+           std::string{more} + "}";
+}
+
+bool complains_of(std::string const& text, std::string_view pointer)
+{
+    std::vector<settings_error> errors;
+    static_cast<void>(decode_forward_settings(text, errors));
+    return std::any_of(errors.begin(), errors.end(),
+                       [pointer](settings_error const& error) { return error.pointer == pointer; });
+}
+
+} // namespace
+
+TEST_CASE("settings of a forwarding entry VM are read", "[forward_settings]")
+{
+    std::vector<settings_error> errors;
+    forward_settings const settings = decode_forward_settings(
+        settings_with(
+            R"(,"grace_s":8,"repeat_ratio":0.2,"repeat_slack":58,"repeat_window_s":10,"seeds":["10.0.0.2:9"])"),
+        errors);
+    REQUIRE(errors.empty());
+    CHECK(settings.grace == 8s);
+    CHECK(settings.repeats.ratio == 0.2);
+    CHECK(settings.repeats.window == 10s);
+    // Seeds are named by another port of theirs; all VMs hear datagrams on the same one.
+    CHECK(settings.seeds == std::vector{state::endpoint{0x0a000002, 7200}});
+}
+
+TEST_CASE("only files that say so are those of a forwarding entry VM", "[forward_settings]")
+{
+    CHECK(is_forward_settings(settings_with("")));
+    CHECK_FALSE(is_forward_settings(R"({"zone":"a"})"));
+    CHECK_FALSE(is_forward_settings("not json"));
+}
+
+TEST_CASE("each wrong setting is named", "[forward_settings]")
+{
+    CHECK(complains_of(settings_with(R"(,"grace_s":"8")"), "/grace_s"));
+    CHECK(complains_of(settings_with(R"(,"grace_s":-1)"), "/grace_s"));
+    CHECK(complains_of(settings_with(R"(,"seeds":["nowhere"])"), "/seeds"));
+    CHECK(complains_of(settings_with(R"(,"grace":8)"), "/grace"));
+    CHECK(complains_of(R"({"mode":"forward"})", "/platform"));
+}
--- /dev/null
+++ b/tests/protocol/test_http_reader.cpp
@@ -0,0 +1,135 @@
+#include "mutation.hpp"
+
+#include <plumdale/protocol/http_reader.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace plumdale::protocol;
+
+namespace
+{
+
+constexpr http_reader::limits bounds{1'024, 4'096};
+
+http_reader read(std::string_view text, message_role role = message_role::request)
+{
+    http_reader reader{role, bounds};
+    reader.append(text);
+    return reader;
+}
+
+// The same in pieces of every size: what arrives together must not matter.
+http_reader read_in_pieces(std::string_view text, std::size_t size)
+{
+    http_reader reader{message_role::request, bounds};
+    for (std::size_t at = 0; at < text.size(); at += size)
+    {
+        reader.append(text.substr(at, size));
+    }
+    return reader;
+}
+
+} // namespace
+
+TEST_CASE("a request with a length is whole after its body", "[http_reader]")
+{
+    std::string const text =
+        "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhelloGET";
+    for (std::size_t size = 1; size <= text.size(); ++size)
+    {
+        http_reader reader = read_in_pieces(text, size);
+        REQUIRE(reader.progress() == read_progress::whole);
+        CHECK(reader.head().method == "POST");
+        CHECK(reader.head().target == "/a/b?c=d");
+        CHECK(reader.take_body() == "hello");
+        CHECK(reader.rest() == "GET");
+    }
+}
+
+TEST_CASE("a chunked body is put together", "[http_reader]")
+{
+    http_reader reader = read("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+                              "chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n");
+    CHECK(reader.progress() == read_progress::whole);
+    CHECK(reader.framing() == body_framing::chunked);
+    CHECK(reader.take_body() == "abcde");
+}
+
+// A caller hides a second request in the body of its first, in a way that the next reader sees
+// differently. The upstream would run a call that nobody was charged or checked for.
+TEST_CASE("a message whose end two readers could see differently is refused", "[http_reader]")
+{
+    for (char const* const fields :
+         {"Content-Length: 5\r\nContent-Length: 6\r\n",
+          "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Content-Length: +5\r\n",
+          "Content-Length: 5, 6\r\n", "Content-Length: 0x5\r\n", "Content-Length : 5\r\n",
+          "Content-Length:\r\n"})
+    {
+        INFO(fields);
+        std::string const text =
+            "POST / HTTP/1.1\r\nHost: x\r\n" + std::string{fields} + "\r\nhello";
+        CHECK(read(text).progress() == read_progress::malformed);
+    }
+    for (char const* const chunks : {"zz\r\nabc\r\n", "3\r\nabcd\r\n0\r\n\r\n", "-1\r\nabc\r\n"})
+    {
+        INFO(chunks);
+        std::string const text =
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" +
+            std::string{chunks};
+        CHECK(read(text).progress() == read_progress::malformed);
+    }
+}
+
+TEST_CASE("NUL and line ends inside a field are refused", "[http_reader]")
+{
+    std::string const nul{"GET / HTTP/1.1\r\nHost: x\r\nA: b\0c\r\n\r\n", 37};
+    CHECK(read(nul).progress() == read_progress::malformed);
+    CHECK(read("GET / HTTP/1.1\r\nHost: x\r\nA: b\rc\r\n\r\n").progress() ==
+          read_progress::malformed);
+    CHECK(read("GET /a b HTTP/1.1\r\nHost: x\r\n\r\n").progress() == read_progress::malformed);
+}
+
+TEST_CASE("heads and bodies beyond their bounds are refused as too large", "[http_reader]")
+{
+    http_reader const head = read("GET / HTTP/1.1\r\nA: " + std::string(2'000, 'x') + "\r\n\r\n");
+    CHECK(head.progress() == read_progress::malformed);
+    CHECK(head.is_too_large());
+    http_reader const body = read("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n");
+    CHECK(body.progress() == read_progress::malformed);
+    CHECK(body.is_too_large());
+}
+
+TEST_CASE("an answer without a length ends with its connection only", "[http_reader]")
+{
+    http_reader reader = read("HTTP/1.1 200 OK\r\n\r\nabc", message_role::answer);
+    CHECK(reader.framing() == body_framing::until_close);
+    CHECK(reader.progress() == read_progress::body);
+    CHECK(reader.append_end() == read_progress::whole);
+    CHECK(reader.take_body() == "abc");
+}
+
+TEST_CASE("an answer that ends short of its length does not become whole", "[http_reader]")
+{
+    http_reader reader =
+        read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", message_role::answer);
+    CHECK(reader.append_end() == read_progress::body);
+}
+
+TEST_CASE("damaged messages neither crash nor grow", "[http_reader][seeds]")
+{
+    std::string const valid =
+        "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    for (std::uint32_t seed = 1; seed <= 3'000; ++seed)
+    {
+        std::string const damaged = plumdale::test::mutate(valid, seed);
+        http_reader reader = read_in_pieces(damaged, 1 + seed % 17);
+        if (reader.progress() != read_progress::malformed)
+        {
+            CHECK(reader.rest().size() <= damaged.size());
+        }
+    }
+}
