--- a/include/plumdale/protocol/http_reader.hpp
+++ b/include/plumdale/protocol/http_reader.hpp
@@ -54,7 +54,7 @@
     struct limits
     {
         std::uint32_t head_bytes = 16 * 1024;
-        std::uint64_t body_bytes = 1024 * 1024;
+        std::uint64_t body_bytes = 1024ULL * 1024;
     };
 
     http_reader(message_role role, limits bounds);
--- a/src/transport/caller_channel.hpp
+++ b/src/transport/caller_channel.hpp
@@ -97,9 +97,9 @@
 
     /// \brief Bytes for a slow reader above which its upstream is not read: two seconds of a
     /// stream's events.
-    static constexpr std::size_t buffer_limit = 64 * 1024;
+    static constexpr std::size_t buffer_limit = 64UL * 1024;
     /// \brief Bytes of further calls that are read ahead while one is in progress.
-    static constexpr std::size_t read_ahead = 32 * 1024;
+    static constexpr std::size_t read_ahead = 32UL * 1024;
     /// \brief A caller that takes nothing for this long is let go.
     static constexpr unsigned user_timeout_ms = 10'000;
 
--- a/src/transport/decision_log.hpp
+++ b/src/transport/decision_log.hpp
@@ -53,7 +53,7 @@
     }
 
     /// \brief Bytes kept for a reader that is slow; 64 KB is some 300 lines.
-    static constexpr std::size_t buffer_limit = 64 * 1024;
+    static constexpr std::size_t buffer_limit = 64UL * 1024;
     /// \brief Lines a second, of all parts: three for each of 68 requests at full size, and as much
     /// again.
     static constexpr std::uint32_t lines_per_second = 400;
--- a/tests/protocol/test_http_reader.cpp
+++ b/tests/protocol/test_http_reader.cpp
@@ -86,7 +86,8 @@
 
 TEST_CASE("NUL and line ends inside a field are refused", "[http_reader]")
 {
-    std::string const nul{"GET / HTTP/1.1\r\nHost: x\r\nA: b\0c\r\n\r\n", 37};
+    std::string const nul =
+        "GET / HTTP/1.1\r\nHost: x\r\nA: b" + std::string(1, '\0') + "c\r\n\r\n";
     CHECK(read(nul).progress() == read_progress::malformed);
     CHECK(read("GET / HTTP/1.1\r\nHost: x\r\nA: b\rc\r\n\r\n").progress() ==
           read_progress::malformed);
