A backup that left is not counted on; lines for sending, waiting and choosing

Ruled out: a copy that expired (the upstream itself was gone), a refusal for room (refused connections within 3 ms). Change: the backup is noted once, at a run's first event, and dropped with its upstream's notice. A pace is never taken for faster than half the usual one, so a draft whose first events come together is still moved. Test: fails before (0 copies ordered), passes after. Log lines tell each send and wait with fullness, expected first event and the age of what is known of the platform.

--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -57,12 +57,12 @@
     }
     auto const chosen = core_.choice.choose(*admitted_.service, admitted_.demand, excluded_,
                                             core_.choice.own_zone(), now);
+    fullness_ = chosen ? chosen->fullness : 0.0;
+    expected_first_event_ = chosen ? chosen->first_event : state::duration::zero();
     if (!chosen || !admits(*chosen, now))
     {
         return wait_or_refuse(chosen.has_value(), now);
     }
-    fullness_ = chosen->fullness;
-    expected_first_event_ = chosen->first_event;
     open(chosen->member);
 }
 
@@ -70,6 +70,10 @@
 {
     if (now < wait_until_)
     {
+        if (!std::exchange(waits_, true))
+        {
+            log("waiting", crowded ? "all upstreams are crowded" : "no upstream");
+        }
         excluded_.clear();
         std::uniform_int_distribution<std::int64_t> step{wait_step.count() / 2,
                                                          2 * wait_step.count()};
@@ -149,6 +153,7 @@
     core_.metrics.add(forward_count::sends);
     core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
                                           : forward_count::connections_opened);
+    log("sent", exchange_->reused() ? "on a kept connection" : "on a new connection");
     std::string text =
         core_.dialect.onward_head(admitted_.call.head, onward(now), admitted_.call.body.size());
     text += admitted_.call.body;
@@ -359,6 +364,9 @@
          {"upstream", member_name()},
          {"listed_revision",
           entry == nullptr ? 0 : static_cast<std::int64_t>(entry->info.revision)},
+         {"platform_age_ms", milliseconds(core_.platform_age(now))},
+         {"fullness_percent", static_cast<std::int64_t>(100.0 * fullness_)},
+         {"expected_first_event_ms", milliseconds(expected_first_event_)},
          {"sends", sends_},
          {"may_have_run", runs_},
          {"status", has_head_ ? static_cast<std::int64_t>(head_.status) : 0},
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -146,6 +146,7 @@
     std::uint32_t sends_ = 0;
     /// \brief Sends that may have run.
     std::uint32_t runs_ = 0;
+    bool waits_ = false;
     bool has_head_ = false;
     bool finished_ = false;
 
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -151,6 +151,11 @@
     log.write(part, "upstream replaced", {}, {{"member", static_cast<std::int64_t>(member.value)}});
 }
 
+state::duration forward_core::platform_age(state::time_point now) const
+{
+    return now - std::max(platform_read, fleet.platform_read(now));
+}
+
 // -- departures -----------------------------------------------------------------------------------
 
 void forward_core::listen(departure_listener& listener)
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -75,6 +75,9 @@
         return routing != nullptr && has_list;
     }
 
+    /// \brief Returns how old this VM's knowledge of the platform is.
+    [[nodiscard]] state::duration platform_age(state::time_point now) const;
+
     // -- departures ------------------------------------------------------------
     void listen(departure_listener& listener);
     void forget(departure_listener& listener);
@@ -107,6 +110,8 @@
     /// \brief The platform's revision of the newest whole list.
     std::uint64_t list_revision = 0;
     bool has_list = false;
+    /// \brief When this VM last read the platform's store itself.
+    state::time_point platform_read{};
     /// \brief When SIGTERM came; `never` before.
     state::time_point closing_since = state::never;
     /// \brief Upstreams that peers are to be told of.
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -111,6 +111,7 @@
         lost_ = false;
     }
     last_read_ = now;
+    core_.platform_read = now;
 }
 
 void store_reader::failed(std::string_view what, state::result<fetch_answer> const& answer)
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -176,13 +176,10 @@
                          {"after_event", static_cast<std::int64_t>(last_event_)}});
         survival_->resumed(now);
     }
-    if (backup_load_.calls != 0)
-    {
-        survival().backed_up_at(backup_load_.member);
-    }
     if (is_first_of_run)
     {
         prompt_read();
+        note_backup();
         watch_departure();
     }
     last_progress_ = now;
@@ -371,10 +368,12 @@
     bool const concerns = !finished_ && exchange_ != nullptr && member == member_ &&
                           exchange_->sent() && admitted_.service->engine &&
                           admitted_.service->engine->live_migration;
-    if (survival_ && !finished_)
+    if (!finished_ && backup_load_.calls != 0 && member == backup_load_.member)
     {
+        drop_backup();
+        log("backup leaves", {});
         survival_actions actions;
-        survival_->backup_leaves(member, actions);
+        survival().backup_leaves(member, actions);
         apply(actions);
     }
     // One that ends before its upstream is gone would only hold up the copies of others.
@@ -420,7 +419,9 @@
     std::uint32_t const left = std::max(hinted > made ? hinted - made : 0U, made / 2);
     state::duration const each =
         made == 0 ? usual_token_time : (now - first_event_at_) / static_cast<std::int64_t>(made);
-    return static_cast<std::int64_t>(left) * std::min(each, 4 * usual_token_time);
+    // The first events may come together, and a stop between two upstreams is not the pace.
+    return static_cast<std::int64_t>(left) *
+           std::clamp<state::duration>(each, usual_token_time / 2, 4 * usual_token_time);
 }
 
 // -- backups --------------------------------------------------------------------------------------
@@ -457,6 +458,15 @@
     core_.ledger.add(backup_load_.member, backup_load_);
 }
 
+// Counted on from the first event, unless its upstream left before.
+void stream_call::note_backup()
+{
+    if (backup_load_.calls != 0)
+    {
+        survival().backed_up_at(backup_load_.member);
+    }
+}
+
 void stream_call::drop_backup()
 {
     backup_address_.reset();
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -86,6 +86,7 @@
     std::optional<std::string> request() override;
 
     void choose_backup();
+    void note_backup();
     void drop_backup();
     void log_timing();
     void hold_copy(state::member_key destination);
--- a/tests/platform/test_stream_calls.cpp
+++ b/tests/platform/test_stream_calls.cpp
@@ -1,6 +1,8 @@
 #include "forward_scene.hpp"
 #include "transport/boot_clock.hpp"
 
+#include <plumdale/protocol/endpoint_text.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <string>
@@ -236,3 +238,26 @@
     CHECK(caller->received.find("Connection: close") != std::string::npos);
     CHECK(scene.sends("id-1") == 0);
 }
+
+// The upstream that keeps the backup is reclaimed long before the draft's own. The caller's draft
+// goes on meanwhile, event by event. When its own upstream leaves, a backup that is gone must not
+// be counted on: nothing would be copied, and the draft would be cut.
+TEST_CASE("a draft whose backup left is copied when its own upstream leaves", "[stream]")
+{
+    forward_scene scene;
+    running_draft draft{scene};
+    for (std::size_t i = 2; i < 5; ++i)
+    {
+        script_upstream& other = *scene.upstreams[i];
+        std::string const address = protocol::to_text(other.listing("engine", 1).address);
+        if (draft.sent->received.find("Plumdale-Kv-Backup: " + address) != std::string::npos)
+        {
+            announce_departure(scene, other);
+        }
+    }
+    draft.sent->send(event_chunk(4));
+    scene.run_until([&] { return has_event(*draft.caller, 4); });
+    announce_departure(scene, *draft.source);
+    scene.run_until([&] { return !draft.source->connections_with("GET /v1/report").empty(); });
+    CHECK(scene.sends("\"isLast\":false") == 1);
+}
