--- a/tests/platform/test_plain_calls.cpp
+++ b/tests/platform/test_plain_calls.cpp
@@ -268,3 +268,17 @@
     CHECK(answered(*caller, "503"));
     CHECK(scene.sends("id-1") == 0);
 }
+
+// A peer that lags, or a store that answers from the past, offers the configuration before. A key
+// that was revoked since would be accepted again.
+TEST_CASE("a configuration never goes back within a process's life", "[plain]")
+{
+    forward_scene scene;
+    CHECK(scene.core.version() == 3);
+    CHECK_FALSE(scene.core.take_configuration(R"({"version":2,"routes":[]})", "test"));
+    CHECK_FALSE(scene.core.take_configuration(R"({"version":3,"routes":[]})", "test"));
+    CHECK_FALSE(scene.core.take_configuration("{", "test"));
+    CHECK(scene.core.version() == 3);
+    CHECK(scene.core.take_configuration(R"({"version":5,"routes":[]})", "test"));
+    CHECK(scene.core.version() == 5);
+}
--- /dev/null
+++ b/tests/soak/platform_standin.py
@@ -0,0 +1,208 @@
+"""Stand-ins of the users' platform for the soak: a store that can be read and upstreams that run calls.
+
+They keep their own record of what they ran; the soak's checks read it.
+"""
+
+import asyncio
+import base64
+import itertools
+import json
+import random
+
+SEAL = "Plumdale-Response-Seal"
+# The users' rule: a generation may go on elsewhere while its former upstream still works on it for this long, in
+# seconds; a reset takes a moment to reach it.
+OVERLAP_ALLOWED = 0.4
+CONFIGURATION = {
+    "routes": [
+        {"name": "fetch", "host": "soak", "prefix": "/fetch/", "routeType": "idempotent", "timeoutMs": 4000,
+         "targetLatencyMs": 200, "maxAttempts": 2, "service": "plain"},
+        {"name": "event", "host": "soak", "prefix": "/event/", "routeType": "non_idempotent", "timeoutMs": 4000,
+         "targetLatencyMs": 200, "maxAttempts": 1, "service": "plain"},
+        {"name": "draft", "host": "soak", "prefix": "/draft/", "routeType": "streaming", "timeoutMs": 20000,
+         "targetLatencyMs": 1500, "targetGapMs": 180, "maxAttempts": 1, "service": "engine"}],
+    "services": [{"name": "plain", "maxConnections": 200},
+                 {"name": "engine", "maxConnections": 200, "inferenceEngine": {
+                     "slots": 24, "kvCapacityTokens": 34288, "kvBytes": 131072, "linkMbps": 19000.0,
+                     "migrations": True, "backups": True, "stride": 4, "handleTtlS": 5.0}}],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "customer", "apiKeys": ["key"]}]}
+
+
+async def read_message(reader):
+    """Returns (start line, headers in lower case, body) of one HTTP message with a length, or None at its end."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        headers = {n.lower(): v.strip() for n, v in (line.split(":", 1) for line in head[1:] if ":" in line)}
+        return head[0], headers, await reader.readexactly(int(headers.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+def answer(status, body=b"", fields=()):
+    lines = [f"HTTP/1.1 {status} Text", f"Content-Length: {len(body)}", *(f"{n}: {v}" for n, v in fields)]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Store:
+    """Keys with revisions, ranges and watches; `down` makes it answer 503."""
+
+    def __init__(self):
+        self.items, self.revision, self.log, self.changed, self.down = {}, 0, [], asyncio.Event(), False
+
+    def put(self, key, value):
+        self.revision += 1
+        item = {"key": key, "revision": self.revision, "createdRev": 1, "leaseId": 0}
+        if value is None:
+            self.items.pop(key, None)
+            item["deleted"] = True
+        else:
+            item["value"] = base64.b64encode(json.dumps(value).encode()).decode()
+            self.items[key] = item
+        self.log.append(item)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def page(self, target):
+        path, _, query = target.partition("?")
+        asked = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
+        name = next(iter(asked.values()), "").replace("%2F", "/")
+        if path.endswith("kv-key"):
+            return {**self.items[name], "atRev": self.revision} if name in self.items else None
+        if path.endswith("kv-range"):
+            found = [item for key, item in self.items.items() if key.startswith(name)]
+            return {"items": found, "hasMore": False, "atRev": self.revision}
+        after = int(asked["afterRev"])
+        if not [item for item in self.log if item["revision"] > after]:
+            try:
+                await asyncio.wait_for(self.changed.wait(), int(asked["maxWaitMs"]) / 1000)
+            except asyncio.TimeoutError:
+                pass
+        return {"events": [i for i in self.log if i["revision"] > after], "atRev": self.revision}
+
+    async def serve(self, reader, writer):
+        while message := await read_message(reader):
+            page = None if self.down else await self.page(message[0].split(" ")[1])
+            status = 503 if self.down else 200 if page is not None else 404
+            writer.write(answer(status, json.dumps(page).encode()))
+        writer.close()
+
+
+class Run:
+    """One generation: who works on it, what it has made, and whether a last copy stopped it at its upstream."""
+
+    def __init__(self, length):
+        self.length, self.made, self.workers, self.stopped, self.starts, self.backup = length, 0, set(), None, 1, False
+
+
+class Record:
+    """What all upstreams ran, and the broken promises that they saw themselves."""
+
+    def __init__(self):
+        self.runs, self.plain, self.refused_after, self.broken = {}, {}, set(), []
+        self.copies, self.handles = {}, itertools.count(1)
+
+
+class Upstream:
+    """Runs calls and records them. `leaving` is announced by the soak; `crash` cuts all its streams."""
+
+    def __init__(self, name, record, seed):
+        self.name, self.record, self.random = name, record, random.Random(seed)
+        self.writers, self.alive, self.unreachable_until = set(), True, 0.0
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while self.alive and (message := await read_message(reader)):
+                await self.handle(message, writer)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def crash(self):
+        self.alive = False
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def handle(self, message, writer):
+        start, headers, body = message
+        method, target, _ = start.split(" ")
+        if target.startswith("/v1/kv-move"):
+            return await self.move(json.loads(body), writer)
+        if target.startswith("/v1/"):
+            return writer.write(answer(200, b"{}"))
+        call, expected = headers.get("plumdale-request-id", ""), headers.get("plumdale-expect-instance")
+        fields = [("Plumdale-Request-Id", call)]
+        if expected != self.name:
+            return writer.write(answer(421, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
+        if "plumdale-key" in headers or headers.get("plumdale-tenant") != "customer":
+            self.record.broken.append(f"{call}: key passed on or wrong customer")
+        if target.startswith("/draft/"):
+            return await self.generate(call, headers, writer, fields)
+        if self.random.random() < 0.03:
+            return writer.write(answer(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
+        self.record.plain[call] = self.record.plain.get(call, 0) + 1
+        await asyncio.sleep(self.random.uniform(0.002, 0.03))
+        if self.random.random() < 0.02:
+            return writer.transport.abort()
+        failed = target.startswith("/fetch/") and self.random.random() < 0.1
+        writer.write(answer(500 if failed else 200, f"answer {call}".encode(), [*fields, (SEAL, "s")]))
+
+    async def move(self, order, writer):
+        run = self.record.runs.get(order["id"])
+        if run is None or self not in run.workers:
+            return writer.write(answer(404))
+        await asyncio.sleep(0.02)
+        handle = f"h{next(self.record.handles)}"
+        self.record.copies[handle] = order["id"]
+        if order["isLast"]:
+            run.stopped = self
+        writer.write(answer(200, json.dumps({"handleId": handle, "createdRev": run.made}).encode()))
+
+    async def generate(self, call, headers, writer, fields):
+        runs = self.record.runs
+        if resumed := headers.get("kv-from"):
+            handle = resumed.split("/", 1)[1]
+            run = runs.get(self.record.copies.pop(handle, handle))
+            if run is None or (handle == call and not run.backup):
+                return writer.write(answer(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
+            if runs.get(call) is not run:
+                self.record.broken.append(f"{call}: goes on from the memory of another call")
+            for other in run.workers - {self}:
+                asyncio.get_running_loop().call_later(OVERLAP_ALLOWED, self.check_stopped, call, run, other)
+            run.stopped = None
+            first = int(headers["last-event-id"])
+        elif call in runs:
+            runs[call].starts += 1
+            return writer.write(answer(500, b"", fields))
+        else:
+            run, first = Run(self.random.randint(10, 90)), 0
+            runs[call] = run
+        run.backup = "plumdale-kv-backup" in headers
+        head = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in fields), f"{SEAL}: s",
+                "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        await self.stream(run, first, writer)
+
+    def check_stopped(self, call, run, other):
+        """An upstream that the entry VM reaches has stopped by now: its connection was closed or reset."""
+        if other in run.workers and other.alive and asyncio.get_running_loop().time() > other.unreachable_until:
+            self.record.broken.append(f"{call}: goes on at {self.name} while {other.name} still works on it")
+
+    async def stream(self, run, first, writer):
+        run.workers.add(self)
+        try:
+            for index in range(first + 1, run.length + 1):
+                await asyncio.sleep(self.random.uniform(0.01, 0.05))
+                if run.stopped is self or not self.alive or writer.is_closing():
+                    return writer.close()
+                event = f"id: {index}\ndata: {index} of {run.length}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+                run.made = max(run.made, index)
+            writer.write(b"0\r\n\r\n")
+        finally:
+            run.workers.discard(self)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,303 @@
+"""Fault soak: real entry VMs as processes, faults from outside, promises checked by callers and upstreams.
+
+usage: tests/soak/soak.py [--seeds N] [--first SEED] [--seconds S] [--parallel P] [--binary FILE]
+
+Each seed starts three entry VMs and five upstreams on loopback addresses of its own, sends calls for some seconds and
+injects faults in series that overlap: connections delayed, reset or silenced by a proxy; entry VMs paused, killed, stopped
+and started again; upstreams that leave or crash; a store that is down. Only processes that a seed started are signalled,
+by their ids. The last line is `N passed, N failed`; failed seeds print what broke and where their logs are.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+from platform_standin import CONFIGURATION, Record, Store, Upstream
+
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+
+
+class Proxy:
+    """Passes bytes between a port of its own and a handler; can delay, silence or reset its connections."""
+
+    def __init__(self, target, upstream=None):
+        self.target, self.upstream, self.links, self.silent, self.delay = target, upstream, set(), False, 0.0
+
+    async def serve(self, reader, writer):
+        far_reader, far_writer = await asyncio.open_connection(*self.target)
+        link = (writer, far_writer)
+        self.links.add(link)
+        await asyncio.gather(self.pump(reader, far_writer), self.pump(far_reader, writer))
+        self.links.discard(link)
+
+    async def pump(self, reader, writer):
+        try:
+            while data := await reader.read(4096):
+                await asyncio.sleep(self.delay)
+                while self.silent:
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
+    def reset(self):
+        for near, far in list(self.links):
+            near.transport.abort()
+            far.transport.abort()
+
+
+class Fleet:
+    def __init__(self, seed, binary, folder):
+        self.seed, self.binary, self.folder, self.random = seed, binary, folder, random.Random(seed)
+        self.host = f"127.{10 + seed % 200}.{1 + seed // 200 % 250}"
+        self.record, self.store, self.upstreams, self.proxies = Record(), Store(), {}, []
+        self.vms, self.calls, self.next_name, self.servers, self.ending = {}, {}, 0, [], False
+        self.started, self.starting = [], set()
+
+    async def listen(self, handler, address=None):
+        server = await asyncio.start_server(handler, address or f"{self.host}.200", 0)
+        self.servers.append(server)
+        return server.sockets[0].getsockname()[:2]
+
+    async def add_upstream(self, service):
+        self.next_name += 1
+        upstream = Upstream(f"i-{self.next_name}", self.record, self.seed * 1000 + self.next_name)
+        proxy = Proxy(await self.listen(upstream.serve), upstream)
+        self.proxies.append(proxy)
+        host, port = await self.listen(proxy.serve)
+        upstream.entry = {"service": service, "address": f"{host}:{port}", "zone": "a", "version": "v1", "slots": 24,
+                          "state": "ready", "coldLeftMs": 0, "sequence": 1}
+        self.upstreams[upstream.name] = upstream
+        self.store.put(f"servers/{upstream.name}", upstream.entry)
+
+    async def start(self):
+        self.store.put("op/config", {"version": 3, **CONFIGURATION})
+        proxy = Proxy(await self.listen(self.store.serve))
+        self.proxies.append(proxy)
+        self.platform = await self.listen(proxy.serve)
+        for service in ("plain", "plain", "engine", "engine", "engine"):
+            await self.add_upstream(service)
+        for number in (1, 2, 3):
+            await self.start_vm(number)
+
+    async def start_vm(self, number):
+        if self.ending:
+            return
+        address = f"{self.host}.{number}"
+        settings = {"mode": "forward", "name": f"vm-{number}", "zone": "a", "callers": f"{address}:18080",
+                    "ready": f"{address}:18081", "datagrams": f"{address}:18082", "streams": f"{address}:18082",
+                    "seeds": [f"{self.host}.{n}:1" for n in (1, 2, 3)], "platform": "%s:%d" % self.platform,
+                    "fleet_key": "soak, sixteen letters", "grace_s": 4, "event_delay_ms": 120, "repeat_ratio": 0.2,
+                    "repeat_slack": 50, "repeat_window_s": 10}
+        file = self.folder / f"vm-{number}.json"
+        file.write_text(json.dumps(settings))
+        log = open(self.folder / f"vm-{number}.log", "ab")
+        process = await asyncio.create_subprocess_exec(self.binary, "--config", str(file), stdout=log, stderr=log)
+        self.vms[number] = process
+        self.started.append(process)
+
+    async def stop(self):
+        self.ending = True
+        for process in self.started:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for server in self.servers:
+            server.close()
+
+    # -- callers ----------------------------------------------------------------------------------
+
+    async def call(self, number):
+        kind = self.random.choice(("fetch", "event", "event", "draft"))
+        call = f"{self.seed:x}-{number}"
+        seen = {"kind": kind, "status": None, "whole": False, "body": b""}
+        self.calls[call] = seen
+        fields = {"Host": "soak", "Plumdale-Request-Id": call, "Plumdale-Key": "key",
+                  "Plumdale-Request-Deadline-Ms": "15000" if kind == "draft" else "3000", "Content-Length": "0"}
+        if kind == "draft":
+            fields |= {"Plumdale-Token-Usage": "3000,900", "Plumdale-Length-Hint": "300"}
+        text = f"POST /{kind}/{call} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n"
+        try:
+            vm = f"{self.host}.{self.random.randint(1, 3)}"
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(vm, 18080), 1)
+            writer.write(text.encode())
+            leaves = self.random.random() < 0.05
+            await asyncio.wait_for(self.read_answer(reader, seen), self.random.uniform(0, 1) if leaves else 20)
+            writer.close()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+
+    async def read_answer(self, reader, seen):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+        seen["status"], seen["head"] = int(head.split(" ")[1]), head
+        if "transfer-encoding: chunked" not in head:
+            length = int(head.split("content-length:")[1].split("\r\n")[0])
+            seen["body"] = await reader.readexactly(length)
+            seen["whole"] = True
+            return
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            seen["body"] += (await reader.readexactly(size + 2))[:-2]
+        seen["whole"] = True
+
+    # -- faults -----------------------------------------------------------------------------------
+
+    async def fault(self):
+        await self.random.choice((self.pause_vm, self.kill_vm, self.stop_vm, self.leave, self.crash, self.store_down,
+                                  self.disturb_links))()
+
+    async def pause_vm(self):
+        process = self.vms[self.random.randint(1, 3)]
+        if process.returncode is None:
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+
+    async def end_vm(self, how):
+        number = self.random.randint(1, 3)
+        process = self.vms[number]
+        if process.returncode is None:
+            process.send_signal(how)
+            process.send_signal(signal.SIGCONT)
+            await process.wait()
+            # Of two faults that ended the same process, one starts it again.
+            if number not in self.starting:
+                self.starting.add(number)
+                await self.start_vm(number)
+                self.starting.discard(number)
+
+    async def kill_vm(self):
+        await self.end_vm(signal.SIGKILL)
+
+    async def stop_vm(self):
+        await self.end_vm(signal.SIGTERM)
+
+    async def leave(self):
+        upstream = self.random.choice([u for u in self.upstreams.values() if u.alive])
+        self.store.put(f"servers/{upstream.name}", {**upstream.entry, "state": "draining"})
+        await asyncio.sleep(self.random.uniform(1.2, 2.0))
+        await self.replace(upstream)
+
+    async def crash(self):
+        await self.replace(self.random.choice([u for u in self.upstreams.values() if u.alive]))
+
+    async def replace(self, upstream):
+        if upstream.alive:
+            upstream.crash()
+            await self.add_upstream(upstream.entry["service"])
+            await asyncio.sleep(0.3)
+            self.store.put(f"servers/{upstream.name}", None)
+
+    async def store_down(self):
+        self.store.down = True
+        await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        self.store.down = False
+
+    async def disturb_links(self):
+        proxy, how = self.random.choice(self.proxies), self.random.choice(("reset", "silent", "delay"))
+        if how == "reset":
+            return proxy.reset()
+        lasts = self.random.uniform(0.3, 2.0)
+        if proxy.upstream is not None:
+            proxy.upstream.unreachable_until = asyncio.get_running_loop().time() + lasts + 0.5
+        proxy.silent, proxy.delay = how == "silent", 0.05 if how == "delay" else 0.0
+        await asyncio.sleep(lasts)
+        proxy.silent, proxy.delay = False, 0.0
+
+    # -- promises ---------------------------------------------------------------------------------
+
+    def broken(self):
+        found = list(self.record.broken)
+        for call, count in self.record.plain.items():
+            kind = self.calls.get(call, {}).get("kind")
+            if kind is None:
+                found.append(f"{call}: ran though no caller sent it")
+            elif count > (2 if kind == "fetch" else 1):
+                found.append(f"{call}: a {kind} ran {count} times")
+        found += [f"{call}: a draft started {run.starts} times" for call, run in self.record.runs.items() if run.starts > 1]
+        for call, seen in self.calls.items():
+            ran = call in self.record.plain or call in self.record.runs
+            if seen["status"] in PROMISES_NOT_RUN and ran:
+                found.append(f"{call}: refused as not run with {seen['status']}, but it ran")
+            if seen["status"] == 200:
+                found += self.wrong_answer(call, seen)
+        return found
+
+    def wrong_answer(self, call, seen):
+        if "plumdale-response-seal: s" not in seen["head"]:
+            return [f"{call}: a success without a signature"]
+        if seen["kind"] != "draft":
+            right = seen["body"] == f"answer {call}".encode()
+            return [] if right or not seen["whole"] else [f"{call}: another answer"]
+        length = self.record.runs[call].length
+        events = [f"id: {i}\ndata: {i} of {length}\n\n".encode() for i in range(1, length + 1)]
+        if seen["whole"] and seen["body"] != b"".join(events):
+            return [f"{call}: a whole stream with events missing, doubled or out of order"]
+        return [] if b"".join(events).startswith(seen["body"]) else [f"{call}: events that are not the generation's"]
+
+
+async def soak(seed, binary, seconds):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"plumdale-soak-{seed}-"))
+    fleet = Fleet(seed, binary, folder)
+    loop = asyncio.get_running_loop()
+    try:
+        await fleet.start()
+        await asyncio.sleep(1.0)
+        tasks, end, number = [], loop.time() + seconds, 0
+        while loop.time() < end:
+            number += 1
+            tasks.append(asyncio.create_task(fleet.call(number)))
+            if fleet.random.random() < 0.06:
+                tasks.append(asyncio.create_task(fleet.fault()))
+            await asyncio.sleep(fleet.random.expovariate(30))
+        _, late = await asyncio.wait(tasks, timeout=25)
+        for task in late:
+            task.cancel()
+        served = sum(1 for seen in fleet.calls.values() if seen["status"] == 200 and seen["whole"])
+        broken = fleet.broken()
+        if served < number // 4:
+            broken.append(f"only {served} of {number} calls were served")
+    finally:
+        await fleet.stop()
+    state = "ok" if not broken else "FAILED, logs in " + str(folder)
+    print(f"seed {seed}: {number} calls, {served} served whole, {state}", flush=True)
+    for line in broken[:5]:
+        print(f"  {line}", flush=True)
+    return not broken
+
+
+def report(loop, context):
+    """Connections that are still open when a seed ends are cancelled; all else is printed as usual."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
+async def main():
+    parser = argparse.ArgumentParser(description="Fault soak of forwarding entry VMs.")
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--parallel", type=int, default=2)
+    parser.add_argument("--binary", default="build/bin/plumdaled")
+    options = parser.parse_args()
+    asyncio.get_running_loop().set_exception_handler(report)
+    turn = asyncio.Semaphore(options.parallel)
+
+    async def one(seed):
+        async with turn:
+            return await soak(seed, options.binary, options.seconds)
+
+    results = await asyncio.gather(*(one(s) for s in range(options.first, options.first + options.seeds)))
+    print(f"{results.count(True)} passed, {results.count(False)} failed")
+    return 0 if all(results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
