Nothing of a discarded answer is in front of the next one

Ruled out: the second upstream (its answer was whole), the connection (new). Change: the body is kept for one answer: cleared at each head, in one place, in streams too.

--- a/src/transport/plain_call.cpp
+++ b/src/transport/plain_call.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+void plain_call::on_head(protocol::message_head const& head, protocol::body_framing framing)
+{
+    // What a discarded answer left must not stand in front of this one's body.
+    body_.clear();
+    forward_call::on_head(head, framing);
+}
+
 void plain_call::on_body(std::string bytes)
 {
     body_ += bytes;
@@ -24,20 +31,17 @@
     if (end != exchange_end::whole)
     {
         // One that ended with its connection may have been cut short: that can't be told apart.
-        body_.clear();
         return ran_and_failed(end == exchange_end::unconfirmed ? "answer of unknown length"
                                                                : "connection broke");
     }
     bool const is_success = head_.status >= first_success && head_.status < first_failure;
     if (is_success && (!answer_.sealed || answer_.encoded))
     {
-        body_.clear();
         core_.metrics.add(forward_count::answers_discarded);
         return ran_and_failed("answer without a signature");
     }
     if (!is_success && may_send_again())
     {
-        body_.clear();
         return ran_and_failed("failed at the upstream");
     }
     core_.health.note(
@@ -77,7 +81,6 @@
                          now >= send_at_ + slow_objectives * admitted_.route->target_latency;
     if (is_slow)
     {
-        body_.clear();
         return ran_and_failed("no answer in time");
     }
     forward_call::on_timer(now);
--- a/src/transport/plain_call.hpp
+++ b/src/transport/plain_call.hpp
@@ -17,6 +17,7 @@
 public:
     using forward_call::forward_call;
 
+    void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
     void on_body(std::string bytes) override;
 
 private:
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -88,6 +88,7 @@
 {
     protocol::message_head const first = head_;
     forward_call::on_head(head, framing);
+    failure_body_.clear();
     bool const is_own = answer_.id.empty() || answer_.id == admitted_.terms.id;
     streaming_ = head.status == success && answer_.sealed && !answer_.encoded && is_own;
     if (begun_)
--- a/tests/platform/test_plain_calls.cpp
+++ b/tests/platform/test_plain_calls.cpp
@@ -300,3 +300,28 @@
     scene.sent("id-2")->send(answer_text(200, "id-2", "yes", seal));
     scene.run_until([&] { return earlier->received.ends_with("yes"); });
 }
+
+// A late answer to another call, or a refusal with a text, is thrown away and the call is sent to a
+// second upstream. The caller must get the second answer alone, not the bytes of the first in front
+// of it.
+TEST_CASE("nothing of a discarded answer is in front of the next one", "[plain]")
+{
+    std::string const refusal = answer_text(503, "id-1", "refusal", "Plumdale-Not-Executed: 1\r\n");
+    for (std::string const& discarded :
+         {answer_text(200, "id-0", "other", seal), refusal, answer_text(200, "id-1", "unsigned")})
+    {
+        forward_scene scene;
+        auto const caller = scene.call("/fetch/1", "id-1");
+        scene.sent("id-1")->send(discarded);
+        scene.run_until([&] { return scene.sends("id-1") == 2; });
+        for (auto const& upstream : scene.upstreams)
+        {
+            for (auto const& each : upstream->connections_with("id-1"))
+            {
+                each->send(answer_text(200, "id-1", "right", seal));
+            }
+        }
+        scene.run_until([&] { return caller->received.ends_with("right"); });
+        CHECK(caller->received.ends_with("\r\n\r\nright"));
+    }
+}
