--- a/include/plumdale/coordination/fleet_news.hpp
+++ b/include/plumdale/coordination/fleet_news.hpp
@@ -19,7 +19,7 @@
 {
     /// \brief Most rows of a message, so that a datagram is never fragmented.
     static constexpr std::size_t max_loads = 32;
-    static constexpr std::size_t max_members = 8;
+    static constexpr std::size_t max_members = 7;
 
     state::node_id sender;
     state::incarnation uptime;
--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -4,6 +4,7 @@
 #include <plumdale/state/time.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -19,9 +20,10 @@
 enum class directory_change : std::uint8_t
 {
     none,
-    listed,  ///< A new incarnation may be used.
+    listed,  ///< A start may be used, for the first time or again.
     leaving, ///< It announced that it is leaving.
-    removed  ///< It is gone from the list.
+    removed, ///< It is gone from the list.
+    unusable ///< Its entry can't be believed any more: calls that run go on, new ones go elsewhere.
 };
 
 /// \brief One row of the directory.
@@ -33,13 +35,16 @@
     state::time_point leaving_since = state::never;
     /// \brief Its removal counts from here on; see `service_directory::platform_returned`.
     state::time_point removed_from = state::never;
-    /// \brief Seen at the address of another incarnation, or refused the connection for good.
+    /// \brief Seen at the address of another upstream, or refused the connection for good.
     bool replaced = false;
+    /// \brief A later start under the same name is known.
+    bool superseded = false;
 };
 
 /// \brief Joins news of upstreams in any order to the same result.
 ///
-/// Presence joins by the greatest revision, leaving is monotone. Example:
+/// Of each name the latest start counts. Of one start, what is listed joins by the greatest
+/// revision, and leaving is monotone. Example:
 /// \code
 /// service_directory directory;
 /// directory.join(member, now);
@@ -50,7 +55,7 @@
 public:
     /// \brief Joins one piece of news; `member.listed` says whether it is listed or removed.
     directory_change join(state::service_member const& member, state::time_point now);
-    /// \brief Another incarnation answered at this one's address: it is gone.
+    /// \brief Another upstream answered at this one's address: it is gone.
     void replaced(state::member_key key, state::time_point now);
     /// \brief The platform is reachable again after an outage. Upstreams whose entries lapsed
     /// meanwhile have until `lapse_grace` to come back before their removal counts.
@@ -59,6 +64,8 @@
     void forget(state::time_point now);
 
     [[nodiscard]] directory_entry const* find(state::member_key key) const;
+    /// \brief Returns the key of the latest start known of a name; none if there is none.
+    [[nodiscard]] std::optional<state::member_key> latest(std::string_view name) const;
     /// \brief Returns whether new work may be sent to it.
     [[nodiscard]] bool may_take_work(directory_entry const& entry,
                                      state::time_point now) const noexcept;
@@ -69,8 +76,8 @@
     {
         return entries_;
     }
-    /// \brief Returns a digest of which incarnations are listed and which of them leave; equal ones
-    /// mean that nothing is to be exchanged.
+    /// \brief Returns a digest of which starts are listed, usable and leaving; equal ones mean that
+    /// nothing is to be exchanged.
     [[nodiscard]] std::uint64_t digest() const noexcept
     {
         return digest_;
@@ -82,9 +89,31 @@
     static constexpr state::duration remember_removed = std::chrono::seconds{120};
 
 private:
+    /// \brief What is known of a name, whatever its starts.
+    struct name_record
+    {
+        state::incarnation latest;
+        /// \brief Revisions of the last removal and of the last unusable entry: an older listing,
+        /// even of a start that isn't known yet, doesn't take them back.
+        std::uint64_t removed_at = 0;
+        std::uint64_t unusable_at = 0;
+        state::time_point noted_at{};
+    };
+
+    directory_change insert(state::service_member const& member, name_record const& name,
+                            state::time_point now);
+    directory_change update(directory_entry& entry, state::service_member const& member,
+                            state::time_point now);
+    void adopt(directory_entry& entry, state::service_member const& member);
+    void supersede(state::member_key former, state::time_point now);
+    void drop_from_service(directory_entry const& entry, state::member_key key);
     void toggle_digest(state::service_member const& member) noexcept;
 
     std::unordered_map<state::member_key, directory_entry> entries_;
+    /// \brief By the key of the name alone.
+    std::unordered_map<state::member_key, name_record> names_;
+    /// \brief Upstreams here tell their starts, so an entry without one is not an upstream's own.
+    bool starts_told_ = false;
     std::unordered_map<std::string, std::vector<state::member_key>> services_;
     state::time_point lapse_until_{};
     std::uint64_t digest_ = 0;
--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -83,12 +83,24 @@
     bool is_event_stream = false;
 };
 
+/// \brief An entry of the platform's list that can't be believed: another writer's, or damaged.
+struct unusable_entry
+{
+    /// \brief Name of the upstream under which it stands.
+    std::string name;
+    std::uint64_t revision = 0;
+    /// \brief What is wrong with it, for the log.
+    std::string_view reason;
+};
+
 /// \brief A read of the platform's store.
 struct store_page
 {
     /// \brief The newest configuration in the page, as published; empty if there is none.
     std::string configuration;
     std::vector<state::service_member> members;
+    /// \brief Entries that name no upstream to use; the others hold.
+    std::vector<unusable_entry> unusable;
     /// \brief The store's revision when it answered.
     std::uint64_t revision = 0;
     /// \brief The next page of a list begins behind this key; empty at the end.
@@ -108,6 +120,8 @@
 {
     /// \brief Time until it is taken away, when it knows.
     std::optional<state::duration> leaves_in;
+    /// \brief Its start; zero where it doesn't tell.
+    state::incarnation started;
 };
 
 /// \brief A small request of the daemon's own.
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -7,57 +7,176 @@
 
 using state::member_key;
 
+namespace
+{
+
+// What decides how a row changes: the listing with the greatest revision.
+struct standing
+{
+    bool listed = false;
+    bool usable = false;
+};
+
+[[nodiscard]] directory_change change_between(standing before, standing after) noexcept
+{
+    bool const could = before.listed && before.usable;
+    bool const can = after.listed && after.usable;
+    if (before.listed && !after.listed)
+    {
+        return directory_change::removed;
+    }
+    if (!could && can)
+    {
+        return directory_change::listed;
+    }
+    bool const turned = before.usable && after.listed && !after.usable;
+    return turned ? directory_change::unusable : directory_change::none;
+}
+
+} // namespace
+
 directory_change service_directory::join(state::service_member const& member, state::time_point now)
+{
+    member_key const name_key = state::key_of(member.name, {});
+    name_record& name = names_[name_key];
+    name.noted_at = now;
+    if (!member.listed)
+    {
+        name.removed_at = std::max(name.removed_at, member.revision);
+    }
+    if (!member.usable)
+    {
+        name.unusable_at = std::max(name.unusable_at, member.revision);
+    }
+    // The platform's removals, and entries that can't be read, don't say of which start they are:
+    // they are of the latest that is known.
+    bool const tells_start = member.started.value != 0 || (member.listed && member.usable);
+    state::service_member news = member;
+    news.started = tells_start ? member.started : name.latest;
+    if (news.started < name.latest)
+    {
+        // A peer or a list that lags. Were a former start to count, calls would go to one that is
+        // gone, and the later one, which took its place, would be taken for leaving.
+        return directory_change::none;
+    }
+    if (name.latest < news.started)
+    {
+        supersede(state::key_of(news.name, name.latest), now);
+        name.latest = news.started;
+        starts_told_ = true;
+    }
+    auto const found = entries_.find(state::key_of(news));
+    if (found != entries_.end())
+    {
+        return update(found->second, news, now);
+    }
+    return news.usable ? insert(news, name, now) : directory_change::none;
+}
+
+directory_change service_directory::insert(state::service_member const& member,
+                                           name_record const& name, state::time_point now)
 {
     member_key const key = state::key_of(member);
-    auto const [position, is_new] = entries_.try_emplace(key);
-    directory_entry& entry = position->second;
-    if (is_new)
+    directory_entry& entry = entries_[key];
+    entry.info = member;
+    entry.info.listed = member.listed && name.removed_at <= member.revision;
+    entry.info.usable = name.unusable_at <= member.revision;
+    entry.info.revision = std::max({member.revision, name.removed_at, name.unusable_at});
+    entry.listed_at = now;
+    services_[member.service].push_back(key);
+    toggle_digest(entry.info);
+    if (!entry.info.listed)
     {
-        entry.info = member;
-        entry.listed_at = now;
-        services_[member.service].push_back(key);
-        toggle_digest(entry.info);
-        if (!member.listed)
-        {
-            entry.leaving_since = now;
-            entry.removed_from = now;
-            return directory_change::removed;
-        }
-        if (member.leaving)
-        {
-            entry.leaving_since = now;
-            return directory_change::leaving;
-        }
-        return directory_change::listed;
+        entry.leaving_since = now;
+        entry.removed_from = now;
+        return directory_change::removed;
+    }
+    if (member.leaving)
+    {
+        entry.leaving_since = now;
+        return directory_change::leaving;
     }
+    return entry.info.usable ? directory_change::listed : directory_change::unusable;
+}
+
+directory_change service_directory::update(directory_entry& entry,
+                                           state::service_member const& member,
+                                           state::time_point now)
+{
     bool const begins_to_leave = member.leaving && !entry.info.leaving;
-    bool const flips = member.revision > entry.info.revision && member.listed != entry.info.listed;
+    standing const before{entry.info.listed, entry.info.usable};
     toggle_digest(entry.info);
     entry.info.leaving = entry.info.leaving || member.leaving;
     if (member.revision > entry.info.revision)
     {
-        entry.info.revision = member.revision;
-        entry.info.listed = member.listed;
+        adopt(entry, member);
     }
     toggle_digest(entry.info);
     if (begins_to_leave)
     {
         entry.leaving_since = std::min(entry.leaving_since, now);
     }
-    if (flips && !entry.info.listed)
+    directory_change const change = change_between(before, {entry.info.listed, entry.info.usable});
+    if (change == directory_change::removed)
     {
         // An entry that ran out while the platform was away comes back if its upstream lives; to
         // drop it at once would empty the directory after each outage.
         entry.removed_from = std::max(now, lapse_until_);
-        return directory_change::removed;
     }
-    if (flips)
+    if (entry.info.listed)
     {
         entry.removed_from = state::never;
-        return directory_change::listed;
     }
-    return begins_to_leave ? directory_change::leaving : directory_change::none;
+    bool const tells_leaving = begins_to_leave && change == directory_change::none;
+    return tells_leaving ? directory_change::leaving : change;
+}
+
+// The newest entry holds as a whole, so that one of another writer is undone by the upstream's
+// next.
+void service_directory::adopt(directory_entry& entry, state::service_member const& member)
+{
+    entry.info.revision = member.revision;
+    entry.info.listed = member.listed;
+    entry.info.usable = member.usable;
+    if (!member.listed || !member.usable)
+    {
+        return;
+    }
+    if (member.service != entry.info.service)
+    {
+        member_key const key = state::key_of(entry.info);
+        drop_from_service(entry, key);
+        services_[member.service].push_back(key);
+    }
+    entry.info.service = member.service;
+    entry.info.zone = member.zone;
+    entry.info.address = member.address;
+    entry.info.slots = member.slots;
+}
+
+void service_directory::supersede(member_key former, state::time_point now)
+{
+    auto const found = entries_.find(former);
+    if (found == entries_.end())
+    {
+        return;
+    }
+    directory_entry& entry = found->second;
+    toggle_digest(entry.info);
+    entry.info.listed = false;
+    entry.superseded = true;
+    entry.leaving_since = std::min(entry.leaving_since, now);
+    entry.removed_from = std::min(entry.removed_from, now);
+    drop_from_service(entry, former);
+}
+
+void service_directory::drop_from_service(directory_entry const& entry, member_key key)
+{
+    auto const service = services_.find(entry.info.service);
+    if (service != services_.end())
+    {
+        std::erase(service->second, key);
+    }
 }
 
 void service_directory::replaced(member_key key, state::time_point now)
@@ -85,10 +204,28 @@
                       if (drop)
                       {
                           toggle_digest(entry.info);
-                          std::erase(services_[entry.info.service], row.first);
+                          drop_from_service(entry, row.first);
                       }
                       return drop;
                   });
+    std::erase_if(names_,
+                  [this, now](auto const& row)
+                  {
+                      bool const is_old = row.second.noted_at + remember_removed < now;
+                      return is_old &&
+                             !entries_.contains(state::key_of_start(row.first, row.second.latest));
+                  });
+}
+
+std::optional<member_key> service_directory::latest(std::string_view name) const
+{
+    auto const found = names_.find(state::key_of(name, {}));
+    if (found == names_.end())
+    {
+        return std::nullopt;
+    }
+    member_key const key = state::key_of(name, found->second.latest);
+    return entries_.contains(key) ? std::optional{key} : std::nullopt;
 }
 
 directory_entry const* service_directory::find(member_key key) const
@@ -100,7 +237,9 @@
 bool service_directory::may_take_work(directory_entry const& entry,
                                       state::time_point now) const noexcept
 {
-    return !entry.info.leaving && !entry.replaced && now < entry.removed_from;
+    bool const is_own_entry = entry.info.started.value != 0 || !starts_told_;
+    return entry.info.usable && is_own_entry && !entry.info.leaving && !entry.replaced &&
+           !entry.superseded && now < entry.removed_from;
 }
 
 std::span<member_key const> service_directory::members_of(std::string_view service) const
@@ -118,7 +257,8 @@
     // Rows that are removed don't count: peers forget them at different times.
     if (member.listed)
     {
-        digest_ ^= state::mix(state::key_of(member).value, member.leaving ? 2 : 1);
+        std::uint64_t const standing = (member.leaving ? 2U : 1U) + (member.usable ? 0U : 2U);
+        digest_ ^= state::mix(state::key_of(member).value, standing);
     }
 }
 
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -24,6 +24,8 @@
   slots @7 :UInt32;
   revision @8 :UInt64;
   coldMs @9 :UInt32;
+  started @10 :UInt64;
+  usable @11 :Bool = true;
 }
 
 struct FleetNews {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -44,6 +44,8 @@
     to.setSlots(from.slots);
     to.setRevision(from.revision);
     to.setColdMs(from.cold_ms);
+    to.setStarted(from.started.value);
+    to.setUsable(from.usable);
 }
 
 template <class List, class Values>
@@ -75,6 +77,8 @@
     member.slots = from.getSlots();
     member.revision = from.getRevision();
     member.cold_ms = from.getColdMs();
+    member.started = state::incarnation{from.getStarted()};
+    member.usable = from.getUsable();
     return member;
 }
 
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -206,7 +206,7 @@
               }
               std::size_t const untold = core_.untold.size();
               copy.value().revision != 0
-                  ? core_.take_list(copy.value().members, copy.value().revision, part)
+                  ? core_.take_list(copy.value().members, {}, copy.value().revision, part)
                   : core_.take_members(copy.value().members, part);
               core_.untold.resize(untold);
           });
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -391,6 +391,8 @@
          {"fullness_percent", static_cast<std::int64_t>(100.0 * fullness_)},
          {"expected_first_event_ms", whole_milliseconds(expected_first_event_)},
          {"comes_back", admitted_.returns ? 1 : 0},
+         {"prompt_tokens", admitted_.demand.prompt_tokens},
+         {"hinted_tokens", admitted_.demand.output_tokens},
          {"sends", sends_},
          {"may_have_run", runs_},
          {"status", has_head_ ? static_cast<std::int64_t>(head_.status) : 0},
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -35,6 +35,8 @@
         return "upstream leaving";
     case directory_change::removed:
         return "upstream removed";
+    case directory_change::unusable:
+        return "upstream's entry unusable";
     case directory_change::none:
         break;
     }
@@ -90,22 +92,70 @@
 void forward_core::take_member(state::service_member const& member, std::string_view source)
 {
     state::time_point const now = boot_now();
+    auto const former = directory.latest(member.name);
     directory_change const change = directory.join(member, now);
-    if (change == directory_change::none)
+    auto const latest = directory.latest(member.name);
+    if (former && latest && *former != *latest)
+    {
+        member_restarted(*former, *latest, source);
+    }
+    if (change == directory_change::none || !latest)
     {
         return;
     }
-    state::member_key const key = state::key_of(member);
-    coordination::directory_entry const* const entry = directory.find(key);
+    coordination::directory_entry const* const entry = directory.find(*latest);
     log.write(part, change_name(change), {},
               {{"upstream", member.name},
+               {"started", static_cast<std::int64_t>(entry->info.started.value)},
                {"revision", static_cast<std::int64_t>(member.revision)},
                {"source", source}});
     untold.push_back(entry->info);
     fleet.directory_changed(directory.digest(), now);
-    if (change != directory_change::listed)
+    if (change == directory_change::removed || change == directory_change::leaving)
+    {
+        member_departs(*latest);
+    }
+}
+
+// Its calls and memory went with the former start, whatever its connections say: those of a VM that
+// lost power stay silent for as long as a caller waits.
+void forward_core::member_restarted(state::member_key former, state::member_key latest,
+                                    std::string_view source)
+{
+    coordination::directory_entry const* const entry = directory.find(former);
+    bool const was_told = entry != nullptr && entry->info.started.value != 0;
+    log.write(
+        part, was_told ? "upstream started again" : "upstream's start learnt", {},
+        {{"upstream", directory.find(latest)->info.name},
+         {"started", static_cast<std::int64_t>(directory.find(latest)->info.started.value)},
+         {"before", entry == nullptr ? 0 : static_cast<std::int64_t>(entry->info.started.value)},
+         {"source", source}});
+    pool.drop(former);
+    health.forget(former);
+    if (was_told)
     {
-        member_departs(key);
+        tell_listeners([former](departure_listener& listener) { listener.member_lost(former); });
+    }
+}
+
+void forward_core::take_unusable(std::span<protocol::unusable_entry const> entries,
+                                 std::string_view source)
+{
+    for (protocol::unusable_entry const& each : entries)
+    {
+        log.write(part, "entry unreadable", {},
+                  {{"upstream", each.name},
+                   {"field", each.reason},
+                   {"revision", static_cast<std::int64_t>(each.revision)},
+                   {"source", source}});
+        if (!each.name.empty())
+        {
+            state::service_member member;
+            member.name = each.name;
+            member.revision = each.revision;
+            member.usable = false;
+            take_member(member, source);
+        }
     }
 }
 
@@ -118,20 +168,27 @@
     }
 }
 
-void forward_core::take_list(std::span<state::service_member const> members, std::uint64_t revision,
-                             std::string_view source)
+void forward_core::take_list(std::span<state::service_member const> members,
+                             std::span<protocol::unusable_entry const> unusable,
+                             std::uint64_t revision, std::string_view source)
 {
     take_members(members, source);
-    std::unordered_set<state::member_key> listed;
+    take_unusable(unusable, source);
+    // By name: a list that lags may still have the former start of one that is there.
+    std::unordered_set<std::string_view> listed;
     for (state::service_member const& member : members)
     {
-        listed.insert(state::key_of(member));
+        listed.insert(member.name);
+    }
+    for (protocol::unusable_entry const& each : unusable)
+    {
+        listed.insert(each.name);
     }
     std::vector<state::service_member> missing;
     for (auto const& [key, entry] : directory.entries())
     {
-        bool const is_gone =
-            entry.info.listed && entry.info.revision < revision && !listed.contains(key);
+        bool const is_gone = entry.info.listed && entry.info.revision < revision &&
+                             !listed.contains(entry.info.name);
         if (is_gone)
         {
             missing.push_back(entry.info);
@@ -218,6 +275,10 @@
               auto const report = answer && answer.value().status == 200
                                       ? dialect.read_report(answer.value().body)
                                       : state::result<protocol::member_report>{state::failure{}};
+              if (report)
+              {
+                  note_start(member, report.value().started);
+              }
               if (report && report.value().leaves_in)
               {
                   departures_[member].leaves_at =
@@ -232,16 +293,38 @@
           });
 }
 
+// A report of a later start: the platform's list may tell it seconds later, or not while it is
+// away.
+void forward_core::note_start(state::member_key member, state::incarnation started)
+{
+    coordination::directory_entry const* const entry = directory.find(member);
+    if (entry == nullptr || entry->info.started.value == 0 || started <= entry->info.started)
+    {
+        return;
+    }
+    state::service_member later = entry->info;
+    later.started = started;
+    later.leaving = false;
+    later.listed = true;
+    take_member(later, "report");
+}
+
 void forward_core::tell_departure(state::member_key member)
 {
     coordination::departure const when = departures_[member];
+    tell_listeners([member, &when](departure_listener& listener)
+                   { listener.member_leaves(member, when); });
+}
+
+void forward_core::tell_listeners(std::function<void(departure_listener&)> const& tell)
+{
     // Listeners may go while they are told.
     std::vector<departure_listener*> const told{listeners_.begin(), listeners_.end()};
     for (departure_listener* const listener : told)
     {
         if (listeners_.contains(listener))
         {
-            listener->member_leaves(member, when);
+            tell(*listener);
         }
     }
 }
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -44,6 +44,8 @@
     virtual ~departure_listener() = default;
 
     virtual void member_leaves(state::member_key member, coordination::departure const& when) = 0;
+    /// \brief The upstream started again: nothing that ran or was kept at this start is there.
+    virtual void member_lost(state::member_key member) = 0;
 };
 
 /// \brief State and decisions of one forwarding entry VM; on one loop.
@@ -66,8 +68,11 @@
     }
     /// \brief Joins news of upstreams; passes on what changed to peers.
     void take_members(std::span<state::service_member const> members, std::string_view source);
+    /// \brief Takes entries that can't be believed: their upstreams get no new work.
+    void take_unusable(std::span<protocol::unusable_entry const> entries, std::string_view source);
     /// \brief Takes a whole list as of `revision`: what it lacks is gone.
-    void take_list(std::span<state::service_member const> members, std::uint64_t revision,
+    void take_list(std::span<state::service_member const> members,
+                   std::span<protocol::unusable_entry const> unusable, std::uint64_t revision,
                    std::string_view source);
     /// \brief Another incarnation answered at this one's address.
     void member_replaced(state::member_key member);
@@ -127,6 +132,10 @@
 
 private:
     void take_member(state::service_member const& member, std::string_view source);
+    void member_restarted(state::member_key former, state::member_key latest,
+                          std::string_view source);
+    void note_start(state::member_key member, state::incarnation started);
+    void tell_listeners(std::function<void(departure_listener&)> const& tell);
     void member_departs(state::member_key member);
     void ask_departure_later(state::member_key member);
     void ask_departure(state::member_key member);
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -71,6 +71,7 @@
     state::time_point const now = boot_now();
     json::object row{{"name", entry.info.name},
                      {"service", entry.info.service},
+                     {"started", entry.info.started.value},
                      {"zone", entry.info.zone},
                      {"address", protocol::to_text(entry.info.address)},
                      {"state", !entry.info.listed   ? "gone"
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -197,6 +197,7 @@
     if (page.empty())
     {
         listed_.clear();
+        unusable_.clear();
         list_revision_ = 0;
     }
     call(core_.dialect.list_target(page), answer_time,
@@ -214,11 +215,12 @@
              // Pages are not one snapshot: changes since the first are heard from the watch.
              list_revision_ = list_revision_ == 0 ? read.revision : list_revision_;
              listed_.insert(listed_.end(), read.members.begin(), read.members.end());
+             unusable_.insert(unusable_.end(), read.unusable.begin(), read.unusable.end());
              if (!read.next_page.empty())
              {
                  return read_list(read.next_page);
              }
-             core_.take_list(listed_, list_revision_, part);
+             core_.take_list(listed_, unusable_, list_revision_, part);
              synced_ = true;
              // The configuration was read first; what came between is heard from the watch.
              after_ = std::min(after_, list_revision_);
@@ -253,6 +255,7 @@
                  core_.take_configuration(page.value().configuration, part);
              }
              core_.take_members(page.value().members, part);
+             core_.take_unusable(page.value().unusable, part);
              step_in(watch_pause);
          });
 }
--- a/src/transport/store_reader.hpp
+++ b/src/transport/store_reader.hpp
@@ -76,6 +76,7 @@
     fetcher fetcher_;
     net::steady_timer timer_;
     std::vector<state::service_member> listed_;
+    std::vector<protocol::unusable_entry> unusable_;
     std::uint64_t list_revision_ = 0;
     std::uint64_t after_ = 0;
     state::time_point last_read_{};
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -31,6 +31,7 @@
     void caller_ready() override;
     void caller_left() override;
     void member_leaves(state::member_key member, coordination::departure const& when) override;
+    void member_lost(state::member_key member) override;
 
     /// \brief Events after which the load told to peers is brought up to date.
     static constexpr std::uint32_t events_per_update = 16;
@@ -69,6 +70,7 @@
     void choose_backup();
     void note_backup();
     void drop_backup();
+    void keeper_leaves(state::member_key member);
     [[nodiscard]] bool is_on_time() const;
     void log_timing();
     void hold_copy(state::member_key destination);
--- a/src/transport/stream_survival.cpp
+++ b/src/transport/stream_survival.cpp
@@ -56,14 +56,7 @@
     bool const runs = begun_ && !resuming_;
     bool const concerns = !finished_ && exchange_ != nullptr && member == member_ && runs &&
                           admitted_.service->engine && admitted_.service->engine->live_migration;
-    if (!finished_ && backup_load_.calls != 0 && member == backup_load_.member)
-    {
-        drop_backup();
-        log("backup leaves", {});
-        survival_actions actions;
-        survival().backup_leaves(member, actions);
-        apply(actions);
-    }
+    keeper_leaves(member);
     // One that ends before its upstream is gone would only hold up the copies of others.
     bool const outlives = expected_left(boot_now()) > gone_at(when) - boot_now();
     if (!concerns || !outlives)
@@ -87,6 +80,35 @@
     apply(actions);
 }
 
+void stream_call::keeper_leaves(state::member_key member)
+{
+    if (finished_ || backup_load_.calls == 0 || member != backup_load_.member)
+    {
+        return;
+    }
+    drop_backup();
+    log("backup leaves", {});
+    survival_actions actions;
+    survival().backup_leaves(member, actions);
+    apply(actions);
+}
+
+// The connection of an upstream that started again may stay silent until the caller gives up, while
+// the backup waits elsewhere. Its former start works on nothing, so going on runs nothing twice.
+void stream_call::member_lost(state::member_key member)
+{
+    auto const self = shared_from_this();
+    keeper_leaves(member);
+    if (finished_ || exchange_ == nullptr || member != member_)
+    {
+        return;
+    }
+    log("upstream started again", {});
+    bool const sent = exchange_->sent();
+    exchange_->cancel();
+    on_end(sent ? exchange_end::broken : exchange_end::not_sent);
+}
+
 generation_survival& stream_call::survival()
 {
     if (!survival_)
--- a/tests/coordination/test_service_directory.cpp
+++ b/tests/coordination/test_service_directory.cpp
@@ -117,3 +117,175 @@
         }
     }
 }
+
+// -- starts under the same name -------------------------------------------------------------------
+
+namespace
+{
+
+state::service_member started(state::service_member member, std::uint64_t start)
+{
+    member.started = state::incarnation{start};
+    return member;
+}
+
+state::service_member unusable(std::string name, std::uint64_t revision)
+{
+    state::service_member member;
+    member.name = std::move(name);
+    member.revision = revision;
+    member.usable = false;
+    return member;
+}
+
+bool latest_takes_work(service_directory const& directory, std::string const& name,
+                       state::time_point now)
+{
+    auto const key = directory.latest(name);
+    return key && directory.may_take_work(*directory.find(*key), now);
+}
+
+} // namespace
+
+// An engine crashes while it is reclaimed and its VM starts it again under the same name. Callers
+// are refused for want of room while it stands idle: the notice, or the removal, of its former
+// start would count for the new one.
+TEST_CASE("an upstream that starts again takes work at once", "[directory]")
+{
+    service_directory directory;
+    state::time_point const now{10s};
+    directory.join(started(leaving(member_at("i-1", 5)), 100), now);
+    CHECK_FALSE(latest_takes_work(directory, "i-1", now));
+    CHECK(directory.join(started(member_at("i-1", 8), 200), now) == directory_change::listed);
+    CHECK(latest_takes_work(directory, "i-1", now));
+    CHECK(directory.members_of("lists").size() == 1);
+
+    // The removal of the former start, told by a peer that lags.
+    directory.join(started(removed(member_at("i-1", 5), 7), 100), now);
+    CHECK(latest_takes_work(directory, "i-1", now));
+    // The platform's own removal doesn't say of which start it is: of the latest.
+    directory.join(removed(member_at("i-1", 8), 9), now);
+    CHECK_FALSE(latest_takes_work(directory, "i-1", now));
+    directory.join(started(member_at("i-1", 11), 300), now);
+    CHECK(latest_takes_work(directory, "i-1", now));
+}
+
+// A peer that lags, or a list as of seconds ago, tells of the former start after the new one is
+// known. Were it to count, calls would be sent to memory and connections that are gone.
+TEST_CASE("an older start never overrides a newer one", "[directory]")
+{
+    service_directory directory;
+    state::time_point const now{10s};
+    directory.join(started(member_at("i-1", 8), 200), now);
+    CHECK(directory.join(started(member_at("i-1", 20), 100), now) == directory_change::none);
+    CHECK(directory.join(started(leaving(member_at("i-1", 21)), 100), now) ==
+          directory_change::none);
+    CHECK(directory.latest("i-1") == state::key_of("i-1", state::incarnation{200}));
+    CHECK(latest_takes_work(directory, "i-1", now));
+    CHECK(directory.find(state::key_of("i-1", state::incarnation{100})) == nullptr);
+}
+
+// Another writer's entry stands in place of an upstream's own, until the upstream writes again. New
+// calls go elsewhere meanwhile; the upstream doesn't count as leaving, so calls that run are left
+// alone.
+TEST_CASE("an upstream whose entry turns bad gets no new work until it is good again",
+          "[directory]")
+{
+    service_directory directory;
+    state::time_point const now{10s};
+    directory.join(started(member_at("i-1", 5), 100), now);
+    CHECK(directory.join(unusable("i-1", 7), now) == directory_change::unusable);
+    CHECK_FALSE(latest_takes_work(directory, "i-1", now));
+    CHECK_FALSE(directory.find(*directory.latest("i-1"))->info.leaving);
+
+    // A peer that has only the good one: it is older than the bad one.
+    directory.join(started(member_at("i-1", 6), 100), now);
+    CHECK_FALSE(latest_takes_work(directory, "i-1", now));
+    CHECK(directory.join(started(member_at("i-1", 9), 100), now) == directory_change::listed);
+    CHECK(latest_takes_work(directory, "i-1", now));
+}
+
+TEST_CASE("an entry without a start is no upstream's where others tell theirs", "[directory]")
+{
+    service_directory directory;
+    state::time_point const now{10s};
+    directory.join(member_at("i-1", 5), now);
+    CHECK(latest_takes_work(directory, "i-1", now));
+    directory.join(started(member_at("i-2", 6), 100), now);
+    CHECK_FALSE(latest_takes_work(directory, "i-1", now));
+    CHECK(latest_takes_work(directory, "i-2", now));
+}
+
+TEST_CASE("an entry that names another service moves the upstream there", "[directory]")
+{
+    service_directory directory;
+    state::time_point const now{10s};
+    directory.join(started(member_at("i-1", 5), 100), now);
+    state::service_member other = started(member_at("i-1", 6), 100);
+    other.service = "unknown";
+    directory.join(other, now);
+    CHECK(directory.members_of("lists").empty());
+    directory.join(started(member_at("i-1", 7), 100), now);
+    CHECK(directory.members_of("lists").size() == 1);
+    CHECK(directory.members_of("unknown").empty());
+}
+
+// What the store, peers and upstreams tell of five names through up to four starts each, in every
+// order: all entry VMs come to the same directory, in which the latest start is as its newest entry
+// says, and no former one takes work.
+TEST_CASE("news of starts join to the same result in any order", "[directory][seeds]")
+{
+    state::time_point const now{10s};
+    for (unsigned seed = 1; seed <= 10'000; ++seed)
+    {
+        std::minstd_rand random{seed};
+        std::vector<state::service_member> news;
+        std::uint64_t revision = 0;
+        std::uint64_t start = 0;
+        for (char const* const name : {"i-1", "i-2", "i-3", "i-4", "i-5"})
+        {
+            unsigned const starts = 1 + random() % 4;
+            for (unsigned i = 0; i < starts; ++i)
+            {
+                start += 10;
+                news.push_back(started(member_at(name, ++revision), start));
+                if (random() % 3 == 0)
+                {
+                    news.push_back(started(leaving(member_at(name, ++revision)), start));
+                }
+                if (random() % 3 == 0)
+                {
+                    news.push_back(started(removed(member_at(name, 0), ++revision), start));
+                }
+                if (random() % 4 == 0)
+                {
+                    news.push_back(started(member_at(name, ++revision), start));
+                }
+            }
+        }
+        service_directory in_order;
+        for (auto const& each : news)
+        {
+            in_order.join(each, now);
+        }
+        std::shuffle(news.begin(), news.end(), random);
+        service_directory shuffled;
+        for (auto const& each : news)
+        {
+            shuffled.join(each, now);
+        }
+        REQUIRE(shuffled.digest() == in_order.digest());
+        REQUIRE(shuffled.members_of("lists").size() == 5);
+        for (char const* const name : {"i-1", "i-2", "i-3", "i-4", "i-5"})
+        {
+            REQUIRE(shuffled.latest(name) == in_order.latest(name));
+            REQUIRE(latest_takes_work(shuffled, name, now) ==
+                    latest_takes_work(in_order, name, now));
+        }
+        for (auto const& [key, entry] : shuffled.entries())
+        {
+            bool const is_latest = shuffled.latest(entry.info.name) == key;
+            REQUIRE((is_latest || !shuffled.may_take_work(entry, now)));
+        }
+    }
+}
--- a/tests/platform/forward_scene.cpp
+++ b/tests/platform/forward_scene.cpp
@@ -148,7 +148,7 @@
         members.push_back(upstreams.back()->listing(i < 2 ? "plain" : "engine", 1));
     }
     core.take_configuration(std::string{configuration}, "test");
-    core.take_list(members, 1, "test");
+    core.take_list(members, {}, 1, "test");
     accept();
 }
 
--- a/tests/platform/test_dialect.cpp
+++ b/tests/platform/test_dialect.cpp
@@ -138,9 +138,10 @@
 
 TEST_CASE("changes of the store are decoded", "[dialect]")
 {
-    // {"service":"s","address":"10.0.0.9:80","zone":"a","slots":24,"state":"draining"}
+    // {"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1","slots":24,"state":"draining",
+    //  "coldLeftMs":0,"sequence":4}
     std::string const body =
-        R"({"events":[{"key":"servers/i-1","value":"eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJhIiwic2xvdHMiOjI0LCJzdGF0ZSI6ImRyYWluaW5nIn0=","revision":12},)"
+        R"({"events":[{"key":"servers/i-1","value":"eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJhIiwidmVyc2lvbiI6InYxIiwic2xvdHMiOjI0LCJzdGF0ZSI6ImRyYWluaW5nIiwiY29sZExlZnRNcyI6MCwic2VxdWVuY2UiOjR9","revision":12},)"
         R"({"key":"servers/i-2","revision":13,"deleted":true},{"key":"other","value":"eA==","revision":9},)"
         R"({"key":"servers/i-3","value":"!!","revision":14},7],"atRev":14})";
     auto const page = platform_dialect{}.read_changes(body);
@@ -153,6 +154,10 @@
     CHECK(page.value().members[0].address == state::endpoint{0x0a000009, 80});
     CHECK_FALSE(page.value().members[1].listed);
     CHECK(page.value().members[1].revision == 13);
+    REQUIRE(page.value().unusable.size() == 1);
+    CHECK(page.value().unusable[0].name == "i-3");
+    CHECK(page.value().unusable[0].revision == 14);
+    CHECK(page.value().unusable[0].reason == "value");
 }
 
 TEST_CASE("a configuration is decoded into types", "[dialect]")
@@ -201,4 +206,6 @@
     CHECK_FALSE(words.read_copy_answer("{}"));
     CHECK(words.read_report(R"({"leaves_ms":1500})").value().leaves_in == 1'500ms);
     CHECK_FALSE(words.read_report("{}").value().leaves_in);
+    CHECK(words.read_report(R"({"born":1784177076285})").value().started.value == 1784177076285);
+    CHECK(words.read_report(R"({"born":"now"})").value().started.value == 0);
 }
--- /dev/null
+++ b/tests/platform/test_store_entries.cpp
@@ -0,0 +1,191 @@
+#include "platform/platform_dialect.hpp"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace plumdale;
+namespace json = boost::json;
+
+// Load pattern: a store that others write to as well. Entries are as upstreams write them; the
+// damage is what a writer of another format, an older program or a torn write leaves.
+
+namespace
+{
+
+std::string encoded(std::string_view bytes)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+json::object good_entry()
+{
+    return {{"service", "engine"},
+            {"address", "10.0.0.9:80"},
+            {"zone", "a"},
+            {"version", "v1"},
+            {"slots", 24},
+            {"state", "ready"},
+            {"coldLeftMs", 0},
+            {"sequence", 4},
+            {"born", 1'784'177'076'285}};
+}
+
+json::object item(std::string_view key, std::string_view value, std::uint64_t revision)
+{
+    return {{"key", json::string_view{key.data(), key.size()}},
+            {"value", encoded(value)},
+            {"revision", revision}};
+}
+
+protocol::store_page page_of(json::array items)
+{
+    json::object const body{{"items", std::move(items)}, {"hasMore", false}, {"atRev", 40}};
+    auto page = platform::platform_dialect{}.read_list(json::serialize(body));
+    REQUIRE(page);
+    return std::move(page.value());
+}
+
+// Reads a page with the entry between two good ones; the good ones have to hold.
+protocol::store_page beside_good_ones(std::string_view value)
+{
+    std::string const good = json::serialize(good_entry());
+    protocol::store_page page =
+        page_of({item("servers/i-1", good, 5), item("servers/i-2", value, 6),
+                 item("servers/i-3", good, 7)});
+    REQUIRE(page.members.size() >= 2);
+    CHECK(page.members.front().name == "i-1");
+    CHECK(page.members.back().name == "i-3");
+    return page;
+}
+
+void check_unusable(std::string_view value, std::string_view reason)
+{
+    INFO(value);
+    protocol::store_page const page = beside_good_ones(value);
+    CHECK(page.members.size() == 2);
+    REQUIRE(page.unusable.size() == 1);
+    CHECK(page.unusable[0].name == "i-2");
+    CHECK(page.unusable[0].revision == 6);
+    CHECK(page.unusable[0].reason == reason);
+}
+
+} // namespace
+
+TEST_CASE("an upstream's entry is read with its start", "[store_entries]")
+{
+    protocol::store_page const page = beside_good_ones(json::serialize(good_entry()));
+    REQUIRE(page.members.size() == 3);
+    CHECK(page.unusable.empty());
+    CHECK(page.members[1].started == state::incarnation{1'784'177'076'285});
+    CHECK(page.members[1].slots == 24);
+    CHECK(page.members[1].usable);
+}
+
+// A caller's call would go to an address that nobody serves, or wait there for its whole time. An
+// entry comes from another writer: one field of it is missing, or is of another type. It names no
+// upstream, the entries beside it hold, and the log can say which field it was.
+TEST_CASE("an entry with a field missing or of another type names no upstream", "[store_entries]")
+{
+    for (auto const& field : good_entry())
+    {
+        std::string const name = field.key();
+        json::object missing = good_entry();
+        missing.erase(name);
+        if (name != "born")
+        {
+            check_unusable(json::serialize(missing), name);
+        }
+        for (json::value const& other :
+             {json::value(nullptr), json::value(true), json::value(json::array{1}),
+              json::value(json::object{}), json::value(-3), json::value(1.5), json::value("")})
+        {
+            json::object changed = good_entry();
+            changed[name] = other;
+            check_unusable(json::serialize(changed), name);
+        }
+    }
+}
+
+TEST_CASE("an entry with an unknown state or figures out of range names no upstream",
+          "[store_entries]")
+{
+    std::vector<std::pair<std::string, json::value>> const cases{
+        {"state", "waiting"},     {"state", "READY"},           {"slots", 0},
+        {"slots", 1'000'000'000}, {"address", "10.0.0.9"},      {"address", "10.0.0.9:0x"},
+        {"address", "host:80"},   {"address", "10.0.0.9:99999"}};
+    for (auto const& [name, value] : cases)
+    {
+        json::object changed = good_entry();
+        changed[name] = value;
+        check_unusable(json::serialize(changed), name);
+    }
+    for (char const* const value : {"", "{", "[]", "7", "null", "\xff\xfe{}", "{\"service\":"})
+    {
+        check_unusable(value, "value");
+    }
+}
+
+TEST_CASE("a platform whose upstreams don't tell their start is served as before",
+          "[store_entries]")
+{
+    json::object without = good_entry();
+    without.erase("born");
+    protocol::store_page const page = beside_good_ones(json::serialize(without));
+    REQUIRE(page.members.size() == 3);
+    CHECK(page.members[1].started.value == 0);
+}
+
+TEST_CASE("odd keys name no upstream, and a removal is not taken for damage", "[store_entries]")
+{
+    std::string const good = json::serialize(good_entry());
+    protocol::store_page const page =
+        page_of({item("servers/", good, 5), item("servers/a/b", good, 6),
+                 item("servers/" + std::string(300, 'x'), good, 7),
+                 json::object{{"key", "servers/i-9"}, {"revision", 8}, {"deleted", true}},
+                 json::object{{"key", 7}}, json::value(nullptr)});
+    REQUIRE(page.members.size() == 1);
+    CHECK(page.members[0].name == "i-9");
+    CHECK_FALSE(page.members[0].listed);
+    CHECK(page.unusable.size() == 3);
+}
+
+// Whole pages with bytes of any entry changed, dropped or doubled: nothing is thrown, and what is
+// read as an upstream has an address, a service and slots.
+TEST_CASE("seeded damage to pages of the store never yields half an upstream", "[store_entries]")
+{
+    std::minstd_rand random{7};
+    std::string const good = json::serialize(good_entry());
+    for (int round = 0; round < 2'000; ++round)
+    {
+        std::string value = good;
+        std::size_t const at = random() % value.size();
+        switch (random() % 3)
+        {
+        case 0:
+            value[at] = static_cast<char>(random() % 256);
+            break;
+        case 1:
+            value.erase(at, 1 + random() % 8);
+            break;
+        default:
+            value.insert(at, value.substr(random() % value.size(), 5));
+            break;
+        }
+        for (state::service_member const& each : beside_good_ones(value).members)
+        {
+            CHECK_FALSE(each.service.empty());
+            CHECK_FALSE(each.zone.empty());
+            CHECK(each.address.port != 0);
+            CHECK(each.slots > 0);
+        }
+    }
+}
--- a/tests/platform/test_stream_calls.cpp
+++ b/tests/platform/test_stream_calls.cpp
@@ -278,3 +278,127 @@
     scene.run_until([&] { return !draft.source->connections_with("GET /v1/report").empty(); });
     CHECK(scene.sends("\"isLast\":false") == 1);
 }
+
+// -- upstreams that start again -------------------------------------------------------------------
+
+namespace
+{
+
+constexpr std::uint64_t first_start = 1'784'177'000'000;
+
+// All engines tell their start, as the platform's list has it before the draft begins.
+void tell_starts(forward_scene& scene)
+{
+    std::vector<state::service_member> members;
+    for (std::size_t i = 0; i < 5; ++i)
+    {
+        members.push_back(scene.upstreams[i]->listing(i < 2 ? "plain" : "engine", 2));
+        members.back().started = state::incarnation{first_start + i};
+    }
+    scene.core.take_members(members, "test");
+}
+
+void start_again(forward_scene& scene, script_upstream const& upstream)
+{
+    state::service_member again = upstream.listing("engine", 9);
+    again.started = state::incarnation{first_start + 60'000};
+    scene.core.take_members(std::array{again}, "test");
+}
+
+script_upstream* keeper_of(forward_scene& scene, running_draft const& draft)
+{
+    for (std::size_t i = 2; i < 5; ++i)
+    {
+        std::string const address =
+            protocol::to_text(scene.upstreams[i]->listing("engine", 1).address);
+        if (draft.sent->received.find("Plumdale-Kv-Backup: " + address) != std::string::npos)
+        {
+            return scene.upstreams[i].get();
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+// A caller's draft stands still in the middle: its upstream lost power and was started again under
+// its name, and the connection to the former start stays silent. The list tells of the new start;
+// the draft goes on from its backup at once and not when the caller has given up.
+TEST_CASE("a draft whose upstream started again goes on from its backup", "[stream][restart]")
+{
+    forward_scene scene;
+    tell_starts(scene);
+    running_draft draft{scene};
+    script_upstream* const keeper = keeper_of(scene, draft);
+    REQUIRE(keeper != nullptr);
+    start_again(scene, *draft.source);
+    scene.run_until([&] { return !keeper->connections_with("Last-Event-Id: 3").empty(); });
+    auto const resumed = keeper->connections_with("Last-Event-Id: 3").front();
+    resumed->send(stream_head("id-1") + event_chunk(4) + std::string{last_chunk});
+    scene.run_until([&] { return draft.caller->received.ends_with(last_chunk); });
+    CHECK(count(draft.caller->received, "data: e") == 4);
+    CHECK(scene.core.ledger.own_generations().empty());
+}
+
+// Without a backup nothing is left of it: the caller is told at once that the answer broke off.
+TEST_CASE("a draft whose upstream started again without a backup breaks off at once",
+          "[stream][restart]")
+{
+    forward_scene scene;
+    tell_starts(scene);
+    for (std::size_t i = 2; i < 5; ++i)
+    {
+        state::member_key const key = state::key_of(scene.upstreams[i]->listing("engine", 1).name,
+                                                    state::incarnation{first_start + i});
+        scene.core.ledger.add(key, {key, 4, 17'000, 18'000, 0});
+    }
+    running_draft draft{scene};
+    start_again(scene, *draft.source);
+    scene.run_until([&] { return draft.caller->ended; });
+    CHECK(draft.caller->received.find(last_chunk) == std::string::npos);
+}
+
+// The upstream that keeps the backup starts again and has nothing of it. When the draft's own
+// upstream breaks off afterwards, the draft must not be sent there to go on from memory that isn't
+// there.
+TEST_CASE("a backup is not counted on once its upstream started again", "[stream][restart]")
+{
+    forward_scene scene;
+    tell_starts(scene);
+    running_draft draft{scene};
+    script_upstream* const keeper = keeper_of(scene, draft);
+    REQUIRE(keeper != nullptr);
+    start_again(scene, *keeper);
+    draft.sent->reset();
+    scene.run_until([&] { return draft.caller->ended; });
+    CHECK(scene.sends("Kv-From: ") == 0);
+}
+
+// The draft was sent and had no event yet when its upstream started again. The former start may
+// have run it, so the caller is not told that it hasn't: that would invite a second run.
+TEST_CASE("a draft sent to a former start is answered as one that may have run",
+          "[stream][restart]")
+{
+    forward_scene scene;
+    tell_starts(scene);
+    auto const caller = scene.call("/draft/1", "id-1", draft_fields);
+    script_upstream& source = scene.upstream_of("id-1");
+    start_again(scene, source);
+    scene.run_until([&] { return caller->received.find("\r\n\r\n") != std::string::npos; });
+    CHECK(caller->received.starts_with("HTTP/1.1 502 "));
+    CHECK(scene.sends("id-1") == 1);
+}
+
+// An entry of another writer stands in place of the upstream's own. The draft that runs there goes
+// on; a new one goes elsewhere.
+TEST_CASE("a draft runs on while its upstream's entry is unreadable", "[stream][restart]")
+{
+    forward_scene scene;
+    running_draft draft{scene};
+    std::string const name = draft.source->listing("engine", 1).name;
+    scene.core.take_unusable(std::array{protocol::unusable_entry{name, 9, "slots"}}, "test");
+    draft.sent->send(event_chunk(4) + std::string{last_chunk});
+    scene.run_until([&] { return draft.caller->received.ends_with(last_chunk); });
+    auto const other = scene.call("/draft/2", "id-2", draft_fields);
+    CHECK(&scene.upstream_of("id-2") != draft.source);
+}
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -27,6 +27,8 @@
     member.listed = false;
     member.revision = 77;
     member.cold_ms = 900;
+    member.started = state::incarnation{1'784'177'076'285};
+    member.usable = false;
     return member;
 }
 
@@ -57,6 +59,8 @@
     CHECK(read.value().loads == news().loads);
     REQUIRE(read.value().members.size() == 1);
     CHECK(read.value().members[0].address == member().address);
+    CHECK(read.value().members[0].started == member().started);
+    CHECK_FALSE(read.value().members[0].usable);
     CHECK(read.value().members[0].leaving);
     CHECK_FALSE(read.value().members[0].listed);
 }
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -95,7 +95,9 @@
     """
 
     def __init__(self, length):
-        self.length, self.made, self.workers, self.stopped, self.starts, self.backup = length, 0, {}, None, 1, False
+        self.length, self.made, self.workers, self.stopped, self.starts = length, 0, {}, None, 1
+        # Address of the upstream that keeps a backup, and its start when the backup was asked for.
+        self.backup = None
 
 
 class Record:
@@ -104,12 +106,16 @@
     def __init__(self):
         self.runs, self.plain, self.refused_after, self.broken = {}, {}, set(), []
         self.copies, self.handles = {}, itertools.count(1)
+        # Start of the upstream at each address; memory that was kept there ends with it.
+        self.starts = {}
 
 
 class Upstream:
-    """Runs calls and records them. `leaving` is announced by the soak; `crash` cuts all its streams."""
+    """Runs calls and records them. `leaving` is announced by the soak; `crash` cuts all its streams, `restart` begins
+    anew under the same name."""
 
     def __init__(self, name, record, seed):
+        self.born, self.address, self.dead_writers = 1_784_177_000_000, None, set()
         self.name, self.record, self.random = name, record, random.Random(seed)
         self.writers, self.alive, self.unreachable_until, self.leaves_at = set(), True, 0.0, None
 
@@ -130,7 +136,19 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def restart(self, silent):
+        """A later start with nothing of before. Connections are reset, or stay silent as after a loss of power."""
+        self.born += 1000
+        self.leaves_at = None
+        self.record.starts[self.address] = self.born
+        for writer in list(self.writers):
+            self.dead_writers.add(writer)
+            if not silent:
+                writer.transport.abort()
+
     async def handle(self, message, writer):
+        if writer in self.dead_writers:
+            return
         start, headers, body = message
         method, target, _ = start.split(" ")
         if target.startswith("/v1/kv-move"):
@@ -159,8 +177,9 @@
     def report(self):
         """As of half a second ago: the departure was that much farther away."""
         if self.leaves_at is None:
-            return {}
-        return {"leaves_ms": int(1000 * (self.leaves_at - asyncio.get_running_loop().time())) + 500}
+            return {"born": self.born}
+        left = int(1000 * (self.leaves_at - asyncio.get_running_loop().time())) + 500
+        return {"born": self.born, "leaves_ms": left}
 
     async def move(self, order, writer):
         run = self.record.runs.get(order["id"])
@@ -178,7 +197,8 @@
         if resumed := headers.get("kv-from"):
             handle = resumed.split("/", 1)[1]
             run = runs.get(self.record.copies.pop(handle, handle))
-            if run is None or (handle == call and not run.backup):
+            kept = run is not None and run.backup is not None and self.record.starts.get(run.backup[0]) == run.backup[1]
+            if run is None or (handle == call and not kept):
                 return writer.write(answer(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
             if runs.get(call) is not run:
                 self.record.broken.append(f"{call}: goes on from the memory of another call")
@@ -192,7 +212,8 @@
         else:
             run, first = Run(self.random.randint(10, 90)), 0
             runs[call] = run
-        run.backup = "plumdale-kv-backup" in headers
+        keeper = headers.get("plumdale-kv-backup")
+        run.backup = (keeper, self.record.starts.get(keeper)) if keeper else None
         head = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in fields), f"{SEAL}: s",
                 "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
@@ -210,6 +231,8 @@
         try:
             for index in range(first + 1, run.length + 1):
                 await asyncio.sleep(self.random.uniform(0.01, 0.05))
+                if writer in self.dead_writers:
+                    return
                 if run.stopped is self or not self.alive or writer.is_closing():
                     return writer.close()
                 event = f"id: {index}\ndata: {index} of {run.length}\n\n".encode()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,7 @@
 
 Each seed starts three entry VMs and five upstreams on loopback addresses of its own, sends calls for some seconds and
 injects faults in series that overlap: connections delayed, reset or silenced by a proxy; entry VMs paused, killed, stopped
-and started again; upstreams that leave or crash; a store that is down. Only processes that a seed started are signalled,
+and started again; upstreams that leave, crash or start again under their name; entries of other writers; a store that is down. Only processes that a seed started are signalled,
 by their ids. The last line is `N passed, N failed`; failed seeds print what broke and where their logs are.
 """
 
@@ -79,8 +79,10 @@
         proxy = Proxy(await self.listen(upstream.serve), upstream)
         self.proxies.append(proxy)
         host, port = await self.listen(proxy.serve)
-        upstream.entry = {"service": service, "address": f"{host}:{port}", "zone": "a", "version": "v1", "slots": 24,
-                          "state": "ready", "coldLeftMs": 0, "sequence": 1}
+        upstream.address = f"{host}:{port}"
+        self.record.starts[upstream.address] = upstream.born
+        upstream.entry = {"service": service, "address": upstream.address, "zone": "a", "version": "v1", "slots": 24,
+                          "state": "ready", "coldLeftMs": 0, "sequence": 1, "born": upstream.born}
         self.upstreams[upstream.name] = upstream
         self.store.put(f"servers/{upstream.name}", upstream.entry)
 
@@ -156,8 +158,11 @@
     # -- faults -----------------------------------------------------------------------------------
 
     async def fault(self):
-        await self.random.choice((self.pause_vm, self.kill_vm, self.stop_vm, self.leave, self.crash, self.store_down,
-                                  self.disturb_links))()
+        faults = (self.pause_vm, self.kill_vm, self.stop_vm, self.leave, self.crash, self.store_down, self.disturb_links)
+        # Seeds that are kept play what they played when they failed.
+        if self.seed not in KEPT:
+            faults += (self.start_again, self.start_again_while_leaving, self.damage_entry)
+        await self.random.choice(faults)()
 
     async def pause_vm(self):
         process = self.vms[self.random.randint(1, 3)]
@@ -206,6 +211,34 @@
             await asyncio.sleep(0.3)
             self.store.put(f"servers/{upstream.name}", None)
 
+    async def start_again(self, upstream=None):
+        """Under the same name, twice at times; the list tells of it a moment later."""
+        upstream = upstream or self.random.choice([u for u in self.upstreams.values() if u.alive])
+        for _ in range(self.random.choice((1, 1, 2))):
+            upstream.restart(silent=self.random.random() < 0.5)
+            await asyncio.sleep(self.random.uniform(0.0, 0.4))
+            upstream.entry = {**upstream.entry, "sequence": 1, "born": upstream.born}
+            if upstream.alive:
+                self.store.put(f"servers/{upstream.name}", upstream.entry)
+
+    async def start_again_while_leaving(self):
+        upstream = self.random.choice([u for u in self.upstreams.values() if u.alive])
+        self.store.put(f"servers/{upstream.name}", {**upstream.entry, "state": "draining"})
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        await self.start_again(upstream)
+
+    async def damage_entry(self):
+        """Another writer's entry stands in place of an upstream's own, and beside the others."""
+        upstream = self.random.choice([u for u in self.upstreams.values() if u.alive])
+        damaged = dict(upstream.entry)
+        field = self.random.choice(sorted(damaged))
+        damaged[field] = self.random.choice((None, [], {"a": 1}, -1, True))
+        self.store.put(f"servers/{upstream.name}", damaged)
+        self.store.put("servers/of-another-writer", {"service": "engine", "address": "127.0.0.1:1"})
+        await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        if upstream.alive:
+            self.store.put(f"servers/{upstream.name}", upstream.entry)
+
     async def store_down(self):
         self.store.down = True
         await asyncio.sleep(self.random.uniform(0.5, 2.0))
