Revert the reports asked while the store is silent

Hypothesis: drafts that break off without notice while the store is silent are saved by upstreams' own reports. Cause: upstreams that are known to leave get no new work, and those that come in their place are not seen while the store is silent; callers are refused instead of cut, and none is served more.

--- a/include/plumdale/coordination/load_ledger.hpp
+++ b/include/plumdale/coordination/load_ledger.hpp
@@ -64,8 +64,6 @@
     /// \brief Returns the own rows that hold memory, for peers: calls that hold none end before
     /// news of them would arrive.
     [[nodiscard]] std::vector<member_load> own_generations() const;
-    /// \brief Returns the peers that have calls at `member`.
-    [[nodiscard]] std::vector<state::node_id> peers_at(state::member_key member) const;
 
 private:
     struct peer_rows
--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -120,8 +120,6 @@
 {
     /// \brief Time until it is taken away, when it knows.
     std::optional<state::duration> leaves_in;
-    /// \brief Whether it was told to leave.
-    bool leaving = false;
     /// \brief Its start; zero where it doesn't tell.
     state::incarnation started;
 };
--- a/src/coordination/load_ledger.cpp
+++ b/src/coordination/load_ledger.cpp
@@ -118,20 +118,6 @@
     return sum;
 }
 
-std::vector<state::node_id> load_ledger::peers_at(state::member_key member) const
-{
-    std::vector<state::node_id> holders;
-    for (auto const& [peer, known] : peers_)
-    {
-        auto const row = known.rows.find(member);
-        if (row != known.rows.end() && row->second.calls != 0)
-        {
-            holders.push_back(peer);
-        }
-    }
-    return holders;
-}
-
 std::vector<member_load> load_ledger::own_generations() const
 {
     std::vector<member_load> rows;
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -55,8 +55,7 @@
                            protocol::dialect const& words, decision_log& lines)
     : context{loop}, settings{chosen}, dialect{words}, log{lines}, random{random_seed()},
       fleet{state::named<state::node_id>(protocol::to_text(chosen.datagrams))},
-      choice{directory, ledger, health, settings.zone, random}, orders{loop},
-      reports_{state::named<state::node_id>(protocol::to_text(chosen.datagrams))}
+      choice{directory, ledger, health, settings.zone, random}, orders{loop}
 {
 }
 
@@ -262,66 +261,6 @@
 }
 
 void forward_core::ask_departure(state::member_key member)
-{
-    ask_report(member,
-               [this, member](state::result<protocol::member_report> const& report)
-               {
-                   if (report && report.value().leaves_in)
-                   {
-                       departures_[member].leaves_at = leaves_at(report.value());
-                   }
-                   log_departure(member, report);
-                   tell_departure(member);
-               });
-}
-
-void forward_core::watch_reports()
-{
-    state::time_point const now = boot_now();
-    for (state::member_key const member : reports_.due(ledger, platform_age(now), now))
-    {
-        if (directory.find(member) == nullptr || departures_.contains(member))
-        {
-            continue;
-        }
-        ask_report(member,
-                   [this, member](state::result<protocol::member_report> const& report)
-                   {
-                       if (report && report.value().leaving)
-                       {
-                           take_reported_departure(member, report.value());
-                       }
-                   });
-    }
-}
-
-// What the upstream says of itself counts like the platform's notice, and peers are told.
-void forward_core::take_reported_departure(state::member_key member,
-                                           protocol::member_report const& report)
-{
-    coordination::directory_entry const* const entry = directory.find(member);
-    if (entry == nullptr || departures_.contains(member))
-    {
-        return;
-    }
-    log_departure(member, report);
-    if (report.leaves_in)
-    {
-        departures_.try_emplace(member, coordination::departure{boot_now(), leaves_at(report)});
-    }
-    state::service_member leaving = entry->info;
-    leaving.leaving = true;
-    take_member(leaving, "report");
-    if (report.leaves_in)
-    {
-        pool.drop(member);
-        tell_departure(member);
-    }
-}
-
-void forward_core::ask_report(
-    state::member_key member,
-    std::function<void(state::result<protocol::member_report> const&)> handler)
 {
     coordination::directory_entry const* const entry = directory.find(member);
     protocol::own_request const wanted = dialect.report_request();
@@ -330,9 +269,8 @@
     request.method = wanted.method;
     request.target = wanted.target;
     request.timeout = report_timeout;
-    metrics.add(forward_count::reports_asked);
     fetch(context, std::move(request),
-          [this, member, handler = std::move(handler)](state::result<fetch_answer> const& answer)
+          [this, member](state::result<fetch_answer> const& answer)
           {
               auto const report = answer && answer.value().status == 200
                                       ? dialect.read_report(answer.value().body)
@@ -341,25 +279,20 @@
               {
                   note_start(member, report.value().started);
               }
-              handler(report);
+              if (report && report.value().leaves_in)
+              {
+                  departures_[member].leaves_at =
+                      boot_now() + *report.value().leaves_in - report_lag;
+              }
+              log.write(part, "departure asked", {},
+                        {{"member", static_cast<std::int64_t>(member.value)},
+                         {"leaves_in_ms", report && report.value().leaves_in
+                                              ? whole_milliseconds(*report.value().leaves_in)
+                                              : -1}});
+              tell_departure(member);
           });
 }
 
-state::time_point forward_core::leaves_at(protocol::member_report const& report)
-{
-    return boot_now() + *report.leaves_in - report_lag;
-}
-
-void forward_core::log_departure(state::member_key member,
-                                 state::result<protocol::member_report> const& report)
-{
-    bool const is_told = report && report.value().leaves_in;
-    log.write(part, "departure asked", {},
-              {{"member", static_cast<std::int64_t>(member.value)},
-               {"leaves_in_ms", is_told ? whole_milliseconds(*report.value().leaves_in) : -1},
-               {"platform_age_ms", whole_milliseconds(platform_age(boot_now()))}});
-}
-
 // A report of a later start: the platform's list may tell it seconds later, or not while it is
 // away.
 void forward_core::note_start(state::member_key member, state::incarnation started)
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -13,7 +13,6 @@
 #include <plumdale/coordination/member_choice.hpp>
 #include <plumdale/coordination/member_health.hpp>
 #include <plumdale/coordination/repeat_allowance.hpp>
-#include <plumdale/coordination/report_watch.hpp>
 #include <plumdale/coordination/route_outcomes.hpp>
 #include <plumdale/coordination/routing_table.hpp>
 #include <plumdale/coordination/service_directory.hpp>
@@ -89,8 +88,6 @@
     // -- departures ------------------------------------------------------------
     void listen(departure_listener& listener);
     void forget(departure_listener& listener);
-    /// \brief Asks upstreams whether they leave, while the platform is not heard.
-    void watch_reports();
     [[nodiscard]] coordination::departure const* departure_of(state::member_key member) const;
 
     /// \brief Notes how long a caller of a route waits; returns whether that is so much less than
@@ -142,17 +139,10 @@
     void member_departs(state::member_key member);
     void ask_departure_later(state::member_key member);
     void ask_departure(state::member_key member);
-    void take_reported_departure(state::member_key member, protocol::member_report const& report);
-    void ask_report(state::member_key member,
-                    std::function<void(state::result<protocol::member_report> const&)> handler);
-    [[nodiscard]] static state::time_point leaves_at(protocol::member_report const& report);
-    void log_departure(state::member_key member,
-                       state::result<protocol::member_report> const& report);
     void tell_departure(state::member_key member);
     coordination::repeat_allowance& allowance_of(std::string const& service);
 
     std::unordered_map<state::member_key, coordination::departure> departures_;
-    coordination::report_watch reports_;
     std::unordered_set<departure_listener*> listeners_;
     std::unordered_map<std::string, coordination::repeat_allowance> allowances_;
     std::unordered_map<std::string, coordination::usual_patience> patience_;
--- a/src/transport/forward_metrics.cpp
+++ b/src/transport/forward_metrics.cpp
@@ -29,8 +29,6 @@
     {"plumdale_forward_copies_first_total", "Memory copies ordered while a generation ran."},
     {"plumdale_forward_copies_last_total", "Copies ordered that stopped a generation."},
     {"plumdale_forward_copies_refused_total", "Orders to copy that were refused."},
-    {"plumdale_forward_reports_asked_total",
-     "Reports asked of upstreams, on whether and when they leave."},
     {"plumdale_forward_resumed_total", "Generations gone on at another upstream."},
     {"plumdale_forward_resume_refused_total", "Resumptions that did not run."},
     {"plumdale_forward_platform_calls_total", "Calls to the platform's store."},
--- a/src/transport/forward_metrics.hpp
+++ b/src/transport/forward_metrics.hpp
@@ -31,7 +31,6 @@
     copies_first,
     copies_last,
     copies_refused,
-    reports_asked,
     resumed,
     resume_refused,
     platform_calls,
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -237,7 +237,6 @@
         }
         last_chores_ = now;
         fleet_->advance();
-        core_.watch_reports();
         core_.pool.sweep(now);
         core_.directory.forget(now);
         note_readiness();
