Departures have a room of their own; pages of upstream starts and of losses

Cause: forward_core held the directory's news, departures, reports and listeners in 357 lines; departures were never dropped, one row for each upstream that ever left.

--- /dev/null
+++ b/src/transport/departure_board.cpp
@@ -0,0 +1,164 @@
+#include "departure_board.hpp"
+
+#include "boot_clock.hpp"
+#include "http_fetch.hpp"
+#include "milliseconds.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+constexpr std::string_view part = "directory";
+constexpr unsigned success = 200;
+// An upstream that leaves answers within a millisecond or two; later its answer is no use.
+constexpr std::chrono::milliseconds report_timeout{300};
+// Upstreams' reports tell of the time this long ago: 500 ms in all that were seen.
+constexpr std::chrono::milliseconds report_lag{500};
+constexpr std::chrono::milliseconds report_slack{60};
+
+} // namespace
+
+departure_board::departure_board(net::io_context& context, protocol::dialect const& dialect,
+                                 coordination::service_directory const& directory,
+                                 coordination::load_ledger const& ledger, decision_log& log,
+                                 start_handler started)
+    : context_{context}, dialect_{dialect},
+      directory_{directory}, ledger_{ledger}, log_{log}, started_{std::move(started)}
+{
+}
+
+void departure_board::listen(departure_listener& listener)
+{
+    listeners_.insert(&listener);
+}
+
+void departure_board::forget(departure_listener& listener)
+{
+    listeners_.erase(&listener);
+}
+
+coordination::departure const* departure_board::find(state::member_key member) const
+{
+    auto const found = departures_.find(member);
+    return found == departures_.end() ? nullptr : &found->second;
+}
+
+bool departure_board::departs(state::member_key member)
+{
+    coordination::departure const now_learnt{boot_now(), std::nullopt};
+    if (!departures_.try_emplace(member, now_learnt).second)
+    {
+        return false;
+    }
+    tell(member);
+    // Only who has generations there needs to know when it goes.
+    if (ledger_.own(member).tokens > 0)
+    {
+        ask_later(member);
+    }
+    return true;
+}
+
+void departure_board::lost(state::member_key former)
+{
+    tell_listeners([former](departure_listener& listener) { listener.member_lost(former); });
+}
+
+void departure_board::sweep()
+{
+    std::erase_if(departures_,
+                  [this](auto const& row) { return directory_.find(row.first) == nullptr; });
+}
+
+// -- reports --------------------------------------------------------------------------------------
+
+// Reports are as old as `report_lag`: asked at once, one would still say that the upstream stays.
+void departure_board::ask_later(state::member_key member)
+{
+    auto const timer = std::make_shared<net::steady_timer>(context_, report_lag + report_slack);
+    timer->async_wait(
+        [this, member, timer](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                ask(member);
+            }
+        });
+}
+
+void departure_board::ask(state::member_key member)
+{
+    coordination::directory_entry const* const entry = directory_.find(member);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    protocol::own_request const wanted = dialect_.report_request();
+    fetch_request request;
+    request.address = entry->info.address;
+    request.method = wanted.method;
+    request.target = wanted.target;
+    request.timeout = report_timeout;
+    fetch(context_, std::move(request),
+          [this, member](state::result<fetch_answer> const& answer)
+          {
+              bool const is_whole = answer && answer.value().status == success;
+              take_report(member, is_whole
+                                      ? dialect_.read_report(answer.value().body)
+                                      : state::result<protocol::member_report>{state::failure{}});
+          });
+}
+
+void departure_board::take_report(state::member_key member,
+                                  state::result<protocol::member_report> const& report)
+{
+    coordination::directory_entry const* const entry = directory_.find(member);
+    bool const is_of_later = report && entry != nullptr && entry->info.started.value != 0 &&
+                             entry->info.started < report.value().started;
+    auto const leaves_in =
+        report && !is_of_later ? report.value().leaves_in : std::optional<state::duration>{};
+    log_.write(part, "departure asked", {},
+               {{"member", static_cast<std::int64_t>(member.value)},
+                {"leaves_in_ms", leaves_in ? whole_milliseconds(*leaves_in) : -1}});
+    if (is_of_later)
+    {
+        // The platform's list may tell it seconds later, or not while it is away.
+        return started_(member, report.value().started);
+    }
+    if (leaves_in)
+    {
+        departures_[member].leaves_at = boot_now() + *leaves_in - report_lag;
+    }
+    tell(member);
+}
+
+// -- listeners ------------------------------------------------------------------------------------
+
+void departure_board::tell(state::member_key member)
+{
+    coordination::departure const when = departures_[member];
+    tell_listeners([member, &when](departure_listener& listener)
+                   { listener.member_leaves(member, when); });
+}
+
+void departure_board::tell_listeners(std::function<void(departure_listener&)> const& tell)
+{
+    // Listeners may go while they are told.
+    std::vector<departure_listener*> const told{listeners_.begin(), listeners_.end()};
+    for (departure_listener* const listener : told)
+    {
+        if (listeners_.contains(listener))
+        {
+            tell(*listener);
+        }
+    }
+}
+
+} // namespace plumdale::transport
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -1,12 +1,10 @@
 #include "forward_core.hpp"
 
 #include "boot_clock.hpp"
-#include "milliseconds.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -19,11 +17,6 @@
 using coordination::directory_change;
 
 constexpr std::string_view part = "directory";
-// An upstream that leaves answers within a millisecond or two; later its answer is no use.
-constexpr std::chrono::milliseconds report_timeout{300};
-// Upstreams' reports tell of the time this long ago: 500 ms in all that were seen.
-constexpr std::chrono::milliseconds report_lag{500};
-constexpr std::chrono::milliseconds report_slack{60};
 
 std::string_view change_name(directory_change change)
 {
@@ -55,7 +48,16 @@
                            protocol::dialect const& words, decision_log& lines)
     : context{loop}, settings{chosen}, dialect{words}, log{lines}, random{random_seed()},
       fleet{state::named<state::node_id>(protocol::to_text(chosen.datagrams))},
-      choice{directory, ledger, health, settings.zone, random}, orders{loop}
+      choice{directory, ledger, health, settings.zone, random}, orders{loop},
+      departures{loop,
+                 words,
+                 directory,
+                 ledger,
+                 lines,
+                 [this](state::member_key member, state::incarnation started)
+                 {
+                     note_start(member, started);
+                 }}
 {
 }
 
@@ -113,7 +115,10 @@
     fleet.directory_changed(directory.digest(), now);
     if (change == directory_change::removed || change == directory_change::leaving)
     {
-        member_departs(*latest);
+        if (departures.departs(*latest))
+        {
+            pool.drop(*latest);
+        }
     }
 }
 
@@ -134,8 +139,22 @@
     health.forget(former);
     if (was_told)
     {
-        tell_listeners([former](departure_listener& listener) { listener.member_lost(former); });
+        departures.lost(former);
+    }
+}
+
+void forward_core::note_start(state::member_key member, state::incarnation started)
+{
+    coordination::directory_entry const* const entry = directory.find(member);
+    if (entry == nullptr)
+    {
+        return;
     }
+    state::service_member later = entry->info;
+    later.started = started;
+    later.leaving = false;
+    later.listed = true;
+    take_member(later, "report");
 }
 
 void forward_core::take_unusable(std::span<protocol::unusable_entry const> entries,
@@ -214,120 +233,7 @@
     return now - std::max(platform_read, fleet.platform_read(now));
 }
 
-// -- departures -----------------------------------------------------------------------------------
-
-void forward_core::listen(departure_listener& listener)
-{
-    listeners_.insert(&listener);
-}
-
-void forward_core::forget(departure_listener& listener)
-{
-    listeners_.erase(&listener);
-}
-
-coordination::departure const* forward_core::departure_of(state::member_key member) const
-{
-    auto const found = departures_.find(member);
-    return found == departures_.end() ? nullptr : &found->second;
-}
-
-void forward_core::member_departs(state::member_key member)
-{
-    if (departures_.try_emplace(member, coordination::departure{boot_now(), std::nullopt}).second)
-    {
-        pool.drop(member);
-        tell_departure(member);
-        // Only who has generations there needs to know when it goes.
-        if (ledger.own(member).tokens > 0)
-        {
-            ask_departure_later(member);
-        }
-    }
-}
-
-// Reports are as old as `report_lag`: asked at once, one would still say that the upstream stays.
-void forward_core::ask_departure_later(state::member_key member)
-{
-    auto const timer = std::make_shared<net::steady_timer>(context, report_lag + report_slack);
-    timer->async_wait(
-        [this, member, timer](boost::system::error_code error)
-        {
-            if (!error)
-            {
-                ask_departure(member);
-            }
-        });
-}
-
-void forward_core::ask_departure(state::member_key member)
-{
-    coordination::directory_entry const* const entry = directory.find(member);
-    protocol::own_request const wanted = dialect.report_request();
-    fetch_request request;
-    request.address = entry->info.address;
-    request.method = wanted.method;
-    request.target = wanted.target;
-    request.timeout = report_timeout;
-    fetch(context, std::move(request),
-          [this, member](state::result<fetch_answer> const& answer)
-          {
-              auto const report = answer && answer.value().status == 200
-                                      ? dialect.read_report(answer.value().body)
-                                      : state::result<protocol::member_report>{state::failure{}};
-              if (report)
-              {
-                  note_start(member, report.value().started);
-              }
-              if (report && report.value().leaves_in)
-              {
-                  departures_[member].leaves_at =
-                      boot_now() + *report.value().leaves_in - report_lag;
-              }
-              log.write(part, "departure asked", {},
-                        {{"member", static_cast<std::int64_t>(member.value)},
-                         {"leaves_in_ms", report && report.value().leaves_in
-                                              ? whole_milliseconds(*report.value().leaves_in)
-                                              : -1}});
-              tell_departure(member);
-          });
-}
-
-// A report of a later start: the platform's list may tell it seconds later, or not while it is
-// away.
-void forward_core::note_start(state::member_key member, state::incarnation started)
-{
-    coordination::directory_entry const* const entry = directory.find(member);
-    if (entry == nullptr || entry->info.started.value == 0 || started <= entry->info.started)
-    {
-        return;
-    }
-    state::service_member later = entry->info;
-    later.started = started;
-    later.leaving = false;
-    later.listed = true;
-    take_member(later, "report");
-}
-
-void forward_core::tell_departure(state::member_key member)
-{
-    coordination::departure const when = departures_[member];
-    tell_listeners([member, &when](departure_listener& listener)
-                   { listener.member_leaves(member, when); });
-}
-
-void forward_core::tell_listeners(std::function<void(departure_listener&)> const& tell)
-{
-    // Listeners may go while they are told.
-    std::vector<departure_listener*> const told{listeners_.begin(), listeners_.end()};
-    for (departure_listener* const listener : told)
-    {
-        if (listeners_.contains(listener))
-        {
-            tell(*listener);
-        }
-    }
-}
+// -- calls ----------------------------------------------------------------------------------------
 
 bool forward_core::comes_back(std::string const& route, state::duration time_left)
 {
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "decision_log.hpp"
+#include "departure_board.hpp"
 #include "forward_metrics.hpp"
 #include "http_fetch.hpp"
 #include "net.hpp"
 #include "upstream_pool.hpp"
 
-#include <plumdale/coordination/copy_schedule.hpp>
 #include <plumdale/coordination/fleet_view.hpp>
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/load_news.hpp>
@@ -34,20 +34,6 @@
 namespace plumdale::transport
 {
 
-/// \brief A call that is told of its upstream's departure.
-class departure_listener
-{
-public:
-    departure_listener() = default;
-    departure_listener(departure_listener const&) = delete;
-    departure_listener& operator=(departure_listener const&) = delete;
-    virtual ~departure_listener() = default;
-
-    virtual void member_leaves(state::member_key member, coordination::departure const& when) = 0;
-    /// \brief The upstream started again: nothing that ran or was kept at this start is there.
-    virtual void member_lost(state::member_key member) = 0;
-};
-
 /// \brief State and decisions of one forwarding entry VM; on one loop.
 class forward_core
 {
@@ -85,11 +71,6 @@
     /// \brief Returns how old this VM's knowledge of the platform is.
     [[nodiscard]] state::duration platform_age(state::time_point now) const;
 
-    // -- departures ------------------------------------------------------------
-    void listen(departure_listener& listener);
-    void forget(departure_listener& listener);
-    [[nodiscard]] coordination::departure const* departure_of(state::member_key member) const;
-
     /// \brief Notes how long a caller of a route waits; returns whether that is so much less than
     /// others waited from the start that this one was refused before.
     [[nodiscard]] bool comes_back(std::string const& route, state::duration time_left);
@@ -112,6 +93,7 @@
     upstream_pool pool;
     /// \brief Orders to upstreams, each on a connection of its own.
     fetcher orders;
+    departure_board departures;
     std::shared_ptr<coordination::routing_table const> routing;
     /// \brief The configuration as published, for peers that ask.
     std::string configuration_text;
@@ -135,15 +117,8 @@
     void member_restarted(state::member_key former, state::member_key latest,
                           std::string_view source);
     void note_start(state::member_key member, state::incarnation started);
-    void tell_listeners(std::function<void(departure_listener&)> const& tell);
-    void member_departs(state::member_key member);
-    void ask_departure_later(state::member_key member);
-    void ask_departure(state::member_key member);
-    void tell_departure(state::member_key member);
     coordination::repeat_allowance& allowance_of(std::string const& service);
 
-    std::unordered_map<state::member_key, coordination::departure> departures_;
-    std::unordered_set<departure_listener*> listeners_;
     std::unordered_map<std::string, coordination::repeat_allowance> allowances_;
     std::unordered_map<std::string, coordination::usual_patience> patience_;
 };
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -239,6 +239,7 @@
         fleet_->advance();
         core_.pool.sweep(now);
         core_.directory.forget(now);
+        core_.departures.sweep();
         note_readiness();
         log_.flush();
         if (core_.closing_since != state::never && may_stop(now))
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -26,12 +26,12 @@
     : forward_call{core, std::move(channel), std::move(admitted)}, last_progress_{
                                                                        admitted_.call.read_at}
 {
-    core_.listen(*this);
+    core_.departures.listen(*this);
 }
 
 stream_call::~stream_call()
 {
-    core_.forget(*this);
+    core_.departures.forget(*this);
     drop_backup();
     drop_load(copy_load_);
 }
--- a/src/transport/stream_survival.cpp
+++ b/src/transport/stream_survival.cpp
@@ -187,7 +187,7 @@
 
 void stream_call::watch_departure()
 {
-    if (departure const* const when = core_.departure_of(member_))
+    if (departure const* const when = core_.departures.find(member_))
     {
         member_leaves(member_, departure{*when});
     }
