--- a/tests/platform/test_stream_calls.cpp
+++ b/tests/platform/test_stream_calls.cpp
@@ -42,7 +42,7 @@
     scene.core.take_members(news, "test");
 }
 
-/// \brief A draft that runs at an upstream and has made three events, without a backup.
+/// \brief A draft that runs at an upstream and has made three events.
 struct running_draft
 {
     explicit running_draft(forward_scene& scene)
@@ -63,6 +63,21 @@
     std::shared_ptr<script_connection> sent;
 };
 
+// Returns the upstream that keeps the draft's backup; null when it has none.
+script_upstream* keeper_of(forward_scene& scene, running_draft const& draft)
+{
+    for (std::size_t i = 2; i < 5; ++i)
+    {
+        std::string const address =
+            protocol::to_text(scene.upstreams[i]->listing("engine", 1).address);
+        if (draft.sent->received.find("Plumdale-Kv-Backup: " + address) != std::string::npos)
+        {
+            return scene.upstreams[i].get();
+        }
+    }
+    return nullptr;
+}
+
 // Fills the upstreams so far that drafts get no backup, as on a crowded day.
 void crowd(forward_scene& scene)
 {
@@ -263,15 +278,9 @@
 {
     forward_scene scene;
     running_draft draft{scene};
-    for (std::size_t i = 2; i < 5; ++i)
-    {
-        script_upstream& other = *scene.upstreams[i];
-        std::string const address = protocol::to_text(other.listing("engine", 1).address);
-        if (draft.sent->received.find("Plumdale-Kv-Backup: " + address) != std::string::npos)
-        {
-            announce_departure(scene, other);
-        }
-    }
+    script_upstream* const keeper = keeper_of(scene, draft);
+    REQUIRE(keeper != nullptr);
+    announce_departure(scene, *keeper);
     draft.sent->send(event_chunk(4));
     scene.run_until([&] { return has_event(*draft.caller, 4); });
     announce_departure(scene, *draft.source);
@@ -305,20 +314,6 @@
     scene.core.take_members(std::array{again}, "test");
 }
 
-script_upstream* keeper_of(forward_scene& scene, running_draft const& draft)
-{
-    for (std::size_t i = 2; i < 5; ++i)
-    {
-        std::string const address =
-            protocol::to_text(scene.upstreams[i]->listing("engine", 1).address);
-        if (draft.sent->received.find("Plumdale-Kv-Backup: " + address) != std::string::npos)
-        {
-            return scene.upstreams[i].get();
-        }
-    }
-    return nullptr;
-}
-
 } // namespace
 
 // A caller's draft stands still in the middle: its upstream lost power and was started again under
