A notice is heard in the entry that follows a bad one

Cause: read as a newcomer: an entry that made an upstream usable again and said that it leaves counted as a listing only; its drafts would not have been copied. Ruled out: entries without a bad one before (tests of leaving were green). Change: leaving is told before listing. Test red before (listed instead of leaving), green after; coordination 199 of 199.

--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -127,7 +127,7 @@
     {
         entry.removed_from = state::never;
     }
-    bool const tells_leaving = begins_to_leave && change == directory_change::none;
+    bool const tells_leaving = begins_to_leave && change != directory_change::removed;
     return tells_leaving ? directory_change::leaving : change;
 }
 
--- a/tests/coordination/test_service_directory.cpp
+++ b/tests/coordination/test_service_directory.cpp
@@ -205,6 +205,19 @@
     CHECK(latest_takes_work(directory, "i-1", now));
 }
 
+// The upstream's next entry, after another writer's, says that it leaves. Its callers' drafts have
+// to be copied: heard as a mere listing, the notice would be lost, and they would be cut.
+TEST_CASE("a notice is heard in the entry that follows a bad one", "[directory]")
+{
+    service_directory directory;
+    state::time_point const now{10s};
+    directory.join(started(member_at("i-1", 5), 100), now);
+    directory.join(unusable("i-1", 7), now);
+    CHECK(directory.join(started(leaving(member_at("i-1", 9)), 100), now) ==
+          directory_change::leaving);
+    CHECK_FALSE(latest_takes_work(directory, "i-1", now));
+}
+
 TEST_CASE("an entry without a start is no upstream's where others tell theirs", "[directory]")
 {
     service_directory directory;
