--- a/include/plumdale/coordination/fleet_news.hpp
+++ b/include/plumdale/coordination/fleet_news.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumdale/coordination/load_ledger.hpp>
+#include <plumdale/coordination/spread_tree.hpp>
 #include <plumdale/state/identifier.hpp>
 #include <plumdale/state/service_member.hpp>
 
@@ -14,12 +15,21 @@
 namespace plumdale::coordination
 {
 
+/// \brief How far a reader of the platform's store has got, as its reads are counted by itself.
+struct reader_beat
+{
+    state::node_id reader;
+    /// \brief Grows with each read of the reader, across its starts too; zero before the first.
+    std::uint64_t beat = 0;
+};
+
 /// \brief One message of an entry VM to the others.
 struct fleet_news
 {
     /// \brief Most rows of a message, so that a datagram is never fragmented.
     static constexpr std::size_t max_loads = 32;
     static constexpr std::size_t max_members = 7;
+    static constexpr std::size_t max_readers = 2;
 
     state::node_id sender;
     state::incarnation uptime;
@@ -31,11 +41,18 @@
     std::uint64_t directory = 0;
     /// \brief Age of what the sender last read from the platform itself, in milliseconds.
     std::uint32_t platform_age_ms = UINT32_MAX;
+    /// \brief The sender's own reads; those of others that it counts on are in `readers`.
+    std::uint64_t beat = 0;
+    std::vector<reader_beat> readers;
     /// \brief The rows are all of the sender's; else only those that changed.
     bool whole = false;
     std::vector<member_load> loads;
     /// \brief Upstreams that the sender just learnt something of.
     std::vector<state::service_member> members;
+    /// \brief Number of the message that the receiver passes on within `range`; zero for none.
+    std::uint64_t spread = 0;
+    spread_range range;
+    bool has_range = false;
 };
 
 /// \brief Everything that an entry VM knows of the upstreams, for one that asks.
--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumdale/coordination/fleet_news.hpp>
+#include <plumdale/coordination/recent_digests.hpp>
 #include <plumdale/state/endpoint.hpp>
 #include <plumdale/state/time.hpp>
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 /// \file
 /// \brief What each peer last told of itself, and what follows for this entry VM.
@@ -27,42 +29,77 @@
     /// \brief When it last read the platform itself, by this VM's clock.
     state::time_point platform_read{};
     state::time_point heard{};
-    /// \brief Since when its directory differs from this VM's; `never` while it does not.
+    /// \brief Since when its directory is one that this VM never had; `never` while it is not.
     state::time_point differs_since = state::never;
 };
 
+/// \brief What is known of a peer as a reader of the store, by its own word or by others'.
+struct reader_state
+{
+    std::uint64_t beat = 0;
+    /// \brief When it last read, by this VM's clock.
+    state::time_point read_at{};
+    /// \brief Its last word was that it can't read.
+    bool lost = false;
+    /// \brief Its last word was that it reads.
+    bool claimed = false;
+};
+
 /// \brief Decides who reads the platform's store and whom to ask for what is missing.
 ///
 /// All entry VMs would see the same changes, so a few read and tell the others. The readers are
-/// those of the lowest ranks that can read; a VM whose readers fall silent becomes one itself, so
-/// each side of a partition has its own. Example:
+/// those of the lowest ranks that can read. Each message carries how far the readers got that its
+/// sender counts on, so one lost datagram of a reader changes nothing; a reader that is silent to
+/// all is replaced in the order of ranks, so each side of a partition has its own. Example:
 /// \code
 /// fleet_view fleet{self};
 /// fleet.hear(news, streams, own_digest, now);
-/// if (fleet.is_reader(now)) { watch the store }
+/// if (fleet.decide_duty(now)) { watch the store }
 /// \endcode
 class fleet_view
 {
 public:
-    explicit fleet_view(state::node_id self) noexcept : self_{self} {}
+    /// \brief `volunteers_from`: this VM doesn't become a reader before; one that has just started
+    /// has not heard yet who reads.
+    explicit fleet_view(state::node_id self, state::time_point volunteers_from = {}) noexcept
+        : self_{self}, volunteers_from_{volunteers_from}
+    {
+    }
 
     /// \brief Takes a message; returns whether it is newer than what is known of its sender.
     bool hear(fleet_news const& news, state::endpoint streams, std::uint64_t own_directory,
               state::time_point now);
-    /// \brief Own directory changed: differences are counted from anew.
+    /// \brief Own directory changed: peers that had the former one were only behind.
     void directory_changed(std::uint64_t own_directory, state::time_point now);
     void forget_silent(state::time_point now);
 
-    /// \brief Returns whether this entry VM is to read the store itself.
-    [[nodiscard]] bool is_reader(state::time_point now) const;
+    // -- readers ------------------------------------------------------------------------
+    /// \brief Decides anew whether this entry VM is to read the store itself, and returns it.
+    bool decide_duty(state::time_point now);
+    /// \brief Returns what was decided last.
+    [[nodiscard]] bool is_reader() const noexcept
+    {
+        return reading_;
+    }
+    /// \brief Returns the readers that this VM counts on, itself not included.
+    [[nodiscard]] std::vector<reader_beat> reader_beats(state::time_point now) const;
+    /// \brief Returns the number of peers whose last word was that they can't read the store.
+    [[nodiscard]] std::size_t lost_peers(state::time_point now) const;
+
+    // -- whom to ask ------------------------------------------------------------------------
     /// \brief Returns one of the peers that follow a version newer than `version`, by a draw; none
     /// if none does. A draw, since all that lack it would ask the first that had it.
     [[nodiscard]] std::optional<state::endpoint>
     newer_configuration(std::uint64_t version, std::uint64_t draw, state::time_point now) const;
-    /// \brief Returns whom to ask for its directory: a peer that read the store lately and has
-    /// differed for longer than news are under way, by a draw; none if all agree.
+    /// \brief Returns whom to ask for its directory: where a reader has differed for longer than
+    /// news are under way, one of all peers that agree with it, by a draw; none if all agree.
     [[nodiscard]] std::optional<state::endpoint> better_directory(std::uint64_t draw,
                                                                   state::time_point now) const;
+    /// \brief Returns one of the peers that follow a configuration and have a directory, by a draw.
+    [[nodiscard]] std::optional<state::endpoint> informed_peer(std::uint64_t draw,
+                                                               state::time_point now) const;
+
+    // -- the fleet ------------------------------------------------------------------------
     /// \brief Returns the number of entry VMs heard lately, this one included.
     [[nodiscard]] std::size_t live(state::time_point now) const;
     /// \brief Returns the time between two periodic messages of a reader in a fleet of this size.
@@ -94,21 +131,46 @@
     /// \brief Time between two periodic messages for each one that hears them: some 100 bytes in
     /// 20 ms are 5 KB/s, in a fleet of any size.
     static constexpr state::duration calm_interval_each = std::chrono::milliseconds{20};
-    /// \brief A reader whose last read is older than this and one interval, by its last message, is
-    /// not counted on: a calm watch answers after 0.6 s. Configurations have to be in force after
-    /// 2 s in small fleets, and a reader may fall silent just before one comes.
+    /// \brief A reader whose last read is older than this and one interval is not counted on: a
+    /// calm watch answers after 0.6 s. Configurations have to be in force after 2 s in small
+    /// fleets, and a reader may fall silent just before one comes.
     static constexpr state::duration stale_read = std::chrono::milliseconds{950};
+    /// \brief Time that each next in rank waits for those before it to read, within these bounds:
+    /// by then it has heard of their first read.
+    static constexpr state::duration succession_each = std::chrono::microseconds{400};
+    static constexpr state::duration least_succession = std::chrono::milliseconds{40};
+    static constexpr state::duration most_succession = std::chrono::milliseconds{120};
+    /// \brief How much longer each pair of volunteers waits once two pairs before it were turned
+    /// away.
+    static constexpr state::duration failed_pair_pause = std::chrono::milliseconds{100};
     /// \brief News of a change reach all within this; above it a difference is a loss.
     static constexpr state::duration settling = std::chrono::milliseconds{600};
 
 private:
     template <class Fits>
     [[nodiscard]] std::optional<state::endpoint> drawn(std::uint64_t draw, Fits const& fits) const;
-    [[nodiscard]] bool reads(peer_state const& peer, state::time_point now) const noexcept;
+    void note_reader(fleet_news const& news, state::time_point now);
+    void note_sighting(reader_beat const& sighted, state::time_point now);
+    [[nodiscard]] bool is_fresh(reader_state const& reader, state::time_point now) const noexcept;
+    [[nodiscard]] bool reads(state::node_id node, state::time_point now) const;
     [[nodiscard]] bool is_live(peer_state const& peer, state::time_point now) const noexcept;
+    [[nodiscard]] bool is_candidate(state::node_id node, peer_state const& peer,
+                                    state::time_point now) const;
+    [[nodiscard]] bool differs(peer_state const& peer) const noexcept;
+    [[nodiscard]] state::duration succession_delay(std::size_t reading,
+                                                   state::time_point now) const;
+    [[nodiscard]] std::size_t lost_before(state::time_point now) const;
 
     state::node_id self_;
+    state::time_point volunteers_from_;
     std::unordered_map<state::node_id, peer_state> peers_;
+    std::unordered_map<state::node_id, reader_state> readers_;
+    recent_digests own_digests_;
+    /// \brief Since when too few of lower rank read; `never` while enough do.
+    state::time_point lacking_since_ = state::never;
+    /// \brief Peers of lower rank that were turned away when that was last counted.
+    std::size_t lost_before_ = 0;
+    bool reading_ = false;
     std::size_t most_live_ = 1;
 };
 
--- /dev/null
+++ b/include/plumdale/coordination/recent_digests.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+/// \file
+/// \brief The last digests that this entry VM's directory had.
+
+namespace plumdale::coordination
+{
+
+/// \brief Remembers the latest digests, so that a peer that is behind is told from one that knows
+/// more.
+class recent_digests
+{
+public:
+    constexpr void add(std::uint64_t digest) noexcept
+    {
+        digests_[next_] = digest;
+        next_ = (next_ + 1) % digests_.size();
+        held_ = std::min(held_ + 1, digests_.size());
+    }
+
+    [[nodiscard]] constexpr bool contains(std::uint64_t digest) const noexcept
+    {
+        auto const end = digests_.begin() + static_cast<std::ptrdiff_t>(held_);
+        return std::find(digests_.begin(), end, digest) != end;
+    }
+
+private:
+    /// \brief Some seconds of a release in which ten upstreams a second change.
+    static constexpr std::size_t kept = 64;
+
+    std::array<std::uint64_t, kept> digests_{};
+    std::size_t next_ = 0;
+    std::size_t held_ = 0;
+};
+
+} // namespace plumdale::coordination
--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -3,6 +3,8 @@
 #include <plumdale/state/service_member.hpp>
 #include <plumdale/state/time.hpp>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -41,6 +43,9 @@
     bool superseded = false;
 };
 
+/// \brief Digests of the parts of a directory: parts that are equal need not be exchanged.
+using part_digests = std::array<std::uint64_t, 64>;
+
 /// \brief Joins news of upstreams in any order to the same result.
 ///
 /// Of each name the latest start counts. Of one start, what is listed joins by the greatest
@@ -83,6 +88,15 @@
         return digest_;
     }
 
+    /// \brief Returns the digest of each part, by the names' hashes.
+    [[nodiscard]] part_digests const& parts() const noexcept
+    {
+        return parts_;
+    }
+    /// \brief Returns the rows of the parts whose digests are not those in `others`, those that
+    /// were removed lately among them.
+    [[nodiscard]] std::vector<state::service_member> rows_beside(part_digests const& others) const;
+
     /// \brief Entries that lapsed in an outage are back within two seconds of its end.
     static constexpr state::duration lapse_grace = std::chrono::milliseconds{2'200};
     /// \brief Removed rows are kept for stragglers' news; far above any datagram's delay.
@@ -117,6 +131,7 @@
     std::unordered_map<std::string, std::vector<state::member_key>> services_;
     state::time_point lapse_until_{};
     std::uint64_t digest_ = 0;
+    part_digests parts_{};
 };
 
 } // namespace plumdale::coordination
--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -166,7 +166,7 @@
     [[nodiscard]] virtual std::string configuration_target(store_read kind) const = 0;
     [[nodiscard]] virtual state::result<store_page>
     read_configuration(std::string_view body) const = 0;
-    [[nodiscard]] virtual std::string list_target(std::string_view page) const = 0;
+    [[nodiscard]] virtual std::string list_target(store_read kind, std::string_view page) const = 0;
     [[nodiscard]] virtual state::result<store_page> read_list(std::string_view body) const = 0;
     [[nodiscard]] virtual std::string watch_target(std::uint64_t after,
                                                    state::duration wait) const = 0;
--- a/include/plumdale/protocol/fleet_codec.hpp
+++ b/include/plumdale/protocol/fleet_codec.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <plumdale/coordination/configuration_offer.hpp>
 #include <plumdale/coordination/fleet_news.hpp>
+#include <plumdale/coordination/service_directory.hpp>
 #include <plumdale/state/result.hpp>
 
 #include <span>
@@ -21,6 +23,15 @@
 [[nodiscard]] state::result<coordination::fleet_news>
 decode_fleet_news(std::span<char const> datagram, std::string_view fleet_key);
 
+/// \brief Returns an offer as a datagram: a MAC by the fleet key and Cap'n Proto words.
+[[nodiscard]] std::string encode(coordination::configuration_offer const& offer,
+                                 std::string_view fleet_key);
+
+/// \brief Reads such a datagram, or the body of an answer to a peer that asks for a configuration.
+/// Anything not made with the fleet key or not well-formed fails with `invalid_request`.
+[[nodiscard]] state::result<coordination::configuration_offer>
+decode_configuration_offer(std::span<char const> datagram, std::string_view fleet_key);
+
 /// \brief Returns the body of an answer to a peer that asks for the directory.
 [[nodiscard]] std::string encode(coordination::directory_copy const& copy);
 
@@ -28,4 +39,10 @@
 [[nodiscard]] state::result<coordination::directory_copy>
 decode_directory_copy(std::string_view body);
 
+/// \brief Returns the body of a question for what differs of a directory.
+[[nodiscard]] std::string encode(coordination::part_digests const& digests);
+
+/// \brief Reads such a body; fails with `invalid_request` if it has another length.
+[[nodiscard]] state::result<coordination::part_digests> decode_part_digests(std::string_view body);
+
 } // namespace plumdale::protocol
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -10,6 +10,12 @@
 namespace
 {
 
+// By the name alone: a later start of an upstream stands in the part of the former.
+[[nodiscard]] std::size_t part_of(std::string_view name) noexcept
+{
+    return state::key_of(name, {}).value % part_digests{}.size();
+}
+
 // What decides how a row changes: the listing with the greatest revision.
 struct standing
 {
@@ -258,8 +264,24 @@
     if (member.listed)
     {
         std::uint64_t const standing = (member.leaving ? 2U : 1U) + (member.usable ? 0U : 2U);
-        digest_ ^= state::mix(state::key_of(member).value, standing);
+        std::uint64_t const row = state::mix(state::key_of(member).value, standing);
+        digest_ ^= row;
+        parts_[part_of(member.name)] ^= row;
+    }
+}
+
+std::vector<state::service_member> service_directory::rows_beside(part_digests const& others) const
+{
+    std::vector<state::service_member> rows;
+    for (auto const& [key, entry] : entries_)
+    {
+        std::size_t const part = part_of(entry.info.name);
+        if (parts_[part] != others[part])
+        {
+            rows.push_back(entry.info);
+        }
     }
+    return rows;
 }
 
 } // namespace plumdale::coordination
--- /dev/null
+++ b/src/coordination/spread_tree.cpp
@@ -0,0 +1,57 @@
+#include <plumdale/coordination/spread_tree.hpp>
+
+#include <algorithm>
+
+namespace plumdale::coordination
+{
+namespace
+{
+
+struct placed_peer
+{
+    std::uint64_t place = 0;
+    state::node_id node;
+};
+
+std::vector<placed_peer> peers_in(spread_range range, std::uint64_t message,
+                                  std::span<state::node_id const> peers)
+{
+    std::uint64_t const begin = state::mix(range.origin.value, message);
+    std::vector<placed_peer> placed;
+    for (state::node_id const node : peers)
+    {
+        std::uint64_t const place = state::mix(node.value, message) - begin;
+        if (range.first <= place && place <= range.last)
+        {
+            placed.push_back({place, node});
+        }
+    }
+    std::sort(placed.begin(), placed.end(),
+              [](placed_peer const& a, placed_peer const& b) { return a.place < b.place; });
+    return placed;
+}
+
+} // namespace
+
+std::vector<spread_branch> branches_of(spread_range range, std::uint64_t message,
+                                       std::span<state::node_id const> peers, std::size_t fan_out)
+{
+    std::vector<placed_peer> const placed = peers_in(range, message, peers);
+    std::size_t const parts = std::min(fan_out, placed.size());
+    std::vector<spread_branch> branches;
+    for (std::size_t part = 0; part < parts; ++part)
+    {
+        std::size_t const begin = placed.size() * part / parts;
+        std::size_t const end = placed.size() * (part + 1) / parts;
+        // The part reaches to the next one's head, so that a VM that only the head knows of is
+        // reached too.
+        std::uint64_t const last = end == placed.size() ? range.last : placed[end].place - 1;
+        std::uint64_t const place = placed[begin].place;
+        bool const has_rest = place < last;
+        spread_range const rest{range.origin, has_rest ? place + 1 : last, last};
+        branches.push_back({placed[begin].node, rest, has_rest});
+    }
+    return branches;
+}
+
+} // namespace plumdale::coordination
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -28,6 +28,11 @@
   usable @11 :Bool = true;
 }
 
+struct ReaderBeat {
+  reader @0 :UInt64;
+  beat @1 :UInt64;
+}
+
 struct FleetNews {
   sender @0 :UInt64;
   uptime @1 :UInt64;
@@ -38,6 +43,24 @@
   whole @6 :Bool;
   loads @7 :List(MemberLoad);
   members @8 :List(ServiceMember);
+  beat @9 :UInt64;
+  readers @10 :List(ReaderBeat);
+  spread @11 :UInt64;
+  passesOn @12 :Bool;
+  origin @13 :UInt64;
+  first @14 :UInt64;
+  last @15 :UInt64;
+}
+
+struct ConfigurationOffer {
+  version @0 :UInt64;
+  base @1 :UInt64;
+  digest @2 :UInt64;
+  first @3 :UInt64;
+  last @4 :UInt64;
+  patch @5 :Data;
+  passesOn @6 :Bool;
+  origin @7 :UInt64;
 }
 
 struct DirectoryCopy {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -8,6 +8,8 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <algorithm>
+
 namespace plumdale::protocol
 {
 namespace
@@ -18,6 +20,9 @@
 // Ten times the directory of the largest fleet, 11,000 upstreams at some 100 bytes.
 constexpr std::uint64_t most_words = 11'000ULL * 100 * 10 / sizeof(capnp::word);
 
+constexpr unsigned digest_bits = 64;
+constexpr unsigned bits_per_byte = 8;
+
 state::failure malformed(char const* detail)
 {
     return {state::error_kind::invalid_request, detail};
@@ -48,6 +53,12 @@
     to.setUsable(from.usable);
 }
 
+void write(wire::ReaderBeat::Builder to, coordination::reader_beat const& from)
+{
+    to.setReader(from.reader.value);
+    to.setBeat(from.beat);
+}
+
 template <class List, class Values>
 void write_rows(List to, Values const& from)
 {
@@ -65,6 +76,11 @@
             from.getTokensAtEnd(), from.getUnread()};
 }
 
+coordination::reader_beat read(wire::ReaderBeat::Reader from)
+{
+    return {state::node_id{from.getReader()}, from.getBeat()};
+}
+
 state::service_member read(wire::ServiceMember::Reader from)
 {
     state::service_member member;
@@ -82,6 +98,48 @@
     return member;
 }
 
+fleet_news read_news(wire::FleetNews::Reader from)
+{
+    fleet_news news;
+    news.sender = state::node_id{from.getSender()};
+    news.uptime = state::incarnation{from.getUptime()};
+    news.sequence = from.getSequence();
+    news.configuration = from.getConfiguration();
+    news.directory = from.getDirectory();
+    news.platform_age_ms = from.getPlatformAgeMs();
+    news.beat = from.getBeat();
+    news.spread = from.getSpread();
+    news.has_range = from.getPassesOn();
+    news.range = {state::node_id{from.getOrigin()}, from.getFirst(), from.getLast()};
+    news.whole = from.getWhole();
+    for (auto const each : from.getLoads())
+    {
+        news.loads.push_back(read(each));
+    }
+    for (auto const each : from.getMembers())
+    {
+        news.members.push_back(read(each));
+    }
+    for (auto const each : from.getReaders())
+    {
+        news.readers.push_back(read(each));
+    }
+    return news;
+}
+
+coordination::configuration_offer read_offer(wire::ConfigurationOffer::Reader from)
+{
+    auto const patch = from.getPatch().asChars();
+    coordination::configuration_offer offer;
+    offer.version = from.getVersion();
+    offer.base = from.getBase();
+    offer.digest = from.getDigest();
+    offer.range = {state::node_id{from.getOrigin()}, from.getFirst(), from.getLast()};
+    offer.has_range = from.getPassesOn();
+    offer.patch.assign(patch.begin(), patch.size());
+    return offer;
+}
+
 template <class Root, class Write>
 std::string packed(Write const& write_root)
 {
@@ -130,6 +188,18 @@
             write_rows(to.initLoads(static_cast<unsigned int>(news.loads.size())), news.loads);
             write_rows(to.initMembers(static_cast<unsigned int>(news.members.size())),
                        news.members);
+            to.setBeat(news.beat);
+            to.setSpread(news.spread);
+            to.setPassesOn(news.has_range);
+            // Left out where they are not needed: most messages are passed on by nobody.
+            if (news.has_range)
+            {
+                to.setOrigin(news.range.origin.value);
+                to.setFirst(news.range.first);
+                to.setLast(news.range.last);
+            }
+            write_rows(to.initReaders(static_cast<unsigned int>(news.readers.size())),
+                       news.readers);
         });
     return sealed({text.data(), text.size()}, fleet_key);
 }
@@ -143,28 +213,37 @@
     }
     std::string_view const text{datagram.data() + datagram_seal_bytes,
                                 datagram.size() - datagram_seal_bytes};
-    return unpacked<wire::FleetNews, fleet_news>(text,
-                                                 [](wire::FleetNews::Reader from)
-                                                 {
-                                                     fleet_news news;
-                                                     news.sender = state::node_id{from.getSender()};
-                                                     news.uptime =
-                                                         state::incarnation{from.getUptime()};
-                                                     news.sequence = from.getSequence();
-                                                     news.configuration = from.getConfiguration();
-                                                     news.directory = from.getDirectory();
-                                                     news.platform_age_ms = from.getPlatformAgeMs();
-                                                     news.whole = from.getWhole();
-                                                     for (auto const each : from.getLoads())
-                                                     {
-                                                         news.loads.push_back(read(each));
-                                                     }
-                                                     for (auto const each : from.getMembers())
-                                                     {
-                                                         news.members.push_back(read(each));
-                                                     }
-                                                     return news;
-                                                 });
+    return unpacked<wire::FleetNews, fleet_news>(text, read_news);
+}
+
+std::string encode(coordination::configuration_offer const& offer, std::string_view fleet_key)
+{
+    std::string const text = packed<wire::ConfigurationOffer>(
+        [&offer](wire::ConfigurationOffer::Builder to)
+        {
+            to.setVersion(offer.version);
+            to.setBase(offer.base);
+            to.setDigest(offer.digest);
+            to.setOrigin(offer.range.origin.value);
+            to.setFirst(offer.range.first);
+            to.setLast(offer.range.last);
+            to.setPassesOn(offer.has_range);
+            auto const patch = to.initPatch(static_cast<unsigned int>(offer.patch.size()));
+            std::copy(offer.patch.begin(), offer.patch.end(), patch.asChars().begin());
+        });
+    return sealed({text.data(), text.size()}, fleet_key);
+}
+
+state::result<coordination::configuration_offer>
+decode_configuration_offer(std::span<char const> datagram, std::string_view fleet_key)
+{
+    if (!is_sealed(datagram, fleet_key, {}))
+    {
+        return malformed("wrong MAC of a peer's configuration");
+    }
+    std::string_view const text{datagram.data() + datagram_seal_bytes,
+                                datagram.size() - datagram_seal_bytes};
+    return unpacked<wire::ConfigurationOffer, coordination::configuration_offer>(text, read_offer);
 }
 
 std::string encode(coordination::directory_copy const& copy)
@@ -194,4 +273,33 @@
         });
 }
 
+std::string encode(coordination::part_digests const& digests)
+{
+    std::string body;
+    for (std::uint64_t const digest : digests)
+    {
+        for (unsigned shift = 0; shift < digest_bits; shift += bits_per_byte)
+        {
+            body += static_cast<char>((digest >> shift) & 0xffU);
+        }
+    }
+    return body;
+}
+
+state::result<coordination::part_digests> decode_part_digests(std::string_view body)
+{
+    coordination::part_digests digests{};
+    constexpr std::size_t each = digest_bits / bits_per_byte;
+    if (body.size() != digests.size() * each)
+    {
+        return malformed("digests of another length");
+    }
+    for (std::size_t i = 0; i < body.size(); ++i)
+    {
+        auto const byte = static_cast<std::uint64_t>(static_cast<unsigned char>(body[i]));
+        digests[i / each] |= byte << (bits_per_byte * (i % each));
+    }
+    return digests;
+}
+
 } // namespace plumdale::protocol
--- /dev/null
+++ b/src/transport/change_lines.cpp
@@ -0,0 +1,65 @@
+#include "change_lines.hpp"
+
+#include <algorithm>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+constexpr std::string_view part = "directory";
+
+// In the order of `directory_change`.
+constexpr std::array<std::string_view, 5> decisions{"upstream unchanged", "upstream listed",
+                                                    "upstream leaving", "upstream removed",
+                                                    "upstream's entry unusable"};
+
+} // namespace
+
+void change_lines::add(coordination::directory_change change, state::service_member const& member,
+                       std::string_view source)
+{
+    batch& into = batches_[static_cast<std::size_t>(change)];
+    if (into.count < most_names)
+    {
+        into.names += into.names.empty() ? "" : " ";
+        into.names += member.name;
+        if (member.started.value != 0)
+        {
+            into.names += '/' + std::to_string(member.started.value);
+        }
+    }
+    ++into.count;
+    into.revision = std::max(into.revision, member.revision);
+    if (into.source != source)
+    {
+        into.source += into.source.empty() ? "" : " ";
+        into.source += into.source.find(source) == std::string::npos ? source : "";
+    }
+}
+
+void change_lines::flush(std::uint64_t digest, state::time_point now)
+{
+    for (std::size_t kind = 0; kind < batches_.size(); ++kind)
+    {
+        batch& from = batches_[kind];
+        if (from.count != 0 && from.written + spacing <= now)
+        {
+            write(kind, from, digest);
+            from = {};
+            from.written = now;
+        }
+    }
+}
+
+void change_lines::write(std::size_t kind, batch& from, std::uint64_t digest)
+{
+    log_.write(part, decisions[kind], {},
+               {{"upstream", from.names},
+                {"count", static_cast<std::int64_t>(from.count)},
+                {"revision", static_cast<std::int64_t>(from.revision)},
+                {"source", from.source},
+                {"digest", std::to_string(digest)}});
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/configuration_exchange.cpp
@@ -0,0 +1,206 @@
+#include "configuration_exchange.hpp"
+
+#include "boot_clock.hpp"
+
+#include <plumdale/protocol/fleet_codec.hpp>
+#include <plumdale/protocol/text_patch.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using namespace coordination;
+
+constexpr std::string_view part = "configuration";
+constexpr std::string_view source = "fleet";
+constexpr unsigned success = 200;
+constexpr std::chrono::milliseconds peer_timeout{900};
+constexpr char configuration_mark = 'c';
+
+std::uint64_t number_of(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+} // namespace
+
+configuration_exchange::configuration_exchange(forward_core& core, configuration_ways ways)
+    : core_{core}, ways_{std::move(ways)}, catch_up_{core.random}
+{
+}
+
+// -- offers ---------------------------------------------------------------------------------------
+
+configuration_offer configuration_exchange::offer_for(std::uint64_t base) const
+{
+    bool const is_former = base != 0 && base == core_.former_version;
+    configuration_offer offer;
+    offer.version = core_.version();
+    offer.base = is_former ? base : 0;
+    offer.digest = protocol::text_digest(core_.configuration_text);
+    offer.patch = protocol::make_patch(is_former ? core_.former_text : std::string_view{},
+                                       core_.configuration_text);
+    return offer;
+}
+
+void configuration_exchange::spread()
+{
+    configuration_offer offer = offer_for(core_.former_version);
+    offer.range.origin = core_.self;
+    offer.has_range = true;
+    core_.log.write(part, "passed on", {},
+                    {{"version", static_cast<std::int64_t>(offer.version)},
+                     {"base", static_cast<std::int64_t>(offer.base)},
+                     {"patch_bytes", static_cast<std::int64_t>(offer.patch.size())}});
+    pass_on(offer);
+}
+
+void configuration_exchange::pass_on(configuration_offer const& offer)
+{
+    if (!offer.has_range)
+    {
+        return;
+    }
+    bool const is_large = offer.patch.size() > configuration_offer::max_datagram_patch;
+    std::vector<offer_peer> const peers = ways_.peers();
+    std::size_t const fan_out = is_large ? usual_fan_out : fan_out_for(peers.size());
+    for (spread_target const& each : targets_of(offer.range, offer.version, peers, fan_out))
+    {
+        configuration_offer next = offer;
+        next.range = each.rest;
+        next.has_range = each.has_rest;
+        // What is too large for a datagram is asked for, and then passed on by who has it.
+        next.patch = is_large ? std::string{} : offer.patch;
+        ways_.send(std::string(1, configuration_mark) +
+                       protocol::encode(next, core_.settings.fleet_key),
+                   each.to);
+    }
+}
+
+bool configuration_exchange::take(configuration_offer const& offer)
+{
+    bool const fits = offer.base == 0 || offer.base == core_.version();
+    if (offer.patch.empty() || !fits)
+    {
+        return false;
+    }
+    auto text =
+        protocol::apply_patch(offer.base == 0 ? std::string_view{} : core_.configuration_text,
+                              offer.patch, protocol::most_configuration_bytes);
+    // Texts of one version may differ where a peer's was damaged: only the digest shows it.
+    if (!text || protocol::text_digest(text.value()) != offer.digest)
+    {
+        core_.log.write(part, "patch doesn't fit", {},
+                        {{"version", static_cast<std::int64_t>(offer.version)},
+                         {"base", static_cast<std::int64_t>(offer.base)}});
+        return false;
+    }
+    return core_.take_configuration(std::move(text).value(), source);
+}
+
+void configuration_exchange::take_offer(std::span<char const> datagram, state::endpoint streams)
+{
+    auto const read = protocol::decode_configuration_offer(datagram, core_.settings.fleet_key);
+    if (!read)
+    {
+        core_.metrics.add(forward_count::news_rejected);
+        return;
+    }
+    configuration_offer const& offer = read.value();
+    if (offer.version < core_.version())
+    {
+        return;
+    }
+    if (offer.version == core_.version() || take(offer))
+    {
+        return pass_on(offer);
+    }
+    heard_of(offer.version);
+    ask(streams,
+        [this, offer](bool given)
+        {
+            if (given && core_.version() == offer.version)
+            {
+                pass_on(offer);
+            }
+        });
+}
+
+// -- what was missed ------------------------------------------------------------------------------
+
+void configuration_exchange::heard_of(std::uint64_t version)
+{
+    catch_up_.heard_of(version, core_.version(), core_.fleet.interval(), boot_now());
+}
+
+void configuration_exchange::advance()
+{
+    state::time_point const now = boot_now();
+    switch (catch_up_.due(core_.version(), now))
+    {
+    case configuration_source::none:
+        return;
+    case configuration_source::peer:
+        if (auto const peer = core_.fleet.newer_configuration(core_.version(), core_.random(), now))
+        {
+            return ask(*peer,
+                       [this](bool given)
+                       {
+                           if (!given)
+                           {
+                               catch_up_.failed(boot_now());
+                           }
+                       });
+        }
+        return catch_up_.failed(now);
+    case configuration_source::store:
+        return ways_.read_store([this] { catch_up_.failed(boot_now()); });
+    }
+}
+
+void configuration_exchange::ask(state::endpoint peer, std::function<void(bool)> done)
+{
+    fetch_request request;
+    request.address = peer;
+    request.target = std::string{target} + std::to_string(core_.version());
+    request.timeout = peer_timeout;
+    fetch(core_.context, std::move(request),
+          [this, done = std::move(done)](state::result<fetch_answer> const& answer)
+          {
+              bool const is_whole = answer && answer.value().status == success;
+              auto const offer = is_whole ? protocol::decode_configuration_offer(
+                                                answer.value().body, core_.settings.fleet_key)
+                                          : state::result<configuration_offer>{state::failure{}};
+              bool const given = offer && take(offer.value());
+              if (!given)
+              {
+                  core_.log.write(part, "peer gave none", {},
+                                  {{"version", static_cast<std::int64_t>(core_.version())},
+                                   {"detail", answer ? std::to_string(answer.value().status)
+                                                     : answer.error().detail}});
+              }
+              done(given);
+          });
+}
+
+std::string configuration_exchange::answer_to(std::string_view asked_at)
+{
+    std::uint64_t const base = number_of(asked_at.substr(target.size()));
+    if (answered_version_ != core_.version() || answered_base_ != base)
+    {
+        answered_version_ = core_.version();
+        answered_base_ = base;
+        answer_ = protocol::encode(offer_for(base), core_.settings.fleet_key);
+    }
+    return answer_;
+}
+
+} // namespace plumdale::transport
--- a/src/transport/decision_log.cpp
+++ b/src/transport/decision_log.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/string.hpp>
 
 #include <chrono>
+#include <climits>
 #include <fcntl.h>
 #include <unistd.h>
 #include <utility>
@@ -80,11 +81,23 @@
     buffer_ += "}\n";
 }
 
+// Whole lines of at most what a pipe takes at once: a process that loses power between two parts of
+// a line leaves half of it, and the next process's first line stands inside it.
+std::size_t decision_log::next_part() const noexcept
+{
+    if (buffer_.size() <= PIPE_BUF)
+    {
+        return buffer_.size();
+    }
+    std::size_t const end = buffer_.rfind('\n', PIPE_BUF - 1);
+    return end == std::string::npos ? buffer_.find('\n') + 1 : end + 1;
+}
+
 void decision_log::flush()
 {
     while (!buffer_.empty())
     {
-        ssize_t const written = ::write(descriptor_, buffer_.data(), buffer_.size());
+        ssize_t const written = ::write(descriptor_, buffer_.data(), next_part());
         if (written <= 0)
         {
             return;
--- a/src/transport/decision_log.hpp
+++ b/src/transport/decision_log.hpp
@@ -59,6 +59,7 @@
     static constexpr std::uint32_t lines_per_second = 400;
 
 private:
+    [[nodiscard]] std::size_t next_part() const noexcept;
     [[nodiscard]] bool within_rate(state::time_point now) noexcept;
 
     int descriptor_;
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -26,11 +26,16 @@
 // The first byte of a datagram says which codec reads the rest.
 constexpr char members_mark = 'm';
 constexpr char news_mark = 'n';
+constexpr char configuration_mark = 'c';
 constexpr unsigned success = 200;
 constexpr std::chrono::milliseconds peer_timeout{700};
 // Members are found by probes and counted by their news, so probes need only keep the table: 3.7
 // KB/s at this interval.
 constexpr state::duration probe_interval = std::chrono::seconds{1};
+// Between two questions for a directory: hundreds that lack the same ask at different moments.
+constexpr state::duration directory_pause = std::chrono::milliseconds{200};
+// Between two lines of how many peers are there.
+constexpr state::duration live_line_pause = std::chrono::seconds{1};
 
 // Grows from start to start unless the time of day steps back; peers allow for that.
 state::incarnation this_uptime()
@@ -65,10 +70,15 @@
 
 fleet_exchange::fleet_exchange(forward_core& core, udp::socket socket, state::endpoint streams,
                                std::function<std::optional<state::time_point>()> last_read,
-                               std::function<void()> read_newer)
-    : core_{core}, socket_{std::move(socket)}, last_read_{std::move(last_read)},
-      read_newer_{std::move(read_newer)}, settings_{settings_of(core.settings, streams)},
-      members_{settings_, core.random()}, loads_{core.settings.load_news_bytes_per_second}
+                               std::function<void(std::function<void()>)> read_store)
+    : core_{core}, socket_{std::move(socket)},
+      last_read_{std::move(last_read)}, settings_{settings_of(core.settings, streams)},
+      members_{settings_, core.random()}, loads_{core.settings.load_news_bytes_per_second},
+      configurations_{core,
+                      {[this] { return offer_peers(); },
+                       [this](std::string datagram, state::endpoint to)
+                       { send(std::move(datagram), to); },
+                       std::move(read_store)}}
 {
 }
 
@@ -109,6 +119,10 @@
     {
         return take_peer_message(text, from);
     }
+    if (received_[0] == configuration_mark)
+    {
+        return configurations_.take_offer(text, {from.address, settings_.self.streams.port});
+    }
     auto const news = protocol::decode_fleet_news(text, settings_.fleet_key);
     if (received_[0] != news_mark || !news)
     {
@@ -144,40 +158,39 @@
     core_.ledger.take(news.sender, news.uptime, news.sequence, news.whole, news.loads, now);
     std::size_t const untold = core_.untold.size();
     core_.take_members(news.members, part);
-    // The peer tells the others itself.
+    // They reach the others as this did.
     core_.untold.resize(untold);
-    if (news.configuration > core_.version())
-    {
-        read_newer_();
-    }
+    pass_on(news);
+    configurations_.heard_of(news.configuration);
 }
 
 // -- what is lacking ------------------------------------------------------------------------------
 
-void fleet_exchange::fetch_configuration()
+void fleet_exchange::spread_configuration()
 {
-    auto const peer = core_.fleet.newer_configuration(core_.version(), core_.random(), boot_now());
-    if (!peer || std::exchange(fetching_configuration_, true))
+    configurations_.spread();
+}
+
+std::string fleet_exchange::configuration_for(std::string_view target)
+{
+    return configurations_.answer_to(target);
+}
+
+void fleet_exchange::fetch_what_differs(state::time_point now)
+{
+    if (now < directory_fetch_at_)
     {
         return;
     }
-    fetch_request request;
-    request.address = *peer;
-    request.target = configuration_target;
-    request.timeout = peer_timeout;
-    fetch(core_.context, std::move(request),
-          [this](state::result<fetch_answer> answer)
-          {
-              fetching_configuration_ = false;
-              if (answer && answer.value().status == success)
-              {
-                  core_.take_configuration(std::move(answer.value().body), part);
-                  return;
-              }
-              core_.log.write(part, "peer gave no configuration", {},
-                              {{"detail", answer ? std::to_string(answer.value().status)
-                                                 : answer.error().detail}});
-          });
+    auto const peer = core_.has_list ? core_.fleet.better_directory(core_.random(), now)
+                                     : core_.fleet.informed_peer(core_.random(), now);
+    if (peer)
+    {
+        std::uniform_int_distribution<state::duration::rep> spread{directory_pause.count() / 2,
+                                                                   directory_pause.count()};
+        directory_fetch_at_ = now + state::duration{spread(core_.random)};
+        fetch_directory(*peer);
+    }
 }
 
 void fleet_exchange::fetch_directory(state::endpoint peer)
@@ -190,8 +203,15 @@
     request.address = peer;
     request.target = directory_target;
     request.timeout = peer_timeout;
+    // Who has a list lacks some rows of it; hundreds that fetched the whole list from one peer
+    // filled its link for longer than any of them waited.
+    if (core_.has_list)
+    {
+        request.method = "POST";
+        request.body = protocol::encode(core_.directory.parts());
+    }
     fetch(core_.context, std::move(request),
-          [this](state::result<fetch_answer> const& answer)
+          [this, peer](state::result<fetch_answer> const& answer)
           {
               fetching_directory_ = false;
               auto const copy = answer && answer.value().status == success
@@ -200,7 +220,8 @@
               if (!copy)
               {
                   core_.log.write(part, "peer gave no directory", {},
-                                  {{"detail", answer ? std::to_string(answer.value().status)
+                                  {{"peer", protocol::to_text(peer)},
+                                   {"detail", answer ? std::to_string(answer.value().status)
                                                      : answer.error().detail}});
                   return;
               }
@@ -214,6 +235,19 @@
 
 // -- telling --------------------------------------------------------------------------------------
 
+std::vector<offer_peer> fleet_exchange::offer_peers() const
+{
+    std::vector<offer_peer> peers;
+    for (state::member_entry const& entry : members_.table().entries())
+    {
+        if (entry.info.id != settings_.self.id && entry.info.health != state::member_health::dead)
+        {
+            peers.push_back({entry.info.id, entry.info.datagrams});
+        }
+    }
+    return peers;
+}
+
 std::vector<state::endpoint> fleet_exchange::audience() const
 {
     std::vector<state::endpoint> peers;
@@ -246,46 +280,83 @@
     news.directory = core_.directory.digest();
     // A reader that lost the store says so, and another takes its place at once.
     news.platform_age_ms = read ? age_of(boot_now() - *read) : UINT32_MAX;
+    // Counted on from the start's own number, so that it grows across starts.
+    news.beat = core_.store_reads == 0 ? 0 : settings_.self.uptime.value + core_.store_reads;
+    news.readers = core_.fleet.reader_beats(boot_now());
     return news;
 }
 
+// Rows beyond a datagram's bound go in further ones; only the first may clear what was told.
 void fleet_exchange::tell_whole()
 {
-    fleet_news news = news_header();
-    news.whole = true;
-    send_to_all(news, core_.ledger.own_generations());
+    std::vector<state::endpoint> const peers = audience();
+    std::vector<member_load> const rows = core_.ledger.own_generations();
+    std::size_t next = 0;
+    do
+    {
+        fleet_news news = news_header();
+        std::size_t const count = std::min(rows.size() - next, fleet_news::max_loads);
+        auto const begin = rows.begin() + static_cast<std::ptrdiff_t>(next);
+        news.whole = next == 0;
+        news.loads.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+        next += count;
+        note_told(news);
+        send(news, peers);
+    } while (next < rows.size());
 }
 
-void fleet_exchange::tell_directory()
+void fleet_exchange::tell_standing()
 {
     fleet_news news = news_header();
-    send_to_all(news, {});
+    note_told(news);
+    send(news, audience());
 }
 
-// Rows beyond a datagram's bound go in further ones; only the first may clear what was told.
-void fleet_exchange::send_to_all(fleet_news& news, std::vector<member_load> const& rows)
+void fleet_exchange::note_told(fleet_news const& news)
 {
     told_lost_ = news.platform_age_ms == UINT32_MAX;
-    told_configuration_ = news.configuration;
-    std::vector<state::endpoint> const peers = audience();
-    std::size_t next_load = 0;
-    std::size_t next_member = 0;
-    do
+    told_reads_ = core_.reads_store;
+}
+
+// From a reader's own link to hundreds, a burst of changes overflows it, and half of the fleet
+// misses the same datagrams. Passed on, each VM sends it to a few.
+void fleet_exchange::tell_members()
+{
+    std::vector<state::service_member> const told = std::exchange(core_.untold, {});
+    bool const is_direct = offer_peers().size() <= most_direct;
+    for (std::size_t next = 0; next < told.size(); next += fleet_news::max_members)
     {
-        news.whole = news.whole && next_load == 0;
-        std::size_t const loads = std::min(rows.size() - next_load, fleet_news::max_loads);
-        news.loads.assign(rows.begin() + static_cast<std::ptrdiff_t>(next_load),
-                          rows.begin() + static_cast<std::ptrdiff_t>(next_load + loads));
-        next_load += loads;
-        std::size_t const members =
-            std::min(core_.untold.size() - next_member, fleet_news::max_members);
-        news.members.assign(core_.untold.begin() + static_cast<std::ptrdiff_t>(next_member),
-                            core_.untold.begin() +
-                                static_cast<std::ptrdiff_t>(next_member + members));
-        next_member += members;
-        send(news, peers);
-    } while (next_load < rows.size() || next_member < core_.untold.size());
-    core_.untold.clear();
+        std::size_t const count = std::min(told.size() - next, fleet_news::max_members);
+        auto const begin = told.begin() + static_cast<std::ptrdiff_t>(next);
+        fleet_news news;
+        news.members.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+        news.range.origin = settings_.self.id;
+        news.has_range = true;
+        for (std::size_t tree = 0; tree < (is_direct ? 1 : usual_trees); ++tree)
+        {
+            news.spread = core_.random();
+            pass_on(news);
+        }
+    }
+}
+
+void fleet_exchange::pass_on(fleet_news const& from)
+{
+    if (!from.has_range)
+    {
+        return;
+    }
+    std::vector<offer_peer> const peers = offer_peers();
+    for (spread_target const& target :
+         targets_of(from.range, from.spread, peers, fan_out_for(peers.size())))
+    {
+        fleet_news news = news_header();
+        news.members = from.members;
+        news.spread = from.spread;
+        news.range = target.rest;
+        news.has_range = target.has_rest;
+        send(news, std::array{target.to});
+    }
 }
 
 void fleet_exchange::tell_loads()
@@ -354,8 +425,9 @@
 void fleet_exchange::note_peers(state::time_point now)
 {
     std::size_t const live = core_.fleet.live(now);
-    if (live != live_)
+    if (live != live_ && live_told_ + live_line_pause <= now)
     {
+        live_told_ = now;
         core_.log.write(part, live > live_ ? "peers joined" : "peers lost", {},
                         {{"live", static_cast<std::int64_t>(live)},
                          {"before", static_cast<std::int64_t>(live_)}});
@@ -370,22 +442,21 @@
     core_.ledger.forget_silent(now, core_.fleet.silence() + fleet_view::most_interval);
     core_.fleet.forget_silent(now);
     note_peers(now);
-    if (auto const peer = core_.fleet.better_directory(core_.random(), now))
-    {
-        fetch_directory(*peer);
-    }
+    fetch_what_differs(now);
+    configurations_.advance();
     bool const lost = !last_read_();
-    bool const is_urgent =
-        !core_.untold.empty() || core_.version() != told_configuration_ || lost != told_lost_;
+    bool const begins_to_read = core_.reads_store && !told_reads_;
+    bool const is_urgent = lost != told_lost_ || begins_to_read;
+    tell_members();
     if (now >= whole_at_)
     {
-        whole_at_ = now + (core_.fleet.is_reader(now) ? core_.fleet.interval()
-                                                      : core_.fleet.calm_interval());
+        whole_at_ =
+            now + (core_.fleet.is_reader() ? core_.fleet.interval() : core_.fleet.calm_interval());
         tell_whole();
     }
     else if (is_urgent)
     {
-        tell_directory();
+        tell_standing();
     }
     tell_loads();
 }
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration_exchange.hpp"
 #include "forward_core.hpp"
 
 #include <plumdale/coordination/load_news.hpp>
@@ -28,23 +29,23 @@
 {
 public:
     /// \brief `last_read` returns when this VM last read the platform's store itself, none while it
-    /// can't; `read_newer` reads the configuration there.
+    /// can't; `read_store` reads the configuration there, for what no peer gives.
     fleet_exchange(forward_core& core, net::ip::udp::socket socket, state::endpoint streams,
                    std::function<std::optional<state::time_point>()> last_read,
-                   std::function<void()> read_newer);
+                   std::function<void(std::function<void()>)> read_store);
 
     void start();
     /// \brief Does what is due; called several times a second.
     void advance();
-    /// \brief Asks a peer for the configuration, when one follows a newer one than this VM.
-    void fetch_configuration();
+    /// \brief This VM read a newer configuration: all are to have it.
+    void spread_configuration();
+    /// \brief Returns the body for a peer that asks for the configuration at `target`.
+    [[nodiscard]] std::string configuration_for(std::string_view target);
     /// \brief The own load at an upstream changed: told at once, as far as the budget goes.
     void tell_load(state::member_key member);
     /// \brief This VM leaves the fleet.
     void leave();
 
-    /// \brief Path at which peers give out the configuration as published.
-    static constexpr std::string_view configuration_target = "/fleet/configuration";
     /// \brief Path at which peers give out their directory of upstreams.
     static constexpr std::string_view directory_target = "/fleet/upstreams";
 
@@ -56,34 +57,39 @@
     void carry_out(coordination::control_actions const& actions);
     void advance_members();
     void tell_whole();
-    void tell_directory();
+    void tell_standing();
+    void tell_members();
     void tell_loads();
+    void note_told(coordination::fleet_news const& news);
+    /// \brief Sends upstreams to the heads of a range, who pass them on.
+    void pass_on(coordination::fleet_news const& from);
     [[nodiscard]] coordination::fleet_news news_header();
-    void send_to_all(coordination::fleet_news& news,
-                     std::vector<coordination::member_load> const& rows);
     void send(std::string datagram, state::endpoint to);
     /// \brief Numbers a message and sends it to all of `peers`.
     void send(coordination::fleet_news& news, std::span<state::endpoint const> peers);
     void note_peers(state::time_point now);
     void fetch_directory(state::endpoint peer);
+    void fetch_what_differs(state::time_point now);
     [[nodiscard]] std::vector<state::endpoint> audience() const;
+    [[nodiscard]] std::vector<offer_peer> offer_peers() const;
 
     forward_core& core_;
     net::ip::udp::socket socket_;
     net::ip::udp::endpoint sender_;
     std::array<char, 2048> received_{};
     std::function<std::optional<state::time_point>()> last_read_;
-    std::function<void()> read_newer_;
     coordination::node_settings settings_;
     coordination::membership members_;
     std::uint64_t sequence_ = 0;
     state::time_point whole_at_{};
     coordination::load_news loads_;
-    std::uint64_t told_configuration_ = 0;
+    configuration_exchange configurations_;
     bool told_lost_ = false;
+    bool told_reads_ = false;
     bool telling_ = false;
     std::size_t live_ = 1;
-    bool fetching_configuration_ = false;
+    state::time_point live_told_{};
+    state::time_point directory_fetch_at_{};
     bool fetching_directory_ = false;
 };
 
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -18,22 +18,15 @@
 
 constexpr std::string_view part = "directory";
 
-std::string_view change_name(directory_change change)
+// One that has just started hears within this time who reads the store; the seeds, whom all others
+// ask first, are the first to volunteer.
+constexpr state::duration seed_patience = std::chrono::milliseconds{500};
+constexpr state::duration start_patience = std::chrono::milliseconds{1'500};
+
+bool names_itself(protocol::forward_settings const& settings)
 {
-    switch (change)
-    {
-    case directory_change::listed:
-        return "upstream listed";
-    case directory_change::leaving:
-        return "upstream leaving";
-    case directory_change::removed:
-        return "upstream removed";
-    case directory_change::unusable:
-        return "upstream's entry unusable";
-    case directory_change::none:
-        break;
-    }
-    return "upstream unchanged";
+    return std::find(settings.seeds.begin(), settings.seeds.end(), settings.datagrams) !=
+           settings.seeds.end();
 }
 
 std::random_device::result_type random_seed()
@@ -46,8 +39,10 @@
 
 forward_core::forward_core(net::io_context& loop, protocol::forward_settings const& chosen,
                            protocol::dialect const& words, decision_log& lines)
-    : context{loop}, settings{chosen}, dialect{words}, log{lines}, random{random_seed()},
-      fleet{state::named<state::node_id>(protocol::to_text(chosen.datagrams))},
+    : context{loop}, settings{chosen}, dialect{words}, log{lines},
+      self{state::named<state::node_id>(protocol::to_text(chosen.datagrams))}, is_seed{names_itself(
+                                                                                   chosen)},
+      random{random_seed()}, fleet{self, boot_now() + (is_seed ? seed_patience : start_patience)},
       choice{directory, ledger, health, settings.zone, random}, orders{loop},
       departures{loop,
                  words,
@@ -57,7 +52,8 @@
                  [this](state::member_key member, state::incarnation started)
                  {
                      note_start(member, started);
-                 }}
+                 }},
+      changes_{lines}
 {
 }
 
@@ -80,7 +76,8 @@
         return false;
     }
     routing = std::make_shared<coordination::routing_table const>(std::move(decoded.value()));
-    configuration_text = std::move(text);
+    former_version = known;
+    former_text = std::exchange(configuration_text, std::move(text));
     log.write("configuration", "in force", {},
               {{"version", static_cast<std::int64_t>(newer)},
                {"before", static_cast<std::int64_t>(known)},
@@ -106,11 +103,7 @@
         return;
     }
     coordination::directory_entry const* const entry = directory.find(*latest);
-    log.write(part, change_name(change), {},
-              {{"upstream", member.name},
-               {"started", static_cast<std::int64_t>(entry->info.started.value)},
-               {"revision", static_cast<std::int64_t>(member.revision)},
-               {"source", source}});
+    changes_.add(change, entry->info, source);
     untold.push_back(entry->info);
     fleet.directory_changed(directory.digest(), now);
     if (change == directory_change::removed || change == directory_change::leaving)
@@ -228,6 +221,11 @@
     log.write(part, "upstream replaced", {}, {{"member", static_cast<std::int64_t>(member.value)}});
 }
 
+void forward_core::tell_changes(state::time_point now)
+{
+    changes_.flush(directory.digest(), now);
+}
+
 state::duration forward_core::platform_age(state::time_point now) const
 {
     return now - std::max(platform_read, fleet.platform_read(now));
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "change_lines.hpp"
 #include "decision_log.hpp"
 #include "departure_board.hpp"
 #include "forward_metrics.hpp"
@@ -62,6 +63,8 @@
                    std::string_view source);
     /// \brief Another incarnation answered at this one's address.
     void member_replaced(state::member_key member);
+    /// \brief Writes the lines of changes that are due.
+    void tell_changes(state::time_point now);
     /// \brief Returns whether calls can be decided: a configuration and a list of upstreams.
     [[nodiscard]] bool informed() const noexcept
     {
@@ -83,6 +86,10 @@
     protocol::dialect const& dialect;
     decision_log& log;
     forward_metrics metrics;
+    /// \brief This VM among its peers.
+    state::node_id const self;
+    /// \brief This VM is one of those by which the others find the fleet.
+    bool const is_seed;
     coordination::route_outcomes outcomes;
     std::minstd_rand random;
     coordination::service_directory directory;
@@ -97,11 +104,18 @@
     std::shared_ptr<coordination::routing_table const> routing;
     /// \brief The configuration as published, for peers that ask.
     std::string configuration_text;
+    /// \brief The one before, to tell peers what differs.
+    std::string former_text;
+    std::uint64_t former_version = 0;
     /// \brief The platform's revision of the newest whole list.
     std::uint64_t list_revision = 0;
     bool has_list = false;
     /// \brief When this VM last read the platform's store itself.
     state::time_point platform_read{};
+    /// \brief Reads of the store's current state by this process.
+    std::uint64_t store_reads = 0;
+    /// \brief This VM is a reader, and has read.
+    bool reads_store = false;
     /// \brief When SIGTERM came; `never` before.
     state::time_point closing_since = state::never;
     /// \brief Upstreams that peers are to be told of.
@@ -111,6 +125,9 @@
     /// peers choose by that.
     std::function<void(state::member_key)> load_changed = [](state::member_key /*member*/) {
     };
+    /// \brief Called when this VM read a newer configuration as a reader of the store.
+    std::function<void()> configuration_read = [] {
+    };
 
 private:
     void take_member(state::service_member const& member, std::string_view source);
@@ -119,6 +136,7 @@
     void note_start(state::member_key member, state::incarnation started);
     coordination::repeat_allowance& allowance_of(std::string const& service);
 
+    change_lines changes_;
     std::unordered_map<std::string, coordination::repeat_allowance> allowances_;
     std::unordered_map<std::string, coordination::usual_patience> patience_;
 };
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -69,7 +69,11 @@
         fleet_.emplace(
             core_, std::move(datagrams), settings_.streams,
             [this] { return store_.is_lost() ? std::nullopt : std::optional{store_.last_read()}; },
-            [this] { read_newer(); });
+            [this](std::function<void()> otherwise) { store_.read_once(std::move(otherwise)); });
+        core_.configuration_read = [this]
+        {
+            fleet_->spread_configuration();
+        };
         core_.load_changed = [this](state::member_key member)
         {
             fleet_->tell_load(member);
@@ -104,13 +108,6 @@
     }
 
 private:
-    // The store has it whole and its link is wide; peers are asked when it turns this VM away.
-    void read_newer()
-    {
-        store_.is_lost() ? fleet_->fetch_configuration()
-                         : store_.read_once([this] { fleet_->fetch_configuration(); });
-    }
-
     // -- connections ------------------------------------------------------------
 
     void accept(tcp::acceptor& acceptor, call_starter start)
@@ -201,22 +198,32 @@
         return nullptr;
     }
 
+    // A peer that tells what it has gets the rows of what differs; they are no whole list.
+    [[nodiscard]] coordination::directory_copy directory_for(std::string_view asked) const
+    {
+        coordination::directory_copy copy;
+        if (auto const parts = protocol::decode_part_digests(asked))
+        {
+            copy.members = core_.directory.rows_beside(parts.value());
+            return copy;
+        }
+        copy.revision = core_.list_revision;
+        for (auto const& [key, entry] : core_.directory.entries())
+        {
+            copy.members.push_back(entry.info);
+        }
+        return copy;
+    }
+
     std::shared_ptr<call_handler> answer_peer(caller_channel& channel, whole_call const& call)
     {
-        if (call.head.target == fleet_exchange::configuration_target &&
-            !core_.configuration_text.empty())
+        if (call.head.target.starts_with(configuration_exchange::target) && core_.version() != 0)
         {
-            channel.answer(ok, "OK", {}, core_.configuration_text);
+            channel.answer(ok, "OK", {}, fleet_->configuration_for(call.head.target));
         }
         else if (call.head.target == fleet_exchange::directory_target && core_.has_list)
         {
-            coordination::directory_copy copy;
-            copy.revision = core_.list_revision;
-            for (auto const& [key, entry] : core_.directory.entries())
-            {
-                copy.members.push_back(entry.info);
-            }
-            channel.answer(ok, "OK", {}, protocol::encode(copy));
+            channel.answer(ok, "OK", {}, protocol::encode(directory_for(call.body)));
         }
         else
         {
@@ -237,6 +244,7 @@
         }
         last_chores_ = now;
         fleet_->advance();
+        core_.tell_changes(now);
         core_.pool.sweep(now);
         core_.directory.forget(now);
         core_.departures.sweep();
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -34,7 +34,7 @@
             {"ready", core.informed() && core.closing_since == state::never},
             {"configuration", core.version()},
             {"platform_age_ms", platform_age(core, now)},
-            {"reads_platform", core.fleet.is_reader(now)},
+            {"reads_platform", core.fleet.is_reader()},
             {"live_entry_vms", core.fleet.live(now)},
             {"calls_in_progress", core.calls_in_progress}};
 }
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -51,20 +51,42 @@
 
 void store_reader::step()
 {
-    bool const reads = !core_.informed() || core_.fleet.is_reader(boot_now());
+    if (!core_.informed())
+    {
+        return learn();
+    }
+    bool const reads = core_.fleet.decide_duty(boot_now());
     note_duty(reads);
     if (!reads)
     {
         // What this VM heard of the store gets old; it starts over when it reads again.
         synced_ = false;
         has_configuration_ = false;
+        lost_ = false;
+        core_.reads_store = false;
         return step_in(duty_check);
     }
     if (!has_configuration_)
     {
-        return read_configuration();
+        return read_configuration(protocol::store_read::current);
     }
-    synced_ ? watch() : read_list({});
+    synced_ ? watch() : read_list(protocol::store_read::current, {});
+}
+
+// All of a fleet that lost power start together. What may lag is enough to serve by, costs a tenth,
+// and what came since is heard from the readers.
+void store_reader::learn()
+{
+    bool const asks_first = core_.is_seed && !is_published_;
+    protocol::store_read const kind =
+        asks_first ? protocol::store_read::current : protocol::store_read::may_lag;
+    core_.version() == 0 ? read_configuration(kind) : read_list(kind, {});
+}
+
+void store_reader::not_published()
+{
+    is_published_ = false;
+    step_in(core_.is_seed ? unpublished_retry : spread(unpublished_patience));
 }
 
 void store_reader::note_duty(bool reads)
@@ -88,10 +110,15 @@
     fetcher_.fetch(std::move(request), std::move(handler));
 }
 
-void store_reader::succeeded()
+void store_reader::succeeded(protocol::store_read kind)
 {
     state::time_point const now = boot_now();
     retry_ = first_retry;
+    if (kind == protocol::store_read::may_lag)
+    {
+        lost_ = false;
+        return;
+    }
     if (lost_)
     {
         state::time_point const last_known = std::max(last_read_, core_.fleet.platform_read(now));
@@ -107,6 +134,20 @@
     }
     last_read_ = now;
     core_.platform_read = now;
+    ++core_.store_reads;
+    core_.reads_store = core_.fleet.is_reader();
+}
+
+state::duration store_reader::spread(state::duration time)
+{
+    std::uniform_int_distribution<state::duration::rep> of{time.count() / 2, time.count()};
+    return state::duration{of(core_.random)};
+}
+
+std::size_t store_reader::others_asking() const
+{
+    state::time_point const now = boot_now();
+    return core_.informed() ? core_.fleet.lost_peers(now) : core_.fleet.live(now) - 1;
 }
 
 void store_reader::failed(std::string_view what, state::result<fetch_answer> const& answer)
@@ -120,19 +161,20 @@
             {{"call", what},
              {"detail", answer ? std::to_string(answer.value().status) : answer.error().detail}});
     }
-    std::uniform_int_distribution<std::int64_t> spread{retry_.count() / 2, retry_.count()};
-    step_in(state::duration{spread(core_.random)});
-    retry_ = std::min(longest_retry, retry_ * 2);
+    step_in(spread(retry_));
+    auto const sharing =
+        static_cast<std::int64_t>(std::max<std::size_t>(1, others_asking() / askers));
+    retry_ = std::min({retry_ * 2, longest_retry * sharing, longest_shared_retry});
 }
 
-void store_reader::read_configuration()
+void store_reader::read_configuration(protocol::store_read kind)
 {
-    call(core_.dialect.configuration_target(protocol::store_read::current), answer_time,
-         [this](state::result<fetch_answer> const& answer)
+    call(core_.dialect.configuration_target(kind), answer_time,
+         [this, kind](state::result<fetch_answer> const& answer)
          {
              if (answer && answer.value().status == not_found)
              {
-                 return step_in(unpublished_retry);
+                 return not_published();
              }
              auto const page = is_whole(answer)
                                    ? core_.dialect.read_configuration(answer.value().body)
@@ -141,10 +183,17 @@
              {
                  return failed("configuration", answer);
              }
-             succeeded();
-             has_configuration_ = true;
-             after_ = page.value().revision;
-             core_.take_configuration(page.value().configuration, part);
+             succeeded(kind);
+             if (kind == protocol::store_read::current)
+             {
+                 has_configuration_ = core_.informed();
+                 after_ = page.value().revision;
+             }
+             bool const is_newer = core_.take_configuration(page.value().configuration, part);
+             if (is_newer && kind == protocol::store_read::current)
+             {
+                 core_.configuration_read();
+             }
              step();
          });
 }
@@ -192,7 +241,7 @@
          });
 }
 
-void store_reader::read_list(std::string const& page)
+void store_reader::read_list(protocol::store_read kind, std::string const& page)
 {
     if (page.empty())
     {
@@ -200,8 +249,8 @@
         unusable_.clear();
         list_revision_ = 0;
     }
-    call(core_.dialect.list_target(page), answer_time,
-         [this](state::result<fetch_answer> const& answer)
+    call(core_.dialect.list_target(kind, page), answer_time,
+         [this, kind](state::result<fetch_answer> const& answer)
          {
              auto const answered = is_whole(answer)
                                        ? core_.dialect.read_list(answer.value().body)
@@ -210,7 +259,7 @@
              {
                  return failed("list", answer);
              }
-             succeeded();
+             succeeded(kind);
              protocol::store_page const& read = answered.value();
              // Pages are not one snapshot: changes since the first are heard from the watch.
              list_revision_ = list_revision_ == 0 ? read.revision : list_revision_;
@@ -218,16 +267,24 @@
              unusable_.insert(unusable_.end(), read.unusable.begin(), read.unusable.end());
              if (!read.next_page.empty())
              {
-                 return read_list(read.next_page);
+                 return read_list(kind, read.next_page);
              }
-             core_.take_list(listed_, unusable_, list_revision_, part);
-             synced_ = true;
-             // The configuration was read first; what came between is heard from the watch.
-             after_ = std::min(after_, list_revision_);
-             std::exchange(has_started_, true) ? step() : step_in(first_watch_pause);
+             take_list(kind);
          });
 }
 
+void store_reader::take_list(protocol::store_read kind)
+{
+    core_.take_list(listed_, unusable_, list_revision_, part);
+    if (kind == protocol::store_read::current)
+    {
+        synced_ = true;
+        // The configuration was read first; what came between is heard from the watch.
+        after_ = std::min(after_, list_revision_);
+    }
+    step();
+}
+
 void store_reader::watch()
 {
     call(core_.dialect.watch_target(after_, watch_wait), watch_wait + answer_time,
@@ -248,11 +305,13 @@
              {
                  return failed("watch", answer);
              }
-             succeeded();
+             succeeded(protocol::store_read::current);
              after_ = std::max(after_, page.value().revision);
-             if (!page.value().configuration.empty())
+             bool const is_newer = !page.value().configuration.empty() &&
+                                   core_.take_configuration(page.value().configuration, part);
+             if (is_newer)
              {
-                 core_.take_configuration(page.value().configuration, part);
+                 core_.configuration_read();
              }
              core_.take_members(page.value().members, part);
              core_.take_unusable(page.value().unusable, part);
--- a/src/transport/store_reader.hpp
+++ b/src/transport/store_reader.hpp
@@ -41,20 +41,22 @@
     /// \brief Upstreams write to the store several times a second and each write ends a wait, so
     /// waits are spaced: each call is paid for, and a notice of departure lasts 1.5 s.
     static constexpr state::duration watch_pause = std::chrono::milliseconds{150};
-    /// \brief A process that has just started has read all there is; within this time it hears from
-    /// its peers who watches. All of a fleet that started together watched three times each before.
-    static constexpr state::duration first_watch_pause = std::chrono::milliseconds{500};
     static constexpr state::duration watch_wait = std::chrono::milliseconds{600};
     /// \brief Beyond the wait; the store answers in 4 ms, and 60 times later on a slow day.
     static constexpr state::duration answer_time = std::chrono::milliseconds{700};
     static constexpr state::duration first_retry = std::chrono::milliseconds{150};
-    /// \brief Nothing is published before the first start; all entry VMs ask then.
+    /// \brief Nothing is published before the first start; the seeds ask then, and tell the others.
     static constexpr state::duration unpublished_retry = std::chrono::milliseconds{400};
+    /// \brief ... who ask themselves this seldom, should no seed be there.
+    static constexpr state::duration unpublished_patience = std::chrono::seconds{2};
     static constexpr state::duration longest_retry = std::chrono::milliseconds{900};
+    /// \brief Entry VMs that may ask a silent store at this pace; more ask more seldom in turn, so
+    /// that a store that returns isn't met by hundreds at once.
+    static constexpr std::size_t askers = 8;
+    static constexpr state::duration longest_shared_retry = std::chrono::seconds{6};
     /// \brief How often an entry VM that is no reader looks whether it has to be one.
     static constexpr state::duration duty_check = std::chrono::milliseconds{100};
-    /// \brief When a peer follows a newer configuration, entry VMs read it from the store within
-    /// this time: from the two that had it first it would take seconds over links of 10 Mbit/s.
+    /// \brief Entry VMs that no peer gives a newer configuration read it within this time.
     static constexpr state::duration read_once_spread = std::chrono::milliseconds{80};
     /// \brief An outage this long may have let upstreams' entries lapse: three of their heartbeats
     /// of 1.2 s, less one.
@@ -63,13 +65,18 @@
 private:
     void step();
     void step_in(state::duration time);
-    void read_configuration();
-    void read_list(std::string const& page);
+    void learn();
+    void not_published();
+    void read_configuration(protocol::store_read kind);
+    void read_list(protocol::store_read kind, std::string const& page);
+    void take_list(protocol::store_read kind);
     void watch();
     void read_newer(protocol::store_read kind, std::function<void()> const& otherwise);
     void call(std::string target, state::duration timeout, fetch_handler handler);
     void note_duty(bool reads);
-    void succeeded();
+    void succeeded(protocol::store_read kind);
+    [[nodiscard]] state::duration spread(state::duration time);
+    [[nodiscard]] std::size_t others_asking() const;
     void failed(std::string_view what, state::result<fetch_answer> const& answer);
 
     forward_core& core_;
@@ -86,7 +93,7 @@
     bool synced_ = false;
     bool lost_ = false;
     bool has_configuration_ = false;
-    bool has_started_ = false;
+    bool is_published_ = true;
 };
 
 } // namespace plumdale::transport
--- /dev/null
+++ b/tests/coordination/test_configuration_catch_up.cpp
@@ -0,0 +1,104 @@
+#include <plumdale/coordination/configuration_catch_up.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace plumdale;
+using namespace plumdale::coordination;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr state::time_point start{10s};
+constexpr state::duration interval = 1s;
+
+/// \brief Returns when `due` first names a source, looked at each 10 ms.
+state::time_point first_asked(configuration_catch_up& catch_up, state::time_point from)
+{
+    state::time_point now = from;
+    while (catch_up.due(1, now) == configuration_source::none && now < from + 20s)
+    {
+        now += 10ms;
+    }
+    return now;
+}
+
+} // namespace
+
+// Load pattern: 300 entry VMs hear within a few milliseconds that two readers have a newer
+// configuration. It is on its way to all of them; were each to read the store at once, as they did,
+// a storm of 12 configurations would be 3,600 reads for what one reader has.
+TEST_CASE("a configuration that is on its way is not asked for", "[configuration_catch_up][load]")
+{
+    std::minstd_rand random{7};
+    for (int vm = 0; vm < 300; ++vm)
+    {
+        configuration_catch_up catch_up{random};
+        catch_up.heard_of(2, 1, interval, start);
+        CHECK(catch_up.due(1, start + interval / 2 - 20ms) == configuration_source::none);
+        CHECK(catch_up.due(2, start + 5s) == configuration_source::none);
+    }
+}
+
+TEST_CASE("those that missed one ask at different moments", "[configuration_catch_up]")
+{
+    std::minstd_rand random{7};
+    std::vector<state::time_point> asked;
+    for (int vm = 0; vm < 300; ++vm)
+    {
+        configuration_catch_up catch_up{random};
+        catch_up.heard_of(2, 1, interval, start);
+        asked.push_back(first_asked(catch_up, start));
+    }
+    CHECK(*std::max_element(asked.begin(), asked.end()) <= start + interval + 10ms);
+    for (state::time_point const at : asked)
+    {
+        CHECK(std::count(asked.begin(), asked.end(), at) < 20);
+    }
+}
+
+// A caller's new key is refused with 401 as long as its VM follows the older configuration. Peers
+// that don't give the newer one are not waited for: the store has it.
+TEST_CASE("the store is asked when two peers did not give it", "[configuration_catch_up]")
+{
+    std::minstd_rand random{7};
+    configuration_catch_up catch_up{random};
+    state::time_point now = start;
+    catch_up.heard_of(2, 1, interval, now);
+    for (std::uint32_t peer = 0; peer < configuration_catch_up::peers_asked; ++peer)
+    {
+        now = first_asked(catch_up, now);
+        // `first_asked` took the answer of `due`; what it named is asked until it fails.
+        CHECK(catch_up.due(1, now) == configuration_source::none);
+        catch_up.failed(now);
+    }
+    now += configuration_catch_up::retry;
+    CHECK(catch_up.due(1, now) == configuration_source::store);
+}
+
+TEST_CASE("a question that is never answered counts as failed", "[configuration_catch_up]")
+{
+    std::minstd_rand random{7};
+    configuration_catch_up catch_up{random};
+    catch_up.heard_of(2, 1, interval, start);
+    state::time_point now = start + interval;
+    CHECK(catch_up.due(1, now) == configuration_source::peer);
+    now += configuration_catch_up::answer_time;
+    CHECK(catch_up.due(1, now) == configuration_source::peer);
+    now += configuration_catch_up::answer_time;
+    CHECK(catch_up.due(1, now) == configuration_source::store);
+}
+
+TEST_CASE("a later version does not put the question off", "[configuration_catch_up]")
+{
+    std::minstd_rand random{7};
+    configuration_catch_up catch_up{random};
+    for (std::uint64_t step = 0; step < 10; ++step)
+    {
+        catch_up.heard_of(2 + step, 1, interval, start + step * 100ms);
+    }
+    CHECK(catch_up.due(1, start + interval) == configuration_source::peer);
+}
--- a/tests/coordination/test_fleet_view.cpp
+++ b/tests/coordination/test_fleet_view.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <random>
 #include <vector>
 
 using namespace plumdale;
@@ -49,12 +50,12 @@
         }
     }
 
-    [[nodiscard]] std::vector<std::uint64_t> readers(state::time_point now) const
+    [[nodiscard]] std::vector<std::uint64_t> readers(state::time_point now)
     {
         std::vector<std::uint64_t> nodes;
         for (std::uint64_t node = 1; node <= views_.size(); ++node)
         {
-            if (views_[node - 1].is_reader(now))
+            if (views_[node - 1].decide_duty(now))
             {
                 nodes.push_back(node);
             }
@@ -173,3 +174,284 @@
     CHECK_FALSE(view.hear(restarted, streams_of(2), 0, now + 100ms));
     CHECK(view.hear(restarted, streams_of(2), 0, now + 1s));
 }
+
+namespace
+{
+
+/// \brief A fleet in virtual time: periodic messages with sightings, and datagrams that may be
+/// lost.
+class timed_fleet
+{
+public:
+    timed_fleet(std::size_t size, std::uint32_t seed) : vms_(size), random_{seed}
+    {
+        for (std::size_t i = 0; i < size; ++i)
+        {
+            vms_[i].view = fleet_view{state::node_id{state::mix(i + 1, 99)}};
+            vms_[i].tells_at = now_ + std::chrono::milliseconds{random_() % 1'000};
+        }
+    }
+
+    void run(state::duration time)
+    {
+        state::time_point const end = now_ + time;
+        for (; now_ < end; now_ += step)
+        {
+            for (std::size_t i = 0; i < vms_.size(); ++i)
+            {
+                advance(i);
+            }
+        }
+    }
+
+    void kill(std::size_t vm)
+    {
+        vms_[vm].is_up = false;
+    }
+    void restart(std::size_t vm)
+    {
+        vms_[vm].is_up = true;
+        vms_[vm].view = fleet_view{state::node_id{state::mix(vm + 1, 99)}, now_ + 1500ms};
+        vms_[vm].reads = now_.time_since_epoch().count();
+        vms_[vm].read_at = {};
+        vms_[vm].was_reader = false;
+    }
+    /// \brief Nothing passes between VMs below `vm` and the others.
+    void cut_at(std::size_t vm)
+    {
+        cut_ = vm;
+    }
+    [[nodiscard]] std::vector<std::size_t> readers() const
+    {
+        std::vector<std::size_t> found;
+        for (std::size_t i = 0; i < vms_.size(); ++i)
+        {
+            if (vms_[i].is_up && vms_[i].view.is_reader())
+            {
+                found.push_back(i);
+            }
+        }
+        return found;
+    }
+
+    /// \brief How often a VM took up reading.
+    std::size_t begun = 0;
+    /// \brief Of 1,000 datagrams.
+    std::uint32_t lost_of_thousand = 0;
+    /// \brief The store turns all away.
+    bool store_is_down = false;
+
+private:
+    static constexpr state::duration step = 100ms;
+    static constexpr state::duration read_interval = 750ms;
+
+    struct entry_vm
+    {
+        fleet_view view{state::node_id{1}};
+        state::time_point tells_at{};
+        state::time_point read_at{};
+        std::uint64_t reads = 1;
+        std::uint64_t sequence = 0;
+        bool is_up = true;
+        bool was_reader = false;
+        bool lost = false;
+    };
+
+    void advance(std::size_t i)
+    {
+        entry_vm& self = vms_[i];
+        if (!self.is_up)
+        {
+            return;
+        }
+        bool const reads = self.view.decide_duty(now_);
+        bool const begins = reads && !self.was_reader;
+        begun += begins ? 1 : 0;
+        self.was_reader = reads;
+        bool const was_lost = self.lost;
+        if (reads && self.read_at + read_interval <= now_)
+        {
+            self.lost = store_is_down;
+            self.read_at = store_is_down ? self.read_at : now_;
+            self.reads += store_is_down ? 0 : 1;
+        }
+        self.lost = self.lost && reads;
+        if (now_ >= self.tells_at || begins || self.lost != was_lost)
+        {
+            tell(i);
+        }
+    }
+
+    void tell(std::size_t i)
+    {
+        entry_vm& self = vms_[i];
+        auto const spread = std::chrono::milliseconds{random_() % 50};
+        self.tells_at = now_ + spread +
+                        (self.view.is_reader() ? self.view.interval() : self.view.calm_interval());
+        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(now_ - self.read_at);
+        fleet_news news = news_of(state::mix(i + 1, 99), ++self.sequence,
+                                  self.lost ? UINT32_MAX : static_cast<std::uint32_t>(age.count()));
+        news.uptime = state::incarnation{self.reads};
+        news.sequence = self.sequence;
+        news.beat = self.reads;
+        news.readers = self.view.reader_beats(now_);
+        for (std::size_t to = 0; to < vms_.size(); ++to)
+        {
+            bool const passes = (to < cut_) == (i < cut_) && random_() % 1'000 >= lost_of_thousand;
+            if (to != i && vms_[to].is_up && passes)
+            {
+                vms_[to].view.hear(news, streams_of(i), 0, now_);
+            }
+        }
+    }
+
+    std::vector<entry_vm> vms_;
+    std::minstd_rand random_;
+    state::time_point now_{100s};
+    std::size_t cut_ = 0;
+};
+
+constexpr std::size_t hundreds = 300;
+
+} // namespace
+
+// Load pattern: 300 VMs, one datagram in a hundred is lost. Each VM that misses a message of a
+// reader took it for silent: some hundred at a time began to read configuration and list, and the
+// store was asked 6,000 times a minute for what two readers had told.
+TEST_CASE("lost datagrams of readers change nothing in a fleet of 300", "[fleet_view][load]")
+{
+    timed_fleet fleet{hundreds, 5};
+    fleet.lost_of_thousand = 10;
+    fleet.run(8s);
+    REQUIRE(fleet.readers().size() == fleet_view::readers);
+    fleet.begun = 0;
+    fleet.run(15s);
+    CHECK(fleet.begun <= 2);
+    CHECK(fleet.readers().size() == fleet_view::readers);
+}
+
+// Both readers lose power. Callers' new keys are refused until somebody reads on, and the store is
+// not to be met by all 298 others at once.
+TEST_CASE("a dead pair of readers is replaced in time and by few", "[fleet_view][load]")
+{
+    for (std::uint32_t seed = 1; seed <= 1; ++seed)
+    {
+        timed_fleet fleet{hundreds, seed};
+        fleet.run(8s);
+        for (std::size_t const reader : fleet.readers())
+        {
+            fleet.kill(reader);
+        }
+        fleet.begun = 0;
+        fleet.run(2'600ms);
+        CHECK(fleet.readers().size() >= fleet_view::readers);
+        fleet.run(5s);
+        CHECK(fleet.begun <= 8);
+        CHECK(fleet.readers().size() == fleet_view::readers);
+    }
+}
+
+// A zone of 50 VMs is cut off from the others and reaches the store; both readers are outside. Its
+// callers are served by what its own readers learn, and as it comes back two of the fleet read on.
+TEST_CASE("a zone that is cut off has its own readers", "[fleet_view][load]")
+{
+    for (std::uint32_t seed = 1; seed <= 1; ++seed)
+    {
+        timed_fleet fleet{hundreds, seed};
+        fleet.run(8s);
+        fleet.begun = 0;
+        fleet.cut_at(50);
+        fleet.run(4s);
+        auto const readers = fleet.readers();
+        auto const inside = std::count_if(readers.begin(), readers.end(),
+                                          [](std::size_t reader) { return reader < 50; });
+        CHECK(inside >= 1);
+        fleet.run(6s);
+        CHECK(fleet.begun <= 20);
+        fleet.cut_at(0);
+        fleet.run(10s);
+        CHECK(fleet.readers().size() == fleet_view::readers);
+    }
+}
+
+// The word of a reader that died is passed on by hundreds; it must not keep the reader alive.
+TEST_CASE("what is passed on of a dead reader ages", "[fleet_view]")
+{
+    timed_fleet fleet{hundreds, 3};
+    fleet.run(8s);
+    std::vector<std::size_t> const dead = fleet.readers();
+    for (std::size_t const reader : dead)
+    {
+        fleet.kill(reader);
+    }
+    // VMs that start now have never heard the dead ones themselves.
+    for (std::size_t vm = 100; vm < 130; ++vm)
+    {
+        bool const is_dead = std::find(dead.begin(), dead.end(), vm) != dead.end();
+        if (!is_dead)
+        {
+            fleet.restart(vm);
+        }
+    }
+    fleet.run(6s);
+    CHECK(fleet.readers().size() == fleet_view::readers);
+}
+
+// All reach the store again as it returns; until then few ask it, not all 300.
+TEST_CASE("a store that is down for all is not asked by all", "[fleet_view][load]")
+{
+    timed_fleet fleet{hundreds, 4};
+    fleet.run(8s);
+    fleet.begun = 0;
+    fleet.store_is_down = true;
+    fleet.run(4'500ms);
+    CHECK(fleet.begun <= 120);
+    fleet.store_is_down = false;
+    fleet.run(10s);
+    CHECK(fleet.readers().size() == fleet_view::readers);
+}
+
+// A reader's message tells of a directory that this VM had a moment ago: the change is on its way
+// to the reader. Hundreds took that for a loss and fetched the whole directory from the two
+// readers.
+TEST_CASE("a reader that is behind is not asked for its directory", "[fleet_view]")
+{
+    fleet_view view{state::node_id{1}};
+    state::time_point now{10s};
+    view.directory_changed(7, now);
+    view.directory_changed(8, now);
+    fleet_news news = news_of(2, 1, 50);
+    news.directory = 7;
+    view.hear(news, streams_of(2), 8, now);
+    news.sequence = 2;
+    now += 1s;
+    view.hear(news, streams_of(2), 8, now);
+    CHECK_FALSE(view.better_directory(1, now));
+}
+
+// What a reader has and this VM lacks, most peers have as well.
+TEST_CASE("a directory is asked of all that agree with a reader", "[fleet_view][load]")
+{
+    fleet_view view{state::node_id{1}};
+    state::time_point const now{10s};
+    for (state::time_point const at : {now, now + 1s})
+    {
+        for (std::uint64_t node = 2; node <= hundreds; ++node)
+        {
+            fleet_news news = news_of(node, at == now ? 1 : 2, node <= 3 ? 50 : 60'000);
+            news.directory = 99;
+            view.hear(news, streams_of(node), 1, at);
+        }
+    }
+    std::vector<state::endpoint> asked;
+    for (std::uint64_t draw = 0; draw < 100; ++draw)
+    {
+        auto const peer = view.better_directory(draw, now + 1s);
+        REQUIRE(peer);
+        if (std::find(asked.begin(), asked.end(), *peer) == asked.end())
+        {
+            asked.push_back(*peer);
+        }
+    }
+    CHECK(asked.size() > 60);
+}
--- a/tests/coordination/test_service_directory.cpp
+++ b/tests/coordination/test_service_directory.cpp
@@ -302,3 +302,52 @@
         }
     }
 }
+
+namespace
+{
+
+state::service_member numbered(std::uint64_t number, std::uint64_t revision)
+{
+    state::service_member member;
+    member.name = "i-" + std::to_string(number);
+    member.service = "lists";
+    member.zone = "a";
+    member.slots = 24;
+    member.address = {0x0a000001, static_cast<std::uint16_t>(number)};
+    member.revision = revision;
+    return member;
+}
+
+} // namespace
+
+// Load pattern: 60 of 300 VMs miss the same datagram of a release among 1,000 upstreams. Each used
+// to fetch all rows from one of two readers, whose link was full for longer than any of them
+// waited, so none got them, and all asked again.
+TEST_CASE("of a directory only the parts that differ are exchanged", "[service_directory][load]")
+{
+    state::time_point const now{10s};
+    service_directory behind;
+    service_directory ahead;
+    for (std::uint64_t number = 0; number < 1'000; ++number)
+    {
+        behind.join(numbered(number, 1), now);
+        ahead.join(numbered(number, 1), now);
+    }
+    state::service_member leaving = numbered(17, 2);
+    leaving.leaving = true;
+    ahead.join(leaving, now);
+    state::service_member removed = numbered(400, 3);
+    removed.listed = false;
+    ahead.join(removed, now);
+    ahead.join(numbered(2'000, 4), now);
+
+    auto const rows = ahead.rows_beside(behind.parts());
+    CHECK(rows.size() < 100);
+    for (state::service_member const& row : rows)
+    {
+        behind.join(row, now);
+    }
+    CHECK(behind.digest() == ahead.digest());
+    CHECK(behind.parts() == ahead.parts());
+    CHECK(ahead.rows_beside(behind.parts()).empty());
+}
--- /dev/null
+++ b/tests/coordination/test_spread_tree.cpp
@@ -0,0 +1,148 @@
+#include <plumdale/coordination/spread_tree.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <vector>
+
+using namespace plumdale;
+using namespace plumdale::coordination;
+
+namespace
+{
+
+constexpr std::size_t fleet_size = 300;
+
+std::vector<state::node_id> fleet(std::size_t size)
+{
+    std::vector<state::node_id> nodes;
+    for (std::uint64_t node = 1; node <= size; ++node)
+    {
+        nodes.push_back(state::node_id{state::mix(node, 7)});
+    }
+    return nodes;
+}
+
+struct spread_result
+{
+    std::map<std::uint64_t, int> received;
+    std::size_t most_sent = 0;
+    int steps = 0;
+};
+
+/// \brief Spreads a message from the first VM; those in `dead` pass nothing on, and of a thousand
+/// datagrams `lost` are lost.
+spread_result spread(std::vector<state::node_id> const& nodes, std::uint64_t message,
+                     std::vector<state::node_id> const& dead, std::uint32_t lost = 0)
+{
+    std::minstd_rand random{static_cast<std::uint32_t>(message)};
+    struct holder
+    {
+        spread_range range;
+        int step = 0;
+    };
+    spread_result result;
+    std::deque<holder> holders{{{nodes.front()}, 0}};
+    while (!holders.empty())
+    {
+        holder const from = holders.front();
+        holders.pop_front();
+        auto const branches = branches_of(from.range, message, nodes, usual_fan_out);
+        result.most_sent = std::max(result.most_sent, branches.size());
+        for (spread_branch const& branch : branches)
+        {
+            if (random() % 1'000 < lost)
+            {
+                continue;
+            }
+            ++result.received[branch.head.value];
+            result.steps = std::max(result.steps, from.step + 1);
+            bool const passes_on =
+                branch.has_rest && std::find(dead.begin(), dead.end(), branch.head) == dead.end();
+            if (passes_on)
+            {
+                holders.push_back({branch.rest, from.step + 1});
+            }
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+// Load pattern: one reader has a configuration that 299 others lack, each on a link of 20 Mbit/s.
+// Were it to send to all of them, a text of 330 KB would keep its link busy for 39 s.
+TEST_CASE("each of a fleet of 300 gets a message once, from one that sends to four",
+          "[spread_tree][load]")
+{
+    for (std::uint64_t message = 1; message <= 20; ++message)
+    {
+        spread_result const result = spread(fleet(fleet_size), message, {});
+        CHECK(result.received.size() == fleet_size - 1);
+        CHECK(std::all_of(result.received.begin(), result.received.end(),
+                          [](auto const& each) { return each.second == 1; }));
+        CHECK(result.most_sent <= usual_fan_out);
+        CHECK(result.steps <= 5);
+    }
+}
+
+TEST_CASE("a fleet of any size is reached whole", "[spread_tree]")
+{
+    for (std::size_t size = 2; size <= 20; ++size)
+    {
+        CHECK(spread(fleet(size), 1, {}).received.size() == size - 1);
+    }
+}
+
+// A VM dies with a part of the tree below it. With the next configuration it has another place, so
+// the same VMs don't always wait for the repair.
+TEST_CASE("places change from message to message", "[spread_tree]")
+{
+    std::vector<state::node_id> const nodes = fleet(fleet_size);
+    std::vector<state::node_id> const dead{nodes[17]};
+    std::map<std::uint64_t, int> missed;
+    for (std::uint64_t message = 1; message <= 20; ++message)
+    {
+        auto const received = spread(nodes, message, dead).received;
+        for (state::node_id const node : nodes)
+        {
+            missed[node.value] += received.contains(node.value) || node == nodes.front() ? 0 : 1;
+        }
+    }
+    int const most =
+        std::max_element(missed.begin(), missed.end(),
+                         [](auto const& a, auto const& b) { return a.second < b.second; })
+            ->second;
+    CHECK(most <= 6);
+}
+
+TEST_CASE("nobody is sent what the range does not hold", "[spread_tree]")
+{
+    CHECK(branches_of({state::node_id{1}, 5, 5}, 1, fleet(9), usual_fan_out).empty());
+    CHECK(branches_of({}, 1, {}, usual_fan_out).empty());
+}
+
+// One datagram in a hundred is lost, and with it all that its receiver would have passed on. An
+// entry VM that misses a departure sends drafts to an upstream that refuses them.
+TEST_CASE("two trees reach nearly all of a fleet of 300 over links that lose",
+          "[spread_tree][load]")
+{
+    std::vector<state::node_id> const nodes = fleet(fleet_size);
+    std::size_t missed = 0;
+    constexpr std::uint64_t messages = 100;
+    for (std::uint64_t message = 1; message <= messages; ++message)
+    {
+        auto const first = spread(nodes, 2 * message, {}, 10).received;
+        auto const second = spread(nodes, 2 * message + 1, {}, 10).received;
+        for (state::node_id const node : nodes)
+        {
+            bool const has_it =
+                node == nodes.front() || first.contains(node.value) || second.contains(node.value);
+            missed += has_it ? 0 : 1;
+        }
+    }
+    CHECK(missed < fleet_size * messages / 100);
+}
--- /dev/null
+++ b/tests/platform/test_decision_lines.cpp
@@ -0,0 +1,151 @@
+#include "transport/change_lines.hpp"
+#include "transport/decision_log.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+using namespace plumdale;
+using namespace plumdale::transport;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// \brief A pipe whose reader may be slow.
+class line_pipe
+{
+public:
+    line_pipe()
+    {
+        REQUIRE(::pipe(ends_.data()) == 0);
+        ::fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+    }
+    line_pipe(line_pipe const&) = delete;
+    line_pipe& operator=(line_pipe const&) = delete;
+    ~line_pipe()
+    {
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+
+    [[nodiscard]] int writer() const noexcept
+    {
+        return ends_[1];
+    }
+
+    std::string read(std::size_t most = 1UL << 20U)
+    {
+        std::string text(most, '\0');
+        ssize_t const bytes = ::read(ends_[0], text.data(), text.size());
+        text.resize(bytes > 0 ? static_cast<std::size_t>(bytes) : 0);
+        return text;
+    }
+
+private:
+    std::array<int, 2> ends_{};
+};
+
+std::size_t lines_of(std::string const& text)
+{
+    return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
+state::service_member upstream(std::uint64_t number)
+{
+    state::service_member member;
+    member.name = "i-" + std::to_string(number);
+    member.revision = number;
+    return member;
+}
+
+} // namespace
+
+// An operator reads the lines of a VM that lost power while its pipe was full. Half of a line had
+// been written; the process started again, and its first line stood inside the half.
+TEST_CASE("lines are written whole or not at all, however full the pipe is", "[decision_log]")
+{
+    line_pipe pipe;
+    decision_log log{pipe.writer(), "vm"};
+    std::string read;
+    for (int round = 0; round < 400; ++round)
+    {
+        log.write("call", "refused", "id", {{"why", std::string(500, 'x')}});
+        log.flush();
+        if (round % 7 == 0)
+        {
+            // The reader takes little; the pipe fills up.
+            read += pipe.read(700);
+        }
+    }
+    // What stands in the pipe when the process is gone.
+    read += pipe.read();
+    REQUIRE(lines_of(read) > 10);
+    CHECK(read.back() == '\n');
+}
+
+// Load pattern: a release changes 120 upstreams within four seconds at each of 300 VMs. A line for
+// each change says 300 times what one reader learnt, and the lines of calls are dropped for it.
+TEST_CASE("changes of upstreams are told together", "[change_lines][load]")
+{
+    line_pipe pipe;
+    decision_log log{pipe.writer(), "vm"};
+    change_lines changes{log};
+    state::time_point now{10s};
+    std::string read;
+    for (std::uint64_t change = 0; change < 120; ++change)
+    {
+        changes.add(coordination::directory_change::leaving, upstream(change), "fleet");
+        changes.flush(change, now);
+        log.flush();
+        read += pipe.read();
+        now += 33ms;
+    }
+    changes.flush(120, now + 1s);
+    log.flush();
+    read += pipe.read();
+    CHECK(lines_of(read) <= 10);
+    for (std::uint64_t change = 0; change < 120; ++change)
+    {
+        INFO("change " << change);
+        bool const is_named = read.find("i-" + std::to_string(change) + " ") != std::string::npos ||
+                              read.find("i-" + std::to_string(change) + "\"") != std::string::npos;
+        CHECK(is_named);
+    }
+}
+
+TEST_CASE("a single change is told at once", "[change_lines]")
+{
+    line_pipe pipe;
+    decision_log log{pipe.writer(), "vm"};
+    change_lines changes{log};
+    changes.add(coordination::directory_change::removed, upstream(7), "store");
+    changes.flush(1, state::time_point{10s});
+    log.flush();
+    std::string const read = pipe.read();
+    CHECK(read.find("\"upstream removed\"") != std::string::npos);
+    CHECK(read.find("\"i-7\"") != std::string::npos);
+    CHECK(read.find("\"revision\":7") != std::string::npos);
+}
+
+// A whole list of hundreds: what has no room for its name is counted.
+TEST_CASE("a line is bounded", "[change_lines]")
+{
+    line_pipe pipe;
+    decision_log log{pipe.writer(), "vm"};
+    change_lines changes{log};
+    for (std::uint64_t change = 0; change < 11'000; ++change)
+    {
+        changes.add(coordination::directory_change::listed, upstream(change), "store");
+    }
+    changes.flush(1, state::time_point{10s});
+    log.flush();
+    std::string const read = pipe.read();
+    CHECK(read.size() < 4'096);
+    CHECK(read.find("\"count\":11000") != std::string::npos);
+}
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -104,3 +104,18 @@
         static_cast<void>(decode_directory_copy(damaged));
     }
 }
+
+TEST_CASE("digests come out as they went in, and nothing else does", "[fleet_codec]")
+{
+    part_digests digests{};
+    for (std::size_t i = 0; i < digests.size(); ++i)
+    {
+        digests[i] = state::mix(i, 1);
+    }
+    std::string const body = encode(digests);
+    auto const read = decode_part_digests(body);
+    REQUIRE(read);
+    CHECK(read.value() == digests);
+    CHECK_FALSE(decode_part_digests({}));
+    CHECK_FALSE(decode_part_digests(std::string_view{body}.substr(1)));
+}
