--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -148,6 +148,7 @@
 
 void fleet_exchange::take_news(fleet_news const& news, state::endpoint from)
 {
+    take_members(news);
     state::time_point const now = boot_now();
     // All entry VMs use the same ports.
     state::endpoint const streams{from.address, settings_.self.streams.port};
@@ -156,12 +157,18 @@
         return;
     }
     core_.ledger.take(news.sender, news.uptime, news.sequence, news.whole, news.loads, now);
+    configurations_.heard_of(news.configuration);
+}
+
+// Whatever order messages come in: upstreams join by their revisions, and a part of the fleet waits
+// for what is passed on from here.
+void fleet_exchange::take_members(fleet_news const& news)
+{
     std::size_t const untold = core_.untold.size();
     core_.take_members(news.members, part);
     // They reach the others as this did.
     core_.untold.resize(untold);
     pass_on(news);
-    configurations_.heard_of(news.configuration);
 }
 
 // -- what is lacking ------------------------------------------------------------------------------
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -53,6 +53,7 @@
     void receive();
     void on_datagram(std::size_t bytes);
     void take_news(coordination::fleet_news const& news, state::endpoint from);
+    void take_members(coordination::fleet_news const& news);
     void take_peer_message(std::span<char const> text, state::endpoint from);
     void carry_out(coordination::control_actions const& actions);
     void advance_members();
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -39,9 +39,8 @@
     /// for each other one, and prompts are read in between.
     static constexpr state::duration usual_token_time = std::chrono::milliseconds{12};
     /// \brief Added to a destination in another zone: a copy across takes twice the link's time,
-    /// and some eight leave an upstream one after another within a notice of 1.5 to 2 s. Another
-    /// zone is taken where the own one has no room. With backups up to 0.7 and 0.8, 324 drafts were
-    /// late and 3,039 failed with this, 360 and 3,162 with the former limits and 0.3.
+    /// and some eight leave an upstream one after another within one notice. Another zone is taken
+    /// where the own one has no room.
     static constexpr double far_destination = 1.0;
     /// \brief Callers give a stream up after a silence of this long at least, four objectives or
     /// eight allowed pauses; work beyond that is for nobody.
