plumctl forward fleet: hundreds of entry VMs by zone, and who lags

Cause: the status of 295 VMs is 295 rows; an operator who changes a configuration wants to know whether it is in force everywhere and who lags. Change: a row for each zone (ready, readers, on the newest configuration, with the directory that most have, oldest news of the platform) and up to 20 names. /status tells the digest of the directory.

--- a/programs/plumctl/forward.cpp
+++ b/programs/plumctl/forward.cpp
@@ -1,4 +1,5 @@
 #include "admin_client.hpp"
+#include "fleet_page.hpp"
 
 #include <plumdale/coordination/route_outcomes.hpp>
 
@@ -20,6 +21,7 @@
 
 constexpr char const* status_target = "/status";
 constexpr double usual_objective = 0.95;
+constexpr std::size_t most_lagging = 20;
 
 json::array rows_of(json::value const& page, char const* name)
 {
@@ -103,6 +105,52 @@
                          "reads_platform", "live_entry_vms", "calls_in_progress"});
 }
 
+entry_standing standing_of(json::value const& page)
+{
+    json::object const& entry = page.at("entry").as_object();
+    json::value const* const age = entry.if_contains("platform_age_ms");
+    json::value const* const directory = entry.if_contains("directory");
+    entry_standing standing;
+    standing.name = member_text(entry, "name");
+    standing.zone = member_text(entry, "zone");
+    standing.is_ready = entry.at("ready").as_bool();
+    standing.reads_store = entry.at("reads_platform").as_bool();
+    standing.configuration = entry.at("configuration").to_number<std::uint64_t>();
+    standing.calls = entry.at("calls_in_progress").to_number<std::uint64_t>();
+    // Entry VMs of a former version don't tell it.
+    standing.directory = directory == nullptr ? "" : member_text(entry, "directory");
+    if (age != nullptr && age->is_number())
+    {
+        standing.platform_age_ms = age->to_number<std::int64_t>();
+    }
+    return standing;
+}
+
+void print_fleet(std::vector<json::value> const& pages)
+{
+    std::vector<entry_standing> entries;
+    for (json::value const& page : pages)
+    {
+        entries.push_back(standing_of(page));
+    }
+    std::vector<std::vector<std::string>> table{
+        {"ZONE", "VMS", "READY", "READERS", "CURRENT", "AGREEING", "OLDEST PLATFORM MS", "CALLS"}};
+    for (zone_standing const& zone : zones_of(entries))
+    {
+        table.push_back({zone.zone, std::to_string(zone.entries), std::to_string(zone.ready),
+                         std::to_string(zone.readers), std::to_string(zone.current),
+                         std::to_string(zone.agreeing), std::to_string(zone.oldest_platform_ms),
+                         std::to_string(zone.calls)});
+    }
+    print_table(table);
+    for (entry_standing const& each : lagging(entries, most_lagging))
+    {
+        std::cout << "lags: " << each.name << " in " << each.zone
+                  << (each.is_ready ? "" : ", not ready") << ", configuration "
+                  << each.configuration << ", directory " << each.directory << '\n';
+    }
+}
+
 int print_subject(std::string const& subject, std::vector<json::value> const& pages,
                   double objective)
 {
@@ -110,6 +158,10 @@
     {
         print_entries(pages);
     }
+    else if (subject == "fleet")
+    {
+        print_fleet(pages);
+    }
     else if (subject == "routes")
     {
         print_rows(rows_of(pages.front(), "routes"),
@@ -132,12 +184,12 @@
 
 int run_forward(arguments args)
 {
-    TCLAP::CmdLine line{
-        "Shows entry VMs in forwarding mode: of all named their status or the sum of "
-        "their burn, of the first one its routes or upstreams.",
-        ' ', program_version};
+    TCLAP::CmdLine line{"Shows entry VMs in forwarding mode: of all named their status, the fleet "
+                        "by zone or the sum "
+                        "of their burn, of the first one its routes or upstreams.",
+                        ' ', program_version};
     line.setExceptionHandling(false);
-    std::vector<std::string> subjects{"status", "routes", "upstreams", "burn"};
+    std::vector<std::string> subjects{"status", "fleet", "routes", "upstreams", "burn"};
     TCLAP::ValuesConstraint<std::string> known{subjects};
     TCLAP::UnlabeledValueArg<std::string> subject{"subject", "what to show", true,
                                                   "",        &known,         line};
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -35,6 +35,7 @@
             {"configuration", core.version()},
             {"platform_age_ms", platform_age(core, now)},
             {"reads_platform", core.fleet.is_reader()},
+            {"directory", std::to_string(core.directory.digest())},
             {"live_entry_vms", core.fleet.live(now)},
             {"calls_in_progress", core.calls_in_progress}};
 }
