--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -152,6 +152,7 @@
     void note_reader(fleet_news const& news, state::time_point now);
     void note_sighting(reader_beat const& sighted, state::time_point now);
     [[nodiscard]] bool is_fresh(reader_state const& reader, state::time_point now) const noexcept;
+    [[nodiscard]] bool is_lost(state::node_id node) const;
     [[nodiscard]] bool reads(state::node_id node, state::time_point now) const;
     [[nodiscard]] bool is_live(peer_state const& peer, state::time_point now) const noexcept;
     [[nodiscard]] bool is_candidate(state::node_id node, peer_state const& peer,
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -98,6 +98,12 @@
     return !reader.lost && reader.read_at + stale_read + interval() >= now;
 }
 
+bool fleet_view::is_lost(state::node_id node) const
+{
+    auto const found = readers_.find(node);
+    return found != readers_.end() && found->second.lost;
+}
+
 bool fleet_view::reads(state::node_id node, state::time_point now) const
 {
     auto const found = readers_.find(node);
@@ -138,11 +144,9 @@
     return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(),
                                                   [this, now](auto const& each)
                                                   {
-                                                      auto const found = readers_.find(each.first);
                                                       return is_live(each.second, now) &&
-                                                             rank_of(each.first) < rank_of(self_) &&
-                                                             found != readers_.end() &&
-                                                             found->second.lost;
+                                                             is_lost(each.first) &&
+                                                             rank_of(each.first) < rank_of(self_);
                                                   }));
 }
 
@@ -192,12 +196,9 @@
 std::size_t fleet_view::lost_peers(state::time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(),
-                                                  [this, now](auto const& each)
-                                                  {
-                                                      auto const found = readers_.find(each.first);
+                                                  [this, now](auto const& each) {
                                                       return is_live(each.second, now) &&
-                                                             found != readers_.end() &&
-                                                             found->second.lost;
+                                                             is_lost(each.first);
                                                   }));
 }
 
--- a/src/transport/configuration_exchange.cpp
+++ b/src/transport/configuration_exchange.cpp
@@ -21,7 +21,6 @@
 constexpr std::string_view source = "fleet";
 constexpr unsigned success = 200;
 constexpr std::chrono::milliseconds peer_timeout{900};
-constexpr char configuration_mark = 'c';
 
 std::uint64_t number_of(std::string_view text)
 {
@@ -79,8 +78,7 @@
         next.has_range = each.has_rest;
         // What is too large for a datagram is asked for, and then passed on by who has it.
         next.patch = is_large ? std::string{} : offer.patch;
-        ways_.send(std::string(1, configuration_mark) +
-                       protocol::encode(next, core_.settings.fleet_key),
+        ways_.send(std::string(1, mark) + protocol::encode(next, core_.settings.fleet_key),
                    each.to);
     }
 }
--- a/src/transport/configuration_exchange.hpp
+++ b/src/transport/configuration_exchange.hpp
@@ -42,6 +42,8 @@
     /// \brief Asks for what is still missing when that is due.
     void advance();
 
+    /// \brief The first byte of a datagram with an offer.
+    static constexpr char mark = 'c';
     /// \brief Path at which peers give out their configuration; the version that the asker has
     /// follows it.
     static constexpr std::string_view target = "/fleet/configuration/";
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -26,7 +26,6 @@
 // The first byte of a datagram says which codec reads the rest.
 constexpr char members_mark = 'm';
 constexpr char news_mark = 'n';
-constexpr char configuration_mark = 'c';
 constexpr unsigned success = 200;
 constexpr std::chrono::milliseconds peer_timeout{700};
 // Members are found by probes and counted by their news, so probes need only keep the table: 3.7
@@ -119,7 +118,7 @@
     {
         return take_peer_message(text, from);
     }
-    if (received_[0] == configuration_mark)
+    if (received_[0] == configuration_exchange::mark)
     {
         return configurations_.take_offer(text, {from.address, settings_.self.streams.port});
     }
