Orders of evacuation are read, passed on between VMs and obeyed

What the operators wrote is read by its prefix in the call that read the configuration alone. Between VMs the whole set goes as of a revision of the store and the newest set holds, so no tombstones are kept and an order that was taken back can't return by an old message; readers pass a change on along the trees, the periodic messages carry the set. Ruled out: rows joined one by one by revision (a VM that was cut off while the store dropped its history would bring an order back). Obeyed by the directory, so by choices, the last look before a send, holds of backups and destinations; a backup in the zone is given up. Drafts that run there end in place. All zones of a service evacuated: refused at once.

--- a/include/plumdale/coordination/fleet_news.hpp
+++ b/include/plumdale/coordination/fleet_news.hpp
@@ -2,6 +2,7 @@
 
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/spread_tree.hpp>
+#include <plumdale/state/evacuation.hpp>
 #include <plumdale/state/identifier.hpp>
 #include <plumdale/state/service_member.hpp>
 
@@ -44,6 +45,8 @@
     /// \brief The sender's own reads; those of others that it counts on are in `readers`.
     std::uint64_t beat = 0;
     std::vector<reader_beat> readers;
+    /// \brief All orders of evacuation that the sender knows; as of zero where it doesn't tell.
+    state::evacuations evacuations;
     /// \brief The rows are all of the sender's; else only those that changed.
     bool whole = false;
     std::vector<member_load> loads;
@@ -61,6 +64,7 @@
     /// \brief The platform's revision as of which the list is complete; zero when it is not.
     std::uint64_t revision = 0;
     std::vector<state::service_member> members;
+    state::evacuations evacuations;
 };
 
 } // namespace plumdale::coordination
--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -33,6 +33,7 @@
 class engine_directory;
 class engine_ranking;
 class entry_node;
+class evacuation_orders;
 class fair_queue;
 class finished_generations;
 class generation_life;
--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <plumdale/coordination/evacuation_orders.hpp>
 #include <plumdale/state/service_member.hpp>
 #include <plumdale/state/time.hpp>
 
@@ -74,8 +75,22 @@
     /// \brief Returns whether new work may be sent to it.
     [[nodiscard]] bool may_take_work(directory_entry const& entry,
                                      state::time_point now) const noexcept;
+    /// \brief Returns whether an operator's order keeps new work from it.
+    [[nodiscard]] bool is_evacuated(directory_entry const& entry) const noexcept;
+    /// \brief Returns whether a service has upstreams, and an operator's orders alone keep new
+    /// work from all of them.
+    [[nodiscard]] bool is_wholly_evacuated(std::string_view service, state::time_point now) const;
     /// \brief Returns the keys of a service's rows, in no order.
     [[nodiscard]] std::span<state::member_key const> members_of(std::string_view service) const;
+    /// \brief Orders of operators, by which upstreams of whole zones get nothing.
+    [[nodiscard]] evacuation_orders& evacuations() noexcept
+    {
+        return evacuations_;
+    }
+    [[nodiscard]] evacuation_orders const& evacuations() const noexcept
+    {
+        return evacuations_;
+    }
     [[nodiscard]] std::unordered_map<state::member_key, directory_entry> const&
     entries() const noexcept
     {
@@ -116,6 +131,7 @@
 
     directory_change insert(state::service_member const& member, name_record const& name,
                             state::time_point now);
+    [[nodiscard]] bool stays(directory_entry const& entry, state::time_point now) const noexcept;
     directory_change update(directory_entry& entry, state::service_member const& member,
                             state::time_point now);
     void adopt(directory_entry& entry, state::service_member const& member);
@@ -130,6 +146,7 @@
     bool starts_told_ = false;
     std::unordered_map<std::string, std::vector<state::member_key>> services_;
     state::time_point lapse_until_{};
+    evacuation_orders evacuations_;
     std::uint64_t digest_ = 0;
     part_digests parts_{};
 };
--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -2,6 +2,7 @@
 
 #include <plumdale/protocol/message_head.hpp>
 #include <plumdale/state/endpoint.hpp>
+#include <plumdale/state/evacuation.hpp>
 #include <plumdale/state/result.hpp>
 #include <plumdale/state/routing_configuration.hpp>
 #include <plumdale/state/service_member.hpp>
@@ -93,6 +94,13 @@
     std::string_view reason;
 };
 
+/// \brief An order of evacuation, given or taken back.
+struct zone_order
+{
+    std::string zone;
+    state::evacuation_change change;
+};
+
 /// \brief A read of the platform's store.
 struct store_page
 {
@@ -101,8 +109,11 @@
     std::vector<state::service_member> members;
     /// \brief Entries that name no upstream to use; the others hold.
     std::vector<unusable_entry> unusable;
+    std::vector<zone_order> orders;
     /// \brief The store's revision when it answered.
     std::uint64_t revision = 0;
+    /// \brief The greatest revision of what the page holds.
+    std::uint64_t newest = 0;
     /// \brief The next page of a list begins behind this key; empty at the end.
     std::string next_page;
 };
@@ -163,10 +174,11 @@
     [[nodiscard]] virtual state::result<member_report> read_report(std::string_view body) const = 0;
 
     // -- the platform's store ------------------------------------------------------------
-    [[nodiscard]] virtual std::string configuration_target(store_read kind) const = 0;
-    [[nodiscard]] virtual state::result<store_page>
-    read_configuration(std::string_view body) const = 0;
+    /// \brief What the operators wrote: the configuration and orders of evacuation.
+    [[nodiscard]] virtual std::string operators_target(store_read kind,
+                                                       std::string_view page) const = 0;
     [[nodiscard]] virtual std::string list_target(store_read kind, std::string_view page) const = 0;
+    /// \brief Reads a page of upstreams or of what the operators wrote.
     [[nodiscard]] virtual state::result<store_page> read_list(std::string_view body) const = 0;
     [[nodiscard]] virtual std::string watch_target(std::uint64_t after,
                                                    state::duration wait) const = 0;
--- /dev/null
+++ b/src/coordination/evacuation_orders.cpp
@@ -0,0 +1,106 @@
+#include <plumdale/coordination/evacuation_orders.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plumdale::coordination
+{
+namespace
+{
+
+using state::evacuation;
+using state::evacuation_change;
+
+bool names(std::span<evacuation const> orders, state::zone_id zone) noexcept
+{
+    return std::any_of(orders.begin(), orders.end(),
+                       [zone](evacuation const& each) { return each.zone == zone; });
+}
+
+// The same at every entry VM, whatever order the store's pages had.
+void put_in_order(std::vector<evacuation>& orders)
+{
+    std::sort(orders.begin(), orders.end(),
+              [](evacuation const& a, evacuation const& b) {
+                  return std::pair{a.revision, a.zone} < std::pair{b.revision, b.zone};
+              });
+    orders.resize(std::min(orders.size(), evacuation_orders::capacity));
+}
+
+} // namespace
+
+std::vector<evacuation_change> evacuation_orders::take(state::evacuations const& heard,
+                                                       state::time_point now)
+{
+    // One that was cut off, or whose message was delayed, tells of orders that have been taken back
+    // since: only the newest set counts, whole.
+    if (heard.as_of <= known_.as_of)
+    {
+        return {};
+    }
+    known_.as_of = heard.as_of;
+    return replace(heard.in_force, now);
+}
+
+std::vector<evacuation_change> evacuation_orders::follow(std::span<evacuation_change const> changes,
+                                                         std::uint64_t as_of, state::time_point now)
+{
+    if (as_of <= known_.as_of)
+    {
+        return {};
+    }
+    std::vector<evacuation> in_force = known_.in_force;
+    for (evacuation_change const& change : changes)
+    {
+        // A peer may have told of it already, and of what came after.
+        if (change.order.revision <= known_.as_of)
+        {
+            continue;
+        }
+        std::erase_if(in_force,
+                      [&change](evacuation const& each) { return each.zone == change.order.zone; });
+        if (!change.taken_back)
+        {
+            in_force.push_back(change.order);
+        }
+    }
+    known_.as_of = as_of;
+    return replace(std::move(in_force), now);
+}
+
+std::vector<evacuation_change> evacuation_orders::replace(std::vector<evacuation> in_force,
+                                                          state::time_point now)
+{
+    put_in_order(in_force);
+    std::vector<evacuation_change> changes;
+    for (evacuation const& former : known_.in_force)
+    {
+        if (!names(in_force, former.zone))
+        {
+            changes.push_back({former, true});
+            ended_at_[former.zone] = now;
+        }
+    }
+    for (evacuation const& each : in_force)
+    {
+        if (!names(known_.in_force, each.zone))
+        {
+            changes.push_back({each, false});
+        }
+    }
+    known_.in_force = std::move(in_force);
+    return changes;
+}
+
+bool evacuation_orders::covers(state::zone_id zone) const noexcept
+{
+    return names(known_.in_force, zone);
+}
+
+state::time_point evacuation_orders::ended_at(state::zone_id zone) const
+{
+    auto const found = ended_at_.find(zone);
+    return found == ended_at_.end() ? state::time_point{} : found->second;
+}
+
+} // namespace plumdale::coordination
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -242,6 +242,37 @@
 
 bool service_directory::may_take_work(directory_entry const& entry,
                                       state::time_point now) const noexcept
+{
+    return stays(entry, now) && !is_evacuated(entry);
+}
+
+bool service_directory::is_evacuated(directory_entry const& entry) const noexcept
+{
+    bool const any = !evacuations_.known().in_force.empty();
+    return any && evacuations_.covers(state::named<state::zone_id>(entry.info.zone));
+}
+
+bool service_directory::is_wholly_evacuated(std::string_view service, state::time_point now) const
+{
+    if (evacuations_.known().in_force.empty())
+    {
+        return false;
+    }
+    std::size_t staying = 0;
+    for (member_key const key : members_of(service))
+    {
+        directory_entry const* const entry = find(key);
+        bool const counts = entry != nullptr && stays(*entry, now);
+        if (counts && !is_evacuated(*entry))
+        {
+            return false;
+        }
+        staying += counts ? 1 : 0;
+    }
+    return staying > 0;
+}
+
+bool service_directory::stays(directory_entry const& entry, state::time_point now) const noexcept
 {
     bool const is_own_entry = entry.info.started.value != 0 || !starts_told_;
     return entry.info.usable && is_own_entry && !entry.info.leaving && !entry.replaced &&
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -33,6 +33,11 @@
   beat @1 :UInt64;
 }
 
+struct Evacuation {
+  zone @0 :UInt64;
+  revision @1 :UInt64;
+}
+
 struct FleetNews {
   sender @0 :UInt64;
   uptime @1 :UInt64;
@@ -50,6 +55,8 @@
   origin @13 :UInt64;
   first @14 :UInt64;
   last @15 :UInt64;
+  evacuationsAsOf @16 :UInt64;
+  evacuations @17 :List(Evacuation);
 }
 
 struct ConfigurationOffer {
@@ -66,4 +73,6 @@
 struct DirectoryCopy {
   revision @0 :UInt64;
   members @1 :List(ServiceMember);
+  evacuationsAsOf @2 :UInt64;
+  evacuations @3 :List(Evacuation);
 }
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -59,6 +59,12 @@
     to.setBeat(from.beat);
 }
 
+void write(wire::Evacuation::Builder to, state::evacuation const& from)
+{
+    to.setZone(from.zone.value);
+    to.setRevision(from.revision);
+}
+
 template <class List, class Values>
 void write_rows(List to, Values const& from)
 {
@@ -98,6 +104,29 @@
     return member;
 }
 
+template <class Message>
+void write_evacuations(Message to, state::evacuations const& from)
+{
+    to.setEvacuationsAsOf(from.as_of);
+    if (!from.in_force.empty())
+    {
+        write_rows(to.initEvacuations(static_cast<unsigned int>(from.in_force.size())),
+                   from.in_force);
+    }
+}
+
+template <class Message>
+state::evacuations read_evacuations(Message from)
+{
+    state::evacuations read;
+    read.as_of = from.getEvacuationsAsOf();
+    for (auto const each : from.getEvacuations())
+    {
+        read.in_force.push_back({state::zone_id{each.getZone()}, each.getRevision()});
+    }
+    return read;
+}
+
 fleet_news read_news(wire::FleetNews::Reader from)
 {
     fleet_news news;
@@ -124,6 +153,7 @@
     {
         news.readers.push_back(read(each));
     }
+    news.evacuations = read_evacuations(from);
     return news;
 }
 
@@ -200,6 +230,7 @@
             }
             write_rows(to.initReaders(static_cast<unsigned int>(news.readers.size())),
                        news.readers);
+            write_evacuations(to, news.evacuations);
         });
     return sealed({text.data(), text.size()}, fleet_key);
 }
@@ -254,6 +285,7 @@
             to.setRevision(copy.revision);
             write_rows(to.initMembers(static_cast<unsigned int>(copy.members.size())),
                        copy.members);
+            write_evacuations(to, copy.evacuations);
         });
 }
 
@@ -269,6 +301,7 @@
             {
                 copy.members.push_back(read(each));
             }
+            copy.evacuations = read_evacuations(from);
             return copy;
         });
 }
--- a/src/transport/departure_board.cpp
+++ b/src/transport/departure_board.cpp
@@ -71,6 +71,11 @@
     tell_listeners([former](departure_listener& listener) { listener.member_lost(former); });
 }
 
+void departure_board::evacuated(state::zone_id zone)
+{
+    tell_listeners([zone](departure_listener& listener) { listener.zone_evacuated(zone); });
+}
+
 void departure_board::sweep()
 {
     std::erase_if(departures_,
--- a/src/transport/departure_board.hpp
+++ b/src/transport/departure_board.hpp
@@ -30,6 +30,8 @@
     virtual void member_leaves(state::member_key member, coordination::departure const& when) = 0;
     /// \brief The upstream started again: nothing that ran or was kept at this start is there.
     virtual void member_lost(state::member_key member) = 0;
+    /// \brief Nothing more is to be sent to the upstreams of a zone; what runs there runs on.
+    virtual void zone_evacuated(state::zone_id zone) = 0;
 };
 
 /// \brief Notes departures, asks leaving upstreams when they will be gone, and tells calls; on one
@@ -54,6 +56,8 @@
     bool departs(state::member_key member);
     /// \brief Tells calls that an upstream started again.
     void lost(state::member_key former);
+    /// \brief Tells calls that a zone's upstreams get nothing more.
+    void evacuated(state::zone_id zone);
     /// \brief Drops departures of upstreams that the directory has forgotten.
     void sweep();
 
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -147,6 +147,7 @@
 
 void fleet_exchange::take_news(fleet_news const& news, state::endpoint from)
 {
+    core_.take_evacuations(news.evacuations, part);
     take_members(news);
     state::time_point const now = boot_now();
     // All entry VMs use the same ports.
@@ -231,6 +232,7 @@
                                                      : answer.error().detail}});
                   return;
               }
+              core_.take_evacuations(copy.value().evacuations, part);
               std::size_t const untold = core_.untold.size();
               copy.value().revision != 0
                   ? core_.take_list(copy.value().members, {}, copy.value().revision, part)
@@ -292,6 +294,14 @@
     return news;
 }
 
+// Upstreams and orders together would not fit in a datagram.
+fleet_news fleet_exchange::news_with_orders()
+{
+    fleet_news news = news_header();
+    news.evacuations = core_.directory.evacuations().known();
+    return news;
+}
+
 // Rows beyond a datagram's bound go in further ones; only the first may clear what was told.
 void fleet_exchange::tell_whole()
 {
@@ -300,7 +310,7 @@
     std::size_t next = 0;
     do
     {
-        fleet_news news = news_header();
+        fleet_news news = next == 0 ? news_with_orders() : news_header();
         std::size_t const count = std::min(rows.size() - next, fleet_news::max_loads);
         auto const begin = rows.begin() + static_cast<std::ptrdiff_t>(next);
         news.whole = next == 0;
@@ -313,7 +323,7 @@
 
 void fleet_exchange::tell_standing()
 {
-    fleet_news news = news_header();
+    fleet_news news = news_with_orders();
     note_told(news);
     send(news, audience());
 }
@@ -329,20 +339,31 @@
 void fleet_exchange::tell_members()
 {
     std::vector<state::service_member> const told = std::exchange(core_.untold, {});
-    bool const is_direct = offer_peers().size() <= most_direct;
     for (std::size_t next = 0; next < told.size(); next += fleet_news::max_members)
     {
         std::size_t const count = std::min(told.size() - next, fleet_news::max_members);
         auto const begin = told.begin() + static_cast<std::ptrdiff_t>(next);
         fleet_news news;
         news.members.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
-        news.range.origin = settings_.self.id;
-        news.has_range = true;
-        for (std::size_t tree = 0; tree < (is_direct ? 1 : usual_trees); ++tree)
-        {
-            news.spread = core_.random();
-            pass_on(news);
-        }
+        spread(news);
+    }
+}
+
+void fleet_exchange::spread_evacuations()
+{
+    fleet_news news;
+    spread(news);
+}
+
+void fleet_exchange::spread(fleet_news& news)
+{
+    bool const is_direct = offer_peers().size() <= most_direct;
+    news.range.origin = settings_.self.id;
+    news.has_range = true;
+    for (std::size_t tree = 0; tree < (is_direct ? 1 : usual_trees); ++tree)
+    {
+        news.spread = core_.random();
+        pass_on(news);
     }
 }
 
@@ -356,7 +377,7 @@
     for (spread_target const& target :
          targets_of(from.range, from.spread, peers, fan_out_for(peers.size())))
     {
-        fleet_news news = news_header();
+        fleet_news news = from.members.empty() ? news_with_orders() : news_header();
         news.members = from.members;
         news.spread = from.spread;
         news.range = target.rest;
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -39,6 +39,8 @@
     void advance();
     /// \brief This VM read a newer configuration: all are to have it.
     void spread_configuration();
+    /// \brief This VM read of an order of evacuation: all are to know.
+    void spread_evacuations();
     /// \brief Returns the body for a peer that asks for the configuration at `target`.
     [[nodiscard]] std::string configuration_for(std::string_view target);
     /// \brief The own load at an upstream changed: told at once, as far as the budget goes.
@@ -62,9 +64,12 @@
     void tell_members();
     void tell_loads();
     void note_told(coordination::fleet_news const& news);
-    /// \brief Sends upstreams to the heads of a range, who pass them on.
+    /// \brief Begins a message to all, along as many trees as make up for a lost datagram.
+    void spread(coordination::fleet_news& news);
+    /// \brief Sends upstreams and orders to the heads of a range, who pass them on.
     void pass_on(coordination::fleet_news const& from);
     [[nodiscard]] coordination::fleet_news news_header();
+    [[nodiscard]] coordination::fleet_news news_with_orders();
     void send(std::string datagram, state::endpoint to);
     /// \brief Numbers a message and sends it to all of `peers`.
     void send(coordination::fleet_news& news, std::span<state::endpoint const> peers);
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -59,6 +59,13 @@
     auto const chosen = core_.choice.choose(*admitted_.service, admitted_.demand, terms, now);
     fullness_ = chosen ? chosen->fullness : 0.0;
     expected_first_event_ = chosen ? chosen->first_event : state::duration::zero();
+    // An operator's order lasts for longer than a caller waits.
+    if (!chosen && core_.directory.is_wholly_evacuated(admitted_.service->name, now))
+    {
+        return refuse(may_have_run() ? state::error_kind::may_have_run
+                                     : state::error_kind::no_upstream,
+                      "all zones with upstreams are evacuated");
+    }
     if (!chosen || !admits(*chosen, now))
     {
         return wait_or_refuse(chosen.has_value() || looks_again, now);
@@ -390,6 +397,8 @@
          {"platform_age_ms", whole_milliseconds(core_.platform_age(now))},
          {"fullness_percent", static_cast<std::int64_t>(100.0 * fullness_)},
          {"expected_first_event_ms", whole_milliseconds(expected_first_event_)},
+         {"zones_evacuated",
+          static_cast<std::int64_t>(core_.directory.evacuations().known().in_force.size())},
          {"comes_back", admitted_.returns ? 1 : 0},
          {"prompt_tokens", admitted_.demand.prompt_tokens},
          {"hinted_tokens", admitted_.demand.output_tokens},
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -1,6 +1,7 @@
 #include "forward_core.hpp"
 
 #include "boot_clock.hpp"
+#include "milliseconds.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
 
@@ -231,6 +232,55 @@
     return now - std::max(platform_read, fleet.platform_read(now));
 }
 
+// -- evacuations ----------------------------------------------------------------------------------
+
+// Zones travel as identifiers; their names are those of listed upstreams.
+std::string forward_core::name_of(state::zone_id zone) const
+{
+    for (auto const& [key, entry] : directory.entries())
+    {
+        if (state::named<state::zone_id>(entry.info.zone) == zone)
+        {
+            return entry.info.zone;
+        }
+    }
+    return std::to_string(zone.value);
+}
+
+void forward_core::note_evacuations(std::span<state::evacuation_change const> changes,
+                                    std::string_view source)
+{
+    for (state::evacuation_change const& each : changes)
+    {
+        log.write("evacuation", each.taken_back ? "taken back" : "in force", {},
+                  {{"zone", name_of(each.order.zone)},
+                   {"revision", static_cast<std::int64_t>(each.order.revision)},
+                   {"as_of", static_cast<std::int64_t>(directory.evacuations().known().as_of)},
+                   {"platform_age_ms", whole_milliseconds(platform_age(boot_now()))},
+                   {"source", source}});
+        if (!each.taken_back)
+        {
+            departures.evacuated(each.order.zone);
+        }
+    }
+}
+
+void forward_core::take_evacuations(state::evacuations const& heard, std::string_view source)
+{
+    note_evacuations(directory.evacuations().take(heard, boot_now()), source);
+}
+
+void forward_core::follow_evacuations(std::span<protocol::zone_order const> told,
+                                      std::uint64_t as_of, std::string_view source)
+{
+    std::vector<state::evacuation_change> changes;
+    for (protocol::zone_order const& each : told)
+    {
+        changes.push_back(each.change);
+    }
+    note_evacuations(directory.evacuations().follow(changes, as_of, boot_now()), source);
+}
+
 // -- calls ----------------------------------------------------------------------------------------
 
 bool forward_core::comes_back(std::string const& route, state::duration time_left)
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -61,6 +61,11 @@
     void take_list(std::span<state::service_member const> members,
                    std::span<protocol::unusable_entry const> unusable, std::uint64_t revision,
                    std::string_view source);
+    /// \brief Takes the whole set of orders of evacuation as of a revision.
+    void take_evacuations(state::evacuations const& heard, std::string_view source);
+    /// \brief Takes what the watched store tells of orders up to revision `as_of`.
+    void follow_evacuations(std::span<protocol::zone_order const> told, std::uint64_t as_of,
+                            std::string_view source);
     /// \brief Another incarnation answered at this one's address.
     void member_replaced(state::member_key member);
     /// \brief Writes the lines of changes that are due.
@@ -128,12 +133,18 @@
     /// \brief Called when this VM read a newer configuration as a reader of the store.
     std::function<void()> configuration_read = [] {
     };
+    /// \brief Called when this VM read of an order of evacuation, given or taken back.
+    std::function<void()> evacuations_read = [] {
+    };
 
 private:
     void take_member(state::service_member const& member, std::string_view source);
     void member_restarted(state::member_key former, state::member_key latest,
                           std::string_view source);
     void note_start(state::member_key member, state::incarnation started);
+    void note_evacuations(std::span<state::evacuation_change const> changes,
+                          std::string_view source);
+    [[nodiscard]] std::string name_of(state::zone_id zone) const;
     coordination::repeat_allowance& allowance_of(std::string const& service);
 
     change_lines changes_;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -74,6 +74,10 @@
         {
             fleet_->spread_configuration();
         };
+        core_.evacuations_read = [this]
+        {
+            fleet_->spread_evacuations();
+        };
         core_.load_changed = [this](state::member_key member)
         {
             fleet_->tell_load(member);
@@ -202,6 +206,7 @@
     [[nodiscard]] coordination::directory_copy directory_for(std::string_view asked) const
     {
         coordination::directory_copy copy;
+        copy.evacuations = core_.directory.evacuations().known();
         if (auto const parts = protocol::decode_part_digests(asked))
         {
             copy.members = core_.directory.rows_beside(parts.value());
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -24,6 +24,32 @@
     return answer && answer.value().status == success;
 }
 
+// Pages are not one snapshot: changes since the first are heard from the watch.
+void add_page(protocol::store_page& whole, protocol::store_page page)
+{
+    whole.revision = whole.revision == 0 ? page.revision : whole.revision;
+    whole.newest = std::max(whole.newest, page.newest);
+    whole.next_page = std::move(page.next_page);
+    if (!page.configuration.empty())
+    {
+        whole.configuration = std::move(page.configuration);
+    }
+    whole.orders.insert(whole.orders.end(), page.orders.begin(), page.orders.end());
+}
+
+// A page that lags tells the store's revision of now with what was true some seconds ago. Taken as
+// of now, it would undo an order that peers told of; the newest thing in it is not too new.
+state::evacuations evacuations_in(protocol::store_page const& page, protocol::store_read kind)
+{
+    state::evacuations orders;
+    orders.as_of = kind == protocol::store_read::current ? page.revision : page.newest;
+    for (protocol::zone_order const& each : page.orders)
+    {
+        orders.in_force.push_back(each.change.order);
+    }
+    return orders;
+}
+
 } // namespace
 
 store_reader::store_reader(forward_core& core)
@@ -68,7 +94,7 @@
     }
     if (!has_configuration_)
     {
-        return read_configuration(protocol::store_read::current);
+        return read_operators(protocol::store_read::current, {});
     }
     synced_ ? watch() : read_list(protocol::store_read::current, {});
 }
@@ -80,7 +106,7 @@
     bool const asks_first = core_.is_seed && !is_published_;
     protocol::store_read const kind =
         asks_first ? protocol::store_read::current : protocol::store_read::may_lag;
-    core_.version() == 0 ? read_configuration(kind) : read_list(kind, {});
+    core_.version() == 0 ? read_operators(kind, {}) : read_list(kind, {});
 }
 
 void store_reader::not_published()
@@ -167,37 +193,53 @@
     retry_ = std::min({retry_ * 2, longest_retry * sharing, longest_shared_retry});
 }
 
-void store_reader::read_configuration(protocol::store_read kind)
+void store_reader::read_operators(protocol::store_read kind, std::string const& page)
 {
-    call(core_.dialect.configuration_target(kind), answer_time,
+    if (page.empty())
+    {
+        operators_ = {};
+    }
+    call(core_.dialect.operators_target(kind, page), answer_time,
          [this, kind](state::result<fetch_answer> const& answer)
          {
              if (answer && answer.value().status == not_found)
              {
                  return not_published();
              }
-             auto const page = is_whole(answer)
-                                   ? core_.dialect.read_configuration(answer.value().body)
-                                   : state::result<protocol::store_page>{state::failure{}};
-             if (!page)
+             auto answered = is_whole(answer)
+                                 ? core_.dialect.read_list(answer.value().body)
+                                 : state::result<protocol::store_page>{state::failure{}};
+             if (!answered)
              {
                  return failed("configuration", answer);
              }
              succeeded(kind);
-             if (kind == protocol::store_read::current)
-             {
-                 has_configuration_ = core_.informed();
-                 after_ = page.value().revision;
-             }
-             bool const is_newer = core_.take_configuration(page.value().configuration, part);
-             if (is_newer && kind == protocol::store_read::current)
-             {
-                 core_.configuration_read();
-             }
-             step();
+             add_page(operators_, std::move(answered).value());
+             operators_.next_page.empty() ? take_operators(kind)
+                                          : read_operators(kind, operators_.next_page);
          });
 }
 
+void store_reader::take_operators(protocol::store_read kind)
+{
+    if (operators_.configuration.empty())
+    {
+        return not_published();
+    }
+    core_.take_evacuations(evacuations_in(operators_, kind), part);
+    if (kind == protocol::store_read::current)
+    {
+        has_configuration_ = core_.informed();
+        after_ = operators_.revision;
+    }
+    bool const is_newer = core_.take_configuration(std::move(operators_.configuration), part);
+    if (is_newer && kind == protocol::store_read::current)
+    {
+        core_.configuration_read();
+    }
+    step();
+}
+
 void store_reader::read_once(std::function<void()> otherwise)
 {
     if (std::exchange(reading_once_, true))
@@ -220,11 +262,11 @@
 // A read that may lag costs a tenth, and nearly always has what a peer already follows.
 void store_reader::read_newer(protocol::store_read kind, std::function<void()> const& otherwise)
 {
-    call(core_.dialect.configuration_target(kind), answer_time,
+    call(core_.dialect.operators_target(kind, {}), answer_time,
          [this, kind, otherwise](state::result<fetch_answer> const& answer)
          {
              auto const page = is_whole(answer)
-                                   ? core_.dialect.read_configuration(answer.value().body)
+                                   ? core_.dialect.read_list(answer.value().body)
                                    : state::result<protocol::store_page>{state::failure{}};
              bool const is_newer =
                  page && core_.take_configuration(page.value().configuration, part);
@@ -313,6 +355,11 @@
              {
                  core_.configuration_read();
              }
+             core_.follow_evacuations(page.value().orders, page.value().revision, part);
+             if (!page.value().orders.empty())
+             {
+                 core_.evacuations_read();
+             }
              core_.take_members(page.value().members, part);
              core_.take_unusable(page.value().unusable, part);
              step_in(watch_pause);
--- a/src/transport/store_reader.hpp
+++ b/src/transport/store_reader.hpp
@@ -67,7 +67,8 @@
     void step_in(state::duration time);
     void learn();
     void not_published();
-    void read_configuration(protocol::store_read kind);
+    void read_operators(protocol::store_read kind, std::string const& page);
+    void take_operators(protocol::store_read kind);
     void read_list(protocol::store_read kind, std::string const& page);
     void take_list(protocol::store_read kind);
     void watch();
@@ -85,6 +86,8 @@
     std::vector<state::service_member> listed_;
     std::vector<protocol::unusable_entry> unusable_;
     std::uint64_t list_revision_ = 0;
+    /// \brief Pages read so far of what the operators wrote, as one.
+    protocol::store_page operators_;
     std::uint64_t after_ = 0;
     state::time_point last_read_{};
     state::duration retry_ = first_retry;
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -32,6 +32,7 @@
     void caller_left() override;
     void member_leaves(state::member_key member, coordination::departure const& when) override;
     void member_lost(state::member_key member) override;
+    void zone_evacuated(state::zone_id zone) override;
 
     /// \brief Events after which the load told to peers is brought up to date.
     static constexpr std::uint32_t events_per_update = 16;
--- a/src/transport/stream_survival.cpp
+++ b/src/transport/stream_survival.cpp
@@ -111,6 +111,16 @@
     on_end(sent ? exchange_end::broken : exchange_end::not_sent);
 }
 
+// A backup there could be kept, but nothing may be sent there to go on from it.
+void stream_call::zone_evacuated(state::zone_id zone)
+{
+    directory_entry const* const keeper = core_.directory.find(backup_load_.member);
+    if (keeper != nullptr && state::named<state::zone_id>(keeper->info.zone) == zone)
+    {
+        keeper_leaves(backup_load_.member);
+    }
+}
+
 generation_survival& stream_call::survival()
 {
     if (!survival_)
--- /dev/null
+++ b/tests/coordination/test_evacuation_orders.cpp
@@ -0,0 +1,145 @@
+#include <plumdale/coordination/evacuation_orders.hpp>
+#include <plumdale/coordination/service_directory.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace plumdale;
+using namespace plumdale::coordination;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr state::time_point now{10s};
+constexpr auto east = state::named<state::zone_id>("east");
+constexpr auto west = state::named<state::zone_id>("west");
+
+state::service_member upstream(std::string const& name, std::string const& zone)
+{
+    state::service_member member;
+    member.name = name;
+    member.service = "lists";
+    member.zone = zone;
+    member.slots = 24;
+    member.revision = 1;
+    return member;
+}
+
+} // namespace
+
+// Work sent to a zone that its operators are emptying: the order is heard and changes nothing.
+TEST_CASE("upstreams of an evacuated zone take no work until the order is taken back",
+          "[evacuation_orders]")
+{
+    service_directory directory;
+    directory.join(upstream("i-1", "east"), now);
+    directory.join(upstream("i-2", "west"), now);
+    auto const takes_work = [&directory](std::string_view name)
+    {
+        return directory.may_take_work(*directory.find(state::key_of(name, {})), now);
+    };
+    directory.evacuations().take({7, {{east, 7}}}, now);
+    CHECK_FALSE(takes_work("i-1"));
+    CHECK(takes_work("i-2"));
+    CHECK_FALSE(directory.is_wholly_evacuated("lists", now));
+    directory.evacuations().take({9, {}}, now);
+    CHECK(takes_work("i-1"));
+    CHECK(directory.evacuations().ended_at(east) == now);
+}
+
+// A caller held for as long as it may wait, though no upstream will come.
+TEST_CASE("a service all of whose zones are evacuated is known as such", "[evacuation_orders]")
+{
+    service_directory directory;
+    directory.evacuations().take({7, {{east, 6}, {west, 7}}}, now);
+    CHECK_FALSE(directory.is_wholly_evacuated("lists", now));
+    directory.join(upstream("i-1", "east"), now);
+    directory.join(upstream("i-2", "west"), now);
+    CHECK(directory.is_wholly_evacuated("lists", now));
+    state::service_member leaving = upstream("i-2", "west");
+    leaving.leaving = true;
+    directory.join(leaving, now);
+    CHECK(directory.is_wholly_evacuated("lists", now));
+    leaving = upstream("i-1", "east");
+    leaving.leaving = true;
+    directory.join(leaving, now);
+    CHECK_FALSE(directory.is_wholly_evacuated("lists", now));
+}
+
+// A VM that was cut off while the order was taken back, and while the store dropped that from its
+// history, tells all others of it: the zone would stay empty for good.
+TEST_CASE("an order that was taken back never returns by an old message", "[evacuation_orders]")
+{
+    evacuation_orders cut_off;
+    cut_off.take({5, {{east, 5}}}, now);
+    evacuation_orders others;
+    others.take({8, {}}, now);
+    CHECK(others.take(cut_off.known(), now).empty());
+    CHECK_FALSE(others.covers(east));
+    REQUIRE(cut_off.take(others.known(), now).size() == 1);
+    CHECK_FALSE(cut_off.covers(east));
+}
+
+// A peer told of a change and of what came after; the watch tells of the change again.
+TEST_CASE("a watch that is behind a peer's word undoes nothing", "[evacuation_orders]")
+{
+    evacuation_orders orders;
+    orders.take({20, {{east, 20}}}, now);
+    std::array const late{state::evacuation_change{{east, 12}, false},
+                          state::evacuation_change{{east, 15}, true}};
+    CHECK(orders.follow(late, 18, now).empty());
+    CHECK(orders.covers(east));
+    CHECK(orders.follow(late, 21, now).empty());
+    CHECK(orders.covers(east));
+    CHECK(orders.known().as_of == 21);
+}
+
+TEST_CASE("an order that was taken back and given again is in force", "[evacuation_orders]")
+{
+    evacuation_orders orders;
+    std::array const first{state::evacuation_change{{east, 2}, false}};
+    REQUIRE(orders.follow(first, 2, now).size() == 1);
+    std::array const again{state::evacuation_change{{east, 3}, true},
+                           state::evacuation_change{{west, 4}, false},
+                           state::evacuation_change{{east, 5}, false}};
+    auto const changes = orders.follow(again, 6, now);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().order.zone == west);
+    CHECK(orders.covers(east));
+    CHECK(orders.known().in_force == std::vector<state::evacuation>{{west, 4}, {east, 5}});
+}
+
+// VMs that heard the same messages in different orders, some of them twice or not at all, send work
+// to different zones for good.
+TEST_CASE("sets heard in any order join to the newest", "[evacuation_orders]")
+{
+    for (unsigned seed = 0; seed < 10'000; ++seed)
+    {
+        std::minstd_rand random{seed + 1};
+        std::vector<state::evacuations> told{{1, {}}};
+        for (std::uint64_t revision = 2; revision < 9; ++revision)
+        {
+            state::evacuations next = told.back();
+            next.as_of = revision;
+            state::zone_id const zone = random() % 2 == 0 ? east : west;
+            auto const former = std::erase_if(next.in_force, [zone](state::evacuation const& each)
+                                              { return each.zone == zone; });
+            if (former == 0)
+            {
+                next.in_force.push_back({zone, revision});
+            }
+            told.push_back(next);
+        }
+        std::vector<state::evacuations> heard = told;
+        std::shuffle(heard.begin(), heard.end(), random);
+        evacuation_orders orders;
+        for (state::evacuations const& each : heard)
+        {
+            orders.take(each, now);
+        }
+        REQUIRE(orders.known().in_force == told.back().in_force);
+    }
+}
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -44,6 +44,7 @@
     news.whole = true;
     news.loads = {{state::member_key{7}, 8, 9, 10, 11}};
     news.members = {member()};
+    news.evacuations = {12, {{state::zone_id{13}, 11}}};
     return news;
 }
 
@@ -63,6 +64,8 @@
     CHECK_FALSE(read.value().members[0].usable);
     CHECK(read.value().members[0].leaving);
     CHECK_FALSE(read.value().members[0].listed);
+    CHECK(read.value().evacuations.as_of == 12);
+    CHECK(read.value().evacuations.in_force == news().evacuations.in_force);
 }
 
 TEST_CASE("full news fits into a datagram", "[fleet_codec]")
@@ -75,6 +78,11 @@
     long_named.service = "a-service-with-a-long-name";
     full.members.assign(fleet_news::max_members, long_named);
     CHECK(encode(full, key).size() < 1'400);
+    // Orders go along with rows of load alone.
+    full.members.clear();
+    full.evacuations = {
+        1'000'000, {evacuation_orders::capacity, {state::zone_id{0x123456789abcdef0}, 999'999}}};
+    CHECK(encode(full, key).size() < 1'400);
 }
 
 TEST_CASE("a directory comes out as it went in", "[fleet_codec]")
@@ -82,10 +90,13 @@
     directory_copy copy;
     copy.revision = 99;
     copy.members.assign(500, member());
+    copy.evacuations = {98, {{state::zone_id{1}, 97}}};
     auto const read = decode_directory_copy(encode(copy));
     REQUIRE(read);
     CHECK(read.value().revision == 99);
     CHECK(read.value().members.size() == 500);
+    CHECK(read.value().evacuations.as_of == 98);
+    CHECK(read.value().evacuations.in_force.size() == 1);
 }
 
 TEST_CASE("what was made without the fleet key, or damaged, is refused", "[fleet_codec][seeds]")
