A share for each VM of what a cold upstream bears; the operator's view of both

Cause: coldPerS, coldStartS, coldLeftMs and Plumdale-Cold-Ms were read by nobody, and an upstream that comes back empty looks best to all VMs at once. Each VM sends a cold upstream an equal part of its allowance; with more VMs than that, those of the lowest ranks for that upstream send one a second each. Counted are all peers heard in two minutes, cut off or not, and a VM that has just started or met a peer waits a second. Taken for cold: by its own word (listing, answers), after it is listed while this VM knows the list, after its zone's evacuation, after it was unreachable.

plumctl forward evacuations, upstreams: orders in force by zone and who lags, cold upstreams and whether the VM may send there.

--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -109,6 +109,11 @@
     /// \brief Returns how long a peer may be silent before it isn't counted on any more: two and a
     /// half calm intervals, of which one message may be lost.
     [[nodiscard]] state::duration silence() const noexcept;
+    /// \brief Returns when a peer was last heard that was not known; the epoch if none was.
+    [[nodiscard]] state::time_point last_joined() const noexcept
+    {
+        return last_joined_;
+    }
     /// \brief Returns the most entry VMs that were live at once.
     [[nodiscard]] std::size_t most_live() const noexcept
     {
@@ -173,6 +178,7 @@
     std::size_t lost_before_ = 0;
     bool reading_ = false;
     std::size_t most_live_ = 1;
+    state::time_point last_joined_{};
 };
 
 } // namespace plumdale::coordination
--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -26,6 +26,7 @@
 class configuration_reader;
 class content_exchange;
 class content_store;
+class cold_share;
 class control_plane;
 class customer_shares;
 class dispatch_policy;
--- a/include/plumdale/coordination/member_choice.hpp
+++ b/include/plumdale/coordination/member_choice.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <plumdale/coordination/cold_share.hpp>
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/member_health.hpp>
 #include <plumdale/coordination/service_directory.hpp>
@@ -63,7 +64,8 @@
 {
 public:
     member_choice(service_directory const& directory, load_ledger const& ledger,
-                  member_health const& health, std::string_view own_zone, std::minstd_rand& random);
+                  member_health const& health, cold_share const& share, std::string_view own_zone,
+                  std::minstd_rand& random);
 
     /// \brief Returns the best upstream of a service; none when there is none that may take work,
     /// or none among those that were looked at.
@@ -71,6 +73,13 @@
                                                       call_demand const& demand,
                                                       choice_terms const& terms,
                                                       state::time_point now) const;
+    /// \brief Returns whether an upstream is taken for cold.
+    [[nodiscard]] bool is_cold(directory_entry const& entry, state::service const& service,
+                               state::time_point now) const;
+    /// \brief Returns whether a request may be sent to it now: it takes work, and is not cold, or
+    /// this VM's share of what it bears is not used up.
+    [[nodiscard]] bool may_send(directory_entry const& entry, state::service const& service,
+                                state::time_point now) const;
     /// \brief Returns how full an upstream would be with this call.
     [[nodiscard]] double fullness(directory_entry const& entry, state::service const& service,
                                   call_demand const& demand) const;
@@ -110,6 +119,7 @@
     service_directory const& directory_;
     load_ledger const& ledger_;
     member_health const& health_;
+    cold_share const& share_;
     std::string_view own_zone_;
     std::minstd_rand& random_;
 };
--- a/include/plumdale/coordination/member_health.hpp
+++ b/include/plumdale/coordination/member_health.hpp
@@ -37,6 +37,8 @@
     /// \brief Returns 0 for a sound upstream, up to 1 for one that should get no work while another
     /// can take it.
     [[nodiscard]] double penalty(state::member_key member, state::time_point now) const;
+    /// \brief Returns until when it was set aside last; the epoch if it never was.
+    [[nodiscard]] state::time_point aside_until(state::member_key member) const;
     void forget(state::member_key member);
 
     /// \brief Share of the newest result in the moving average: four failures in a row pass the
--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumdale/coordination/evacuation_orders.hpp>
+#include <plumdale/state/routing_configuration.hpp>
 #include <plumdale/state/service_member.hpp>
 #include <plumdale/state/time.hpp>
 
@@ -42,6 +43,11 @@
     bool replaced = false;
     /// \brief A later start under the same name is known.
     bool superseded = false;
+    /// \brief Until when it said that it is cold.
+    state::time_point cold_until{};
+    /// \brief When it was listed, for the first time or again; none for those that were there
+    /// before this VM knew of any.
+    std::optional<state::time_point> fresh_since;
 };
 
 /// \brief Digests of the parts of a directory: parts that are equal need not be exchanged.
@@ -66,6 +72,13 @@
     /// \brief The platform is reachable again after an outage. Upstreams whose entries lapsed
     /// meanwhile have until `lapse_grace` to come back before their removal counts.
     void platform_returned(state::time_point now) noexcept;
+    /// \brief All that were listed before this VM started are known: others that come are fresh.
+    void completed() noexcept
+    {
+        is_complete_ = true;
+    }
+    /// \brief An upstream said that it is cold until then.
+    void note_cold(state::member_key key, state::time_point until);
     /// \brief Removes rows that were removed long ago.
     void forget(state::time_point now);
 
@@ -77,6 +90,10 @@
                                      state::time_point now) const noexcept;
     /// \brief Returns whether an operator's order keeps new work from it.
     [[nodiscard]] bool is_evacuated(directory_entry const& entry) const noexcept;
+    /// \brief Returns until when it is taken for cold: by its own word, after it was listed, and
+    /// after its zone's evacuation.
+    [[nodiscard]] state::time_point cold_until(directory_entry const& entry,
+                                               state::cold_limits const& limits) const;
     /// \brief Returns whether a service has upstreams, and an operator's orders alone keep new
     /// work from all of them.
     [[nodiscard]] bool is_wholly_evacuated(std::string_view service, state::time_point now) const;
@@ -134,6 +151,8 @@
     [[nodiscard]] bool stays(directory_entry const& entry, state::time_point now) const noexcept;
     directory_change update(directory_entry& entry, state::service_member const& member,
                             state::time_point now);
+    static void note_cold(directory_entry& entry, state::service_member const& member,
+                          state::time_point now);
     void adopt(directory_entry& entry, state::service_member const& member);
     void supersede(state::member_key former, state::time_point now);
     void drop_from_service(directory_entry const& entry, state::member_key key);
@@ -148,6 +167,7 @@
     state::time_point lapse_until_{};
     evacuation_orders evacuations_;
     std::uint64_t digest_ = 0;
+    bool is_complete_ = false;
     part_digests parts_{};
 };
 
--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -81,6 +81,8 @@
     bool closes = false;
     /// \brief How long the upstream keeps the idle connection, when it says so.
     std::optional<state::duration> keep_alive;
+    /// \brief How long the upstream stays cold, when it says so.
+    std::optional<state::duration> cold_for;
     bool is_event_stream = false;
 };
 
--- a/include/plumdale/state/fwd.hpp
+++ b/include/plumdale/state/fwd.hpp
@@ -17,6 +17,7 @@
 enum class upstream_kind : std::uint8_t;
 enum class work_kind : std::uint8_t;
 class member_table;
+struct cold_limits;
 struct content_ref;
 struct customer;
 struct endpoint;
--- a/include/plumdale/state/routing_configuration.hpp
+++ b/include/plumdale/state/routing_configuration.hpp
@@ -66,6 +66,15 @@
     bool backups = false;
 };
 
+/// \brief What an upstream of a service bears while it is cold.
+struct cold_limits
+{
+    /// \brief From all entry VMs together.
+    double requests_per_second = 0.0;
+    /// \brief How long an upstream is cold after its start.
+    duration time{};
+};
+
 /// \brief A pool of upstreams.
 struct service
 {
@@ -73,6 +82,8 @@
     /// \brief Connections that one upstream takes from all callers together.
     std::uint32_t max_connections = 100;
     std::optional<engine_limits> engine;
+    /// \brief None where cold upstreams bear what others do.
+    std::optional<cold_limits> cold;
 };
 
 /// \brief Bounds of what callers may send.
--- a/programs/plumctl/forward.cpp
+++ b/programs/plumctl/forward.cpp
@@ -5,9 +5,12 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <iostream>
+#include <map>
+#include <set>
 
 // Entry VMs in forwarding mode: what they serve on their ready address.
 
@@ -151,6 +154,56 @@
     }
 }
 
+struct order_standing
+{
+    std::uint64_t revision = 0;
+    std::set<std::string> obeyed_by;
+};
+
+/// By zone, the newest order that any entry VM knows, and who has one in force for it.
+std::map<std::string, order_standing> orders_of(std::vector<json::value> const& pages)
+{
+    std::map<std::string, order_standing> orders;
+    for (json::value const& page : pages)
+    {
+        json::value const& entry = page.at("entry");
+        for (json::value const& row : rows_of(entry, "evacuations"))
+        {
+            order_standing& order = orders[member_text(row, "zone")];
+            order.revision =
+                std::max(order.revision, row.at("revision").to_number<std::uint64_t>());
+            order.obeyed_by.insert(member_text(entry, "name"));
+        }
+    }
+    return orders;
+}
+
+std::string names_beside(std::vector<json::value> const& pages, std::set<std::string> const& named)
+{
+    std::string others;
+    for (json::value const& page : pages)
+    {
+        std::string const name = member_text(page.at("entry"), "name");
+        if (!named.contains(name))
+        {
+            others += others.empty() ? name : ' ' + name;
+        }
+    }
+    return others;
+}
+
+void print_evacuations(std::vector<json::value> const& pages)
+{
+    std::vector<std::vector<std::string>> table{{"ZONE", "REVISION", "IN FORCE AT", "NOT AT"}};
+    for (auto const& [zone, order] : orders_of(pages))
+    {
+        table.push_back({zone, std::to_string(order.revision),
+                         std::to_string(order.obeyed_by.size()),
+                         names_beside(pages, order.obeyed_by)});
+    }
+    print_table(table);
+}
+
 int print_subject(std::string const& subject, std::vector<json::value> const& pages,
                   double objective)
 {
@@ -162,6 +215,10 @@
     {
         print_fleet(pages);
     }
+    else if (subject == "evacuations")
+    {
+        print_evacuations(pages);
+    }
     else if (subject == "routes")
     {
         print_rows(rows_of(pages.front(), "routes"),
@@ -170,8 +227,9 @@
     else if (subject == "upstreams")
     {
         print_rows(rows_of(pages.front(), "upstreams"),
-                   {"name", "service", "zone", "address", "state", "takes_work", "set_aside",
-                    "fullness", "fleet_calls", "fleet_tokens", "own_calls"});
+                   {"name", "service", "zone", "address", "state", "takes_work", "evacuated",
+                    "cold", "takes_own_request", "set_aside", "fullness", "fleet_calls",
+                    "fleet_tokens", "own_calls"});
     }
     else
     {
@@ -185,11 +243,12 @@
 int run_forward(arguments args)
 {
     TCLAP::CmdLine line{"Shows entry VMs in forwarding mode: of all named their status, the fleet "
-                        "by zone or the sum "
+                        "by zone, who obeys which order of evacuation or the sum "
                         "of their burn, of the first one its routes or upstreams.",
                         ' ', program_version};
     line.setExceptionHandling(false);
-    std::vector<std::string> subjects{"status", "fleet", "routes", "upstreams", "burn"};
+    std::vector<std::string> subjects{"status", "fleet",     "evacuations",
+                                      "routes", "upstreams", "burn"};
     TCLAP::ValuesConstraint<std::string> known{subjects};
     TCLAP::UnlabeledValueArg<std::string> subject{"subject", "what to show", true,
                                                   "",        &known,         line};
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -24,7 +24,9 @@
     {
         return false;
     }
-    peer_state& peer = peers_[news.sender];
+    auto const [place, is_new] = peers_.try_emplace(news.sender);
+    last_joined_ = is_new ? now : last_joined_;
+    peer_state& peer = place->second;
     // Uptimes are numbered by the time of day, which may have stepped back: one that looks older
     // is believed once the other has been silent for longer than a datagram is under way.
     bool const is_past_uptime = news.uptime < peer.uptime && peer.heard + settling >= now;
--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -16,12 +16,38 @@
 } // namespace
 
 member_choice::member_choice(service_directory const& directory, load_ledger const& ledger,
-                             member_health const& health, std::string_view own_zone,
-                             std::minstd_rand& random)
-    : directory_{directory}, ledger_{ledger}, health_{health}, own_zone_{own_zone}, random_{random}
+                             member_health const& health, cold_share const& share,
+                             std::string_view own_zone, std::minstd_rand& random)
+    : directory_{directory}, ledger_{ledger}, health_{health}, share_{share}, own_zone_{own_zone},
+      random_{random}
 {
 }
 
+// One that could not be reached for a while may have become cold meanwhile, and all entry VMs find
+// it empty at the same moment.
+bool member_choice::is_cold(directory_entry const& entry, state::service const& service,
+                            state::time_point now) const
+{
+    if (!service.cold)
+    {
+        return false;
+    }
+    state::time_point const back_at = health_.aside_until(state::key_of(entry.info));
+    bool const was_aside = back_at != state::time_point{} && now < back_at + service.cold->time;
+    return was_aside || now < directory_.cold_until(entry, *service.cold);
+}
+
+bool member_choice::may_send(directory_entry const& entry, state::service const& service,
+                             state::time_point now) const
+{
+    if (!directory_.may_take_work(entry, now))
+    {
+        return false;
+    }
+    return !is_cold(entry, service, now) ||
+           share_.may_send(state::key_of(entry.info), *service.cold, now);
+}
+
 double member_choice::fullness(directory_entry const& entry, state::service const& service,
                                call_demand const& demand) const
 {
@@ -82,7 +108,7 @@
     {
         directory_entry const* const entry = directory_.find(key);
         bool const fits =
-            entry != nullptr && directory_.may_take_work(*entry, now) &&
+            entry != nullptr && may_send(*entry, service, now) &&
             std::find(terms.excluded.begin(), terms.excluded.end(), key) == terms.excluded.end();
         if (!fits || !looked())
         {
--- a/src/coordination/member_health.cpp
+++ b/src/coordination/member_health.cpp
@@ -42,6 +42,12 @@
     return found->second.failures > failure_limit ? 0.5 : 0.0;
 }
 
+state::time_point member_health::aside_until(state::member_key member) const
+{
+    auto const found = records_.find(member);
+    return found == records_.end() ? state::time_point{} : found->second.aside_until;
+}
+
 void member_health::forget(state::member_key member)
 {
     records_.erase(member);
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -89,6 +89,7 @@
     entry.info.usable = name.unusable_at <= member.revision;
     entry.info.revision = std::max({member.revision, name.removed_at, name.unusable_at});
     entry.listed_at = now;
+    note_cold(entry, member, now);
     services_[member.service].push_back(key);
     toggle_digest(entry.info);
     if (!entry.info.listed)
@@ -102,9 +103,46 @@
         entry.leaving_since = now;
         return directory_change::leaving;
     }
+    if (entry.info.usable && is_complete_)
+    {
+        entry.fresh_since = now;
+    }
     return entry.info.usable ? directory_change::listed : directory_change::unusable;
 }
 
+void service_directory::note_cold(directory_entry& entry, state::service_member const& member,
+                                  state::time_point now)
+{
+    if (member.cold_ms != 0)
+    {
+        entry.cold_until =
+            std::max(entry.cold_until, now + std::chrono::milliseconds{member.cold_ms});
+    }
+}
+
+void service_directory::note_cold(member_key key, state::time_point until)
+{
+    if (auto const found = entries_.find(key); found != entries_.end())
+    {
+        found->second.cold_until = std::max(found->second.cold_until, until);
+    }
+}
+
+state::time_point service_directory::cold_until(directory_entry const& entry,
+                                                state::cold_limits const& limits) const
+{
+    // The platform tells of a start up to a heartbeat late, and of the end of an evacuation at
+    // once: the upstream may have become cold just before it.
+    state::time_point until = entry.cold_until;
+    if (entry.fresh_since)
+    {
+        until = std::max(until, *entry.fresh_since + limits.time);
+    }
+    state::time_point const ended =
+        evacuations_.ended_at(state::named<state::zone_id>(entry.info.zone));
+    return ended == state::time_point{} ? until : std::max(until, ended + limits.time);
+}
+
 directory_change service_directory::update(directory_entry& entry,
                                            state::service_member const& member,
                                            state::time_point now)
@@ -116,6 +154,7 @@
     if (member.revision > entry.info.revision)
     {
         adopt(entry, member);
+        note_cold(entry, member, now);
     }
     toggle_digest(entry.info);
     if (begins_to_leave)
@@ -129,6 +168,10 @@
         // drop it at once would empty the directory after each outage.
         entry.removed_from = std::max(now, lapse_until_);
     }
+    if (change == directory_change::listed && is_complete_)
+    {
+        entry.fresh_since = now;
+    }
     if (entry.info.listed)
     {
         entry.removed_from = state::never;
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -142,18 +142,33 @@
     return terms;
 }
 
+// What goes on with a generation is lost if it can't, and no more of them come to an upstream than
+// have room there: they go beyond this VM's share of what a cold one bears.
+bool forward_call::may_send(state::time_point now) const
+{
+    coordination::directory_entry const* const entry = core_.directory.find(member_);
+    if (entry == nullptr || now >= admitted_.deadline)
+    {
+        return false;
+    }
+    return goes_on() ? core_.directory.may_take_work(*entry, now)
+                     : core_.choice.may_send(*entry, *admitted_.service, now);
+}
+
 std::optional<std::string> forward_call::request()
 {
     state::time_point const now = boot_now();
-    coordination::directory_entry const* const entry = core_.directory.find(member_);
     // Connecting took time, and the process may have been paused meanwhile: what was true when the
     // upstream was chosen is looked at again before anything leaves.
-    bool const may_send =
-        now < admitted_.deadline && entry != nullptr && core_.directory.may_take_work(*entry, now);
-    if (!may_send)
+    if (!may_send(now))
     {
         return std::nullopt;
     }
+    is_cold_ = core_.choice.is_cold(*core_.directory.find(member_), *admitted_.service, now);
+    if (is_cold_)
+    {
+        core_.cold.note_sent(member_, now);
+    }
     send_at_ = now;
     first_send_at_ = sends_ == 0 ? now : first_send_at_;
     ++sends_;
@@ -207,6 +222,10 @@
     framing_ = framing;
     answer_ = core_.dialect.read_answer(head);
     has_head_ = true;
+    if (answer_.cold_for)
+    {
+        core_.directory.note_cold(member_, boot_now() + *answer_.cold_for);
+    }
     exchange_->keep_alive(answer_.keep_alive, answer_.closes);
 }
 
@@ -399,6 +418,7 @@
          {"expected_first_event_ms", whole_milliseconds(expected_first_event_)},
          {"zones_evacuated",
           static_cast<std::int64_t>(core_.directory.evacuations().known().in_force.size())},
+         {"cold", is_cold_ ? 1 : 0},
          {"comes_back", admitted_.returns ? 1 : 0},
          {"prompt_tokens", admitted_.demand.prompt_tokens},
          {"hinted_tokens", admitted_.demand.output_tokens},
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -95,6 +95,12 @@
     /// \brief Returns when `on_timer` is due besides the deadline.
     [[nodiscard]] virtual state::time_point next_deadline() const;
 
+    /// \brief Returns whether what is sent goes on with what ran elsewhere.
+    [[nodiscard]] virtual bool goes_on() const
+    {
+        return false;
+    }
+
     /// \brief Returns the tokens that the call has in memory at its upstream by now.
     [[nodiscard]] virtual std::uint32_t tokens_held() const
     {
@@ -108,6 +114,7 @@
     }
 
     void dispatch();
+    [[nodiscard]] bool may_send(state::time_point now) const;
     void wait_or_refuse(bool crowded, state::time_point now);
     void open(state::member_key member);
     void redispatch(std::string_view why);
@@ -155,6 +162,8 @@
     /// \brief Sends that may have run.
     std::uint32_t runs_ = 0;
     bool waits_ = false;
+    /// \brief The upstream was taken for cold when the call was sent.
+    bool is_cold_ = false;
     bool has_head_ = false;
     bool finished_ = false;
 
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -44,16 +44,16 @@
       self{state::named<state::node_id>(protocol::to_text(chosen.datagrams))}, is_seed{names_itself(
                                                                                    chosen)},
       random{random_seed()}, fleet{self, boot_now() + (is_seed ? seed_patience : start_patience)},
-      choice{directory, ledger, health, settings.zone, random}, orders{loop},
-      departures{loop,
-                 words,
-                 directory,
-                 ledger,
-                 lines,
-                 [this](state::member_key member, state::incarnation started)
-                 {
-                     note_start(member, started);
-                 }},
+      cold{fleet, self, boot_now()}, choice{directory, ledger, health, cold, settings.zone, random},
+      orders{loop}, departures{loop,
+                               words,
+                               directory,
+                               ledger,
+                               lines,
+                               [this](state::member_key member, state::incarnation started)
+                               {
+                                   note_start(member, started);
+                               }},
       changes_{lines}
 {
 }
@@ -212,6 +212,7 @@
     take_members(missing, source);
     list_revision = std::max(list_revision, revision);
     has_list = true;
+    directory.completed();
 }
 
 void forward_core::member_replaced(state::member_key member)
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -8,6 +8,7 @@
 #include "net.hpp"
 #include "upstream_pool.hpp"
 
+#include <plumdale/coordination/cold_share.hpp>
 #include <plumdale/coordination/fleet_view.hpp>
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/load_news.hpp>
@@ -76,6 +77,8 @@
         return routing != nullptr && has_list;
     }
 
+    /// \brief Returns a zone's name, or its number where no listed upstream is in it.
+    [[nodiscard]] std::string name_of(state::zone_id zone) const;
     /// \brief Returns how old this VM's knowledge of the platform is.
     [[nodiscard]] state::duration platform_age(state::time_point now) const;
 
@@ -101,6 +104,7 @@
     coordination::load_ledger ledger;
     coordination::member_health health;
     coordination::fleet_view fleet;
+    coordination::cold_share cold;
     coordination::member_choice choice;
     upstream_pool pool;
     /// \brief Orders to upstreams, each on a connection of its own.
@@ -144,7 +148,6 @@
     void note_start(state::member_key member, state::incarnation started);
     void note_evacuations(std::span<state::evacuation_change const> changes,
                           std::string_view source);
-    [[nodiscard]] std::string name_of(state::zone_id zone) const;
     coordination::repeat_allowance& allowance_of(std::string const& service);
 
     change_lines changes_;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -252,6 +252,7 @@
         core_.tell_changes(now);
         core_.pool.sweep(now);
         core_.directory.forget(now);
+        core_.cold.forget(now);
         core_.departures.sweep();
         note_readiness();
         log_.flush();
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -26,6 +26,16 @@
                            : json::value{};
 }
 
+json::array evacuation_rows(forward_core const& core)
+{
+    json::array rows;
+    for (state::evacuation const& each : core.directory.evacuations().known().in_force)
+    {
+        rows.push_back({{"zone", core.name_of(each.zone)}, {"revision", each.revision}});
+    }
+    return rows;
+}
+
 json::object entry_object(forward_core const& core)
 {
     state::time_point const now = boot_now();
@@ -36,6 +46,8 @@
             {"platform_age_ms", platform_age(core, now)},
             {"reads_platform", core.fleet.is_reader()},
             {"directory", std::to_string(core.directory.digest())},
+            {"evacuations", evacuation_rows(core)},
+            {"evacuations_as_of", core.directory.evacuations().known().as_of},
             {"live_entry_vms", core.fleet.live(now)},
             {"calls_in_progress", core.calls_in_progress}};
 }
@@ -79,6 +91,7 @@
                                : entry.info.leaving ? "leaving"
                                                     : "listed"},
                      {"takes_work", core.directory.may_take_work(entry, now)},
+                     {"evacuated", core.directory.is_evacuated(entry)},
                      {"set_aside", core.health.penalty(key, now)},
                      {"fleet_calls", load.calls},
                      {"fleet_tokens", load.tokens},
@@ -88,6 +101,8 @@
     if (service != nullptr)
     {
         row["fullness"] = core.choice.fullness(entry, *service, {});
+        row["cold"] = core.choice.is_cold(entry, *service, now);
+        row["takes_own_request"] = core.choice.may_send(entry, *service, now);
     }
     return row;
 }
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -61,6 +61,10 @@
     void on_timer(state::time_point now) override;
     [[nodiscard]] state::time_point next_deadline() const override;
 
+    [[nodiscard]] bool goes_on() const override
+    {
+        return resumed_.has_value();
+    }
     [[nodiscard]] std::uint32_t tokens_held() const override;
     [[nodiscard]] std::uint32_t unread() const override;
     void prompt_read();
--- a/tests/coordination/test_member_choice.cpp
+++ b/tests/coordination/test_member_choice.cpp
@@ -31,7 +31,9 @@
     load_ledger ledger;
     member_health health;
     std::minstd_rand random{1};
-    member_choice choice{directory, ledger, health, "a", random};
+    fleet_view fleet{state::node_id{1}};
+    cold_share share{fleet, state::node_id{1}, {}};
+    member_choice choice{directory, ledger, health, share, "a", random};
 
     state::member_key add(std::string const& name, std::string const& zone)
     {
--- a/tests/platform/test_dialect.cpp
+++ b/tests/platform/test_dialect.cpp
@@ -121,11 +121,9 @@
 {
     protocol::message_head head;
     head.status = 421;
-    head.fields = {{"plumdale-request-id", "9c41"},
-                   {"Plumdale-Response-Seal", "x"},
-                   {"Keep-Alive", "timeout=5, max=9"},
-                   {"Connection", "Close"},
-                   {"Content-Encoding", "gzip"}};
+    head.fields = {{"plumdale-request-id", "9c41"},    {"Plumdale-Response-Seal", "x"},
+                   {"Keep-Alive", "timeout=5, max=9"}, {"Connection", "Close"},
+                   {"Content-Encoding", "gzip"},       {"Plumdale-Cold-Ms", "700"}};
     protocol::answer_terms const terms = platform_dialect{}.read_answer(head);
     CHECK(terms.id == "9c41");
     CHECK(terms.sealed);
@@ -133,6 +131,7 @@
     CHECK(terms.encoded);
     CHECK(terms.closes);
     CHECK(terms.keep_alive == 5s);
+    CHECK(terms.cold_for == 700ms);
     CHECK_FALSE(terms.not_run);
 }
 
@@ -168,7 +167,8 @@
         R"("weightedServices":[{"service":"s","weight":90},{"service":"t","weight":10}]},)"
         R"({"name":"q","host":"a","prefix":"/q/","routeType":"new kind","service":"t"}],)"
         R"("services":[{"name":"s","maxConnections":252,"inferenceEngine":{"slots":24,"kvCapacityTokens":34288,)"
-        R"("kvBytes":131072,"linkMbps":19000.0,"migrations":true,"backups":true,"stride":4,"handleTtlS":5.0}},{"name":"t"}],)"
+        R"("kvBytes":131072,"linkMbps":19000.0,"migrations":true,"backups":true,"stride":4,"handleTtlS":5.0},)"
+        R"("coldPerS":35,"coldStartS":1.5},{"name":"t","coldPerS":0,"coldStartS":0}],)"
         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
         R"("tenants":[{"name":"c","apiKeys":["k"],"priority":2}]})");
     REQUIRE(configuration);
@@ -188,6 +188,10 @@
     CHECK(read.services[0].engine->tokens_per_event == 4);
     CHECK(read.services[0].engine->live_migration);
     CHECK_FALSE(read.services[1].engine);
+    REQUIRE(read.services[0].cold);
+    CHECK(read.services[0].cold->requests_per_second == 35.0);
+    CHECK(read.services[0].cold->time == 1500ms);
+    CHECK_FALSE(read.services[1].cold);
     CHECK(read.limits.idle_timeout == 15s);
     CHECK(read.customers[0].priority == 2U);
 }
--- a/tests/platform/test_operations.cpp
+++ b/tests/platform/test_operations.cpp
@@ -43,6 +43,21 @@
     CHECK_FALSE(page.at("routes").as_array().empty());
 }
 
+// A zone is evacuated and one VM still sends there: which one shows on the pages of all.
+TEST_CASE("the status page shows the orders in force and what they keep from work", "[operations]")
+{
+    forward_scene scene;
+    scene.core.take_evacuations({8, {{state::named<state::zone_id>("a"), 5}}}, "test");
+    boost::json::value const page = page_of(scene);
+    auto const& orders = page.at("entry").at("evacuations").as_array();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders.front().at("zone").as_string() == "a");
+    CHECK(orders.front().at("revision").to_number<int>() == 5);
+    CHECK(page.at("entry").at("evacuations_as_of").to_number<int>() == 8);
+    CHECK(page.at("upstreams").as_array().front().at("evacuated").as_bool());
+    CHECK_FALSE(page.at("upstreams").as_array().front().at("takes_work").as_bool());
+}
+
 // An operator's page goes into tickets and chats; a customer's key must not go with it.
 TEST_CASE("the status page holds no keys", "[operations]")
 {
