A call that would wait or be refused looks at all upstreams of a bounded set

Ruled out: all at each look, since waiting calls then meet at an upstream that has just come (the test of deciders that don't hear each other fails).

--- a/include/plumdale/coordination/member_choice.hpp
+++ b/include/plumdale/coordination/member_choice.hpp
@@ -50,6 +50,10 @@
     /// it within 0.1 s; drawn ones spread, and eight are enough to find one that is nearly the
     /// best.
     static constexpr std::size_t drawn_candidates = 8;
+    /// \brief ... for a call that would have to wait or to be refused otherwise: a long prompt
+    /// needs an upstream that reads next to nothing else, of which eight drawn ones have none in a
+    /// crowd.
+    static constexpr std::size_t thorough_candidates = 64;
 
     std::string_view near_zone{};
     std::span<state::member_key const> excluded{};
--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -100,8 +100,7 @@
 
 double member_choice::look_chance(std::size_t members, std::size_t candidates) const noexcept
 {
-    bool const all = candidates >= choice_terms::drawn_candidates &&
-                     members <= 2 * choice_terms::drawn_candidates;
+    bool const all = candidates >= choice_terms::drawn_candidates && members <= 2 * candidates;
     return all ? 1.0 : static_cast<double>(candidates) / static_cast<double>(members);
 }
 
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -51,26 +51,45 @@
     {
         return time_over();
     }
-    coordination::choice_terms terms;
-    terms.near_zone = core_.choice.own_zone();
-    terms.excluded = excluded_;
     bool const looks_again = waits_ && admitted_.service->engine;
-    terms.candidates = looks_again ? waiting_candidates : terms.candidates;
-    auto const chosen = core_.choice.choose(*admitted_.service, admitted_.demand, terms, now);
-    best_ = chosen.value_or(best_);
-    limit_ = chosen ? limit_for(*chosen, now) : limit_;
+    auto chosen = look_at(
+        looks_again ? waiting_candidates : coordination::choice_terms::drawn_candidates, now);
+    // Calls that wait look at the same moments; those that come, or are at the end of their wait,
+    // do not, and hear of each other's starts in between.
+    if (!chosen && (!looks_again || now >= wait_until_))
+    {
+        chosen = look_at(coordination::choice_terms::thorough_candidates, now);
+    }
+    if (chosen)
+    {
+        return open(*chosen);
+    }
     // An operator's order lasts for longer than a caller waits.
-    if (!chosen && core_.directory.is_wholly_evacuated(admitted_.service->name, now))
+    if (core_.directory.is_wholly_evacuated(admitted_.service->name, now))
     {
         return refuse(may_have_run() ? state::error_kind::may_have_run
                                      : state::error_kind::no_upstream,
                       "all zones with upstreams are evacuated");
     }
-    if (!chosen || limit_ != coordination::admission_limit::none)
+    wait_or_refuse(limit_ != coordination::admission_limit::none || looks_again, now);
+}
+
+std::optional<state::member_key> forward_call::look_at(std::size_t candidates,
+                                                       state::time_point now)
+{
+    coordination::choice_terms terms;
+    terms.near_zone = core_.choice.own_zone();
+    terms.excluded = excluded_;
+    terms.candidates = candidates;
+    auto const chosen = core_.choice.choose(*admitted_.service, admitted_.demand, terms, now);
+    if (!chosen)
     {
-        return wait_or_refuse(chosen.has_value() || looks_again, now);
+        return std::nullopt;
     }
-    open(chosen->member);
+    best_ = *chosen;
+    limit_ = limit_for(*chosen, now);
+    return limit_ == coordination::admission_limit::none ? std::optional{chosen->member}
+                                                         : std::nullopt;
 }
 
 void forward_call::wait_or_refuse(bool crowded, state::time_point now)
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -115,6 +115,9 @@
     }
 
     void dispatch();
+    /// \brief Notes the best of about so many upstreams; returns it if the call may be sent there.
+    [[nodiscard]] std::optional<state::member_key> look_at(std::size_t candidates,
+                                                           state::time_point now);
     [[nodiscard]] bool may_send(state::time_point now) const;
     void wait_or_refuse(bool crowded, state::time_point now);
     void open(state::member_key member);
--- a/tests/coordination/test_member_choice.cpp
+++ b/tests/coordination/test_member_choice.cpp
@@ -2,10 +2,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace plumdale;
 using namespace plumdale::coordination;
@@ -191,3 +193,36 @@
         CHECK(count <= 60 / 12 + 2);
     }
 }
+
+// Load pattern: a crowd in which all but a tenth of the upstreams read prompts for most of a
+// second. A prompt of 6,300 tokens is in time only at the others; with eight of 44 drawn, half of
+// the looks found none of them, and its call was refused.
+TEST_CASE("a thorough look finds the upstreams that read nothing", "[member_choice][load]")
+{
+    for (std::size_t const upstreams : {20U, 44U, 122U})
+    {
+        scene fleet;
+        std::vector<state::member_key> idle;
+        for (std::size_t i = 0; i < upstreams; ++i)
+        {
+            state::member_key const key = fleet.add("i-" + std::to_string(i), "a");
+            bool const reads = i % 10 != 0;
+            fleet.ledger.add(key, {key, 1, 5'000, 5'000, reads ? 4'000U : 0U});
+            if (!reads)
+            {
+                idle.push_back(key);
+            }
+        }
+        int found = 0;
+        constexpr int looks = 1'000;
+        for (int i = 0; i < looks; ++i)
+        {
+            choice_terms terms{"a"};
+            terms.candidates = choice_terms::thorough_candidates;
+            auto const chosen = fleet.choice.choose(lists(), {6'300, 12}, terms, now);
+            found += std::find(idle.begin(), idle.end(), chosen->member) != idle.end() ? 1 : 0;
+        }
+        CAPTURE(upstreams);
+        CHECK(found >= looks * 95 / 100);
+    }
+}
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -13,6 +13,9 @@
 # The users' rule: a generation may go on elsewhere while its former upstream still works on it for this long, in
 # seconds; a reset takes a moment to reach it.
 OVERLAP_ALLOWED = 0.4
+# An order of evacuation is in force at VMs that hear anything within this, in seconds: our aim of 1 s, doubled for a
+# machine that other work shares.
+IN_FORCE_WITHIN = 2.0
 CONFIGURATION = {
     "routes": [
         {"name": "fetch", "host": "soak", "prefix": "/fetch/", "routeType": "idempotent", "timeoutMs": 4000,
@@ -24,7 +27,8 @@
     "services": [{"name": "plain", "maxConnections": 200},
                  {"name": "engine", "maxConnections": 200, "inferenceEngine": {
                      "slots": 24, "kvCapacityTokens": 34288, "kvBytes": 131072, "linkMbps": 19000.0,
-                     "migrations": True, "backups": True, "stride": 4, "handleTtlS": 5.0}}],
+                     "migrations": True, "backups": True, "stride": 4, "handleTtlS": 5.0},
+                  "coldPerS": 35, "coldStartS": 1.0}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     "tenants": [{"name": "customer", "apiKeys": ["key"]}]}
 
@@ -108,13 +112,16 @@
         self.copies, self.handles = {}, itertools.count(1)
         # Start of the upstream at each address; memory that was kept there ends with it.
         self.starts = {}
+        # When each zone's evacuation was ordered; how many faults keep VMs from hearing of it, and when one last did.
+        self.evacuated, self.disturbing, self.disturbed = {}, 0, 0.0
 
 
 class Upstream:
     """Runs calls and records them. `leaving` is announced by the soak; `crash` cuts all its streams, `restart` begins
     anew under the same name."""
 
-    def __init__(self, name, record, seed):
+    def __init__(self, name, record, seed, zone):
+        self.zone = zone
         self.born, self.address, self.dead_writers = 1_784_177_000_000, None, set()
         self.name, self.record, self.random = name, record, random.Random(seed)
         self.writers, self.alive, self.unreachable_until, self.leaves_at = set(), True, 0.0, None
@@ -161,6 +168,7 @@
         fields = [("Plumdale-Request-Id", call)]
         if expected != self.name:
             return writer.write(answer(421, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
+        self.check_evacuation(call)
         if "plumdale-key" in headers or headers.get("plumdale-tenant") != "customer":
             self.record.broken.append(f"{call}: key passed on or wrong customer")
         if target.startswith("/draft/"):
@@ -174,6 +182,11 @@
         failed = target.startswith("/fetch/") and self.random.random() < 0.1
         writer.write(answer(500 if failed else 200, f"answer {call}".encode(), [*fields, (SEAL, "s")]))
 
+    def check_evacuation(self, call):
+        now, ordered = asyncio.get_running_loop().time(), self.record.evacuated.get(self.zone)
+        if self.record.disturbing == 0 and ordered is not None and now - max(ordered, self.record.disturbed) > IN_FORCE_WITHIN:
+            self.record.broken.append(f"{call}: reached {self.name} {now - ordered:.1f} s after its zone was evacuated")
+
     def report(self):
         """As of half a second ago: the departure was that much farther away."""
         if self.leaves_at is None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,8 @@
 
 Each seed starts three entry VMs and five upstreams on loopback addresses of its own, sends calls for some seconds and
 injects faults in series that overlap: connections delayed, reset or silenced by a proxy; entry VMs paused, killed, stopped
-and started again; upstreams that leave, crash or start again under their name; entries of other writers; a store that is down. Only processes that a seed started are signalled,
+and started again; upstreams that leave, crash or start again under their name; entries of other writers; zones that are
+evacuated; a store that is down. Only processes that a seed started are signalled,
 by their ids. The last line is `N passed, N failed`; failed seeds print what broke and where their logs are.
 """
 
@@ -75,14 +76,15 @@
 
     async def add_upstream(self, service):
         self.next_name += 1
-        upstream = Upstream(f"i-{self.next_name}", self.record, self.seed * 1000 + self.next_name)
+        zone = "a" if self.seed in KEPT or self.next_name % 2 else "b"
+        upstream = Upstream(f"i-{self.next_name}", self.record, self.seed * 1000 + self.next_name, zone)
         proxy = Proxy(await self.listen(upstream.serve), upstream)
         self.proxies.append(proxy)
         host, port = await self.listen(proxy.serve)
         upstream.address = f"{host}:{port}"
         self.record.starts[upstream.address] = upstream.born
-        upstream.entry = {"service": service, "address": upstream.address, "zone": "a", "version": "v1", "slots": 24,
-                          "state": "ready", "coldLeftMs": 0, "sequence": 1, "born": upstream.born}
+        upstream.entry = {"service": service, "address": upstream.address, "zone": zone, "version": "v1", "slots": 24,
+                          "state": "ready", "coldLeftMs": 0 if self.next_name <= 5 else 1000, "sequence": 1, "born": upstream.born}
         self.upstreams[upstream.name] = upstream
         self.store.put(f"servers/{upstream.name}", upstream.entry)
 
@@ -161,8 +163,28 @@
         faults = (self.pause_vm, self.kill_vm, self.stop_vm, self.leave, self.crash, self.store_down, self.disturb_links)
         # Seeds that are kept play what they played when they failed.
         if self.seed not in KEPT:
-            faults += (self.start_again, self.start_again_while_leaving, self.damage_entry)
-        await self.random.choice(faults)()
+            faults += (self.start_again, self.start_again_while_leaving, self.damage_entry, self.evacuate)
+        fault = self.random.choice(faults)
+        if fault not in (self.pause_vm, self.kill_vm, self.stop_vm, self.store_down, self.disturb_links):
+            return await fault()
+        # These keep VMs from hearing of an order.
+        self.record.disturbing += 1
+        await fault()
+        self.record.disturbing -= 1
+        self.record.disturbed = asyncio.get_running_loop().time()
+
+    async def evacuate(self):
+        """A zone's upstreams get nothing for some seconds, once or twice in a row; the value of the order is anything."""
+        zone = self.random.choice(("a", "b"))
+        if zone in self.record.evacuated:
+            return
+        for _ in range(self.random.choice((1, 1, 2))):
+            self.store.put(f"op/evacuate/{zone}", self.random.choice(("", [], {"since": 1})))
+            self.record.evacuated[zone] = asyncio.get_running_loop().time()
+            await asyncio.sleep(self.random.uniform(0.5, 4.0))
+            del self.record.evacuated[zone]
+            self.store.put(f"op/evacuate/{zone}", None)
+            await asyncio.sleep(self.random.uniform(0.0, 0.2))
 
     async def pause_vm(self):
         process = self.vms[self.random.randint(1, 3)]
