Tests of orders at the store's edge; a damaged cold time is bounded

Failure: an upstream's entry or answer with a cold time of weeks would leave it with a share of 35 requests a second for good; none is cold for longer than a minute. Tests of what a VM that starts, one whose history was dropped and one that watches learn of orders, and 2,000 seeds of damage to orders and cold fields.

--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -77,8 +77,8 @@
     {
         is_complete_ = true;
     }
-    /// \brief An upstream said that it is cold until then.
-    void note_cold(state::member_key key, state::time_point until);
+    /// \brief An upstream said for how long it is cold.
+    void note_cold(state::member_key key, state::duration time, state::time_point now);
     /// \brief Removes rows that were removed long ago.
     void forget(state::time_point now);
 
@@ -131,6 +131,8 @@
 
     /// \brief Entries that lapsed in an outage are back within two seconds of its end.
     static constexpr state::duration lapse_grace = std::chrono::milliseconds{2'200};
+    /// \brief No upstream is cold for longer: a damaged entry would keep work from it for good.
+    static constexpr state::duration longest_cold = std::chrono::seconds{60};
     /// \brief Removed rows are kept for stragglers' news; far above any datagram's delay.
     static constexpr state::duration remember_removed = std::chrono::seconds{120};
 
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -115,16 +115,17 @@
 {
     if (member.cold_ms != 0)
     {
-        entry.cold_until =
-            std::max(entry.cold_until, now + std::chrono::milliseconds{member.cold_ms});
+        state::duration const time = std::chrono::milliseconds{member.cold_ms};
+        entry.cold_until = std::max(entry.cold_until, now + std::min(time, longest_cold));
     }
 }
 
-void service_directory::note_cold(member_key key, state::time_point until)
+void service_directory::note_cold(member_key key, state::duration time, state::time_point now)
 {
     if (auto const found = entries_.find(key); found != entries_.end())
     {
-        found->second.cold_until = std::max(found->second.cold_until, until);
+        found->second.cold_until =
+            std::max(found->second.cold_until, now + std::min(time, longest_cold));
     }
 }
 
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -243,7 +243,7 @@
     has_head_ = true;
     if (answer_.cold_for)
     {
-        core_.directory.note_cold(member_, boot_now() + *answer_.cold_for);
+        core_.directory.note_cold(member_, *answer_.cold_for, boot_now());
     }
     exchange_->keep_alive(answer_.keep_alive, answer_.closes);
 }
--- a/tests/coordination/test_cold_share.cpp
+++ b/tests/coordination/test_cold_share.cpp
@@ -221,8 +221,11 @@
     vm.directory.join(again, began);
     CHECK(is_cold(began + 699ms));
     CHECK_FALSE(is_cold(began + 700ms));
-    vm.directory.note_cold(key, began + 2s);
+    vm.directory.note_cold(key, 2s, began);
     CHECK(is_cold(began + 1'999ms));
+    // Damage: it would get next to nothing for weeks.
+    vm.directory.note_cold(key, 1'000h, began);
+    CHECK_FALSE(is_cold(began + service_directory::longest_cold));
     state::service plain = lists();
     plain.cold.reset();
     CHECK_FALSE(vm.choice.is_cold(*vm.directory.find(key), plain, began));
--- a/tests/platform/test_evacuations.cpp
+++ b/tests/platform/test_evacuations.cpp
@@ -1,4 +1,5 @@
 #include "forward_scene.hpp"
+#include "mutation.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -61,6 +62,38 @@
     CHECK(page.value().orders[0].change.taken_back);
 }
 
+// A page of orders with bytes of it changed, dropped or doubled: nothing is thrown, and no order is
+// for a zone without a name.
+TEST_CASE("seeded damage to orders and cold times is refused or read whole", "[evacuation][seeds]")
+{
+    platform::platform_dialect const words;
+    std::string const page =
+        R"({"items":[{"key":"op/config","value":"e30=","revision":3},)"
+        R"({"key":"op/evacuate/east","value":"","revision":7}],"hasMore":false,"atRev":12})";
+    std::string const configuration =
+        R"({"version":7,"services":[{"name":"s","coldPerS":35,"coldStartS":1.5}]})";
+    for (std::uint64_t seed = 1; seed <= 2'000; ++seed)
+    {
+        if (auto const read = words.read_list(mutate(page, seed)))
+        {
+            for (protocol::zone_order const& each : read.value().orders)
+            {
+                CHECK_FALSE(each.zone.empty());
+            }
+        }
+        auto const read = words.decode_configuration(mutate(configuration, seed));
+        if (read && !read.value().services.empty() && read.value().services[0].cold)
+        {
+            CHECK(read.value().services[0].cold->requests_per_second > 0.0);
+            CHECK(read.value().services[0].cold->time >= 0s);
+        }
+        protocol::message_head head;
+        head.status = 200;
+        head.fields = {{"Plumdale-Cold-Ms", mutate("700", seed)}};
+        CHECK(words.read_answer(head).cold_for.value_or(0s) >= 0s);
+    }
+}
+
 // -- what obeys it --------------------------------------------------------------------------------
 
 // A connection was kept at an upstream whose zone is evacuated meanwhile.
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <functional>
+#include <map>
 #include <string>
 
 using namespace plumdale;
@@ -70,10 +72,15 @@
 
     void answer()
     {
-        if (!store.connections.empty() && asked() > answered)
+        for (auto const& each : store.connections)
         {
-            ++answered;
-            store.connections.back()->send(not_published);
+            std::size_t& answered = answers[each.get()];
+            if (count(each->received, "GET ") > answered)
+            {
+                ++answered;
+                std::string_view const text = each->received;
+                each->send(reply(text.substr(text.rfind("GET "))));
+            }
         }
     }
 
@@ -94,9 +101,37 @@
     protocol::forward_settings settings;
     transport::forward_core core;
     transport::store_reader reader;
-    std::size_t answered = 0;
+    /// \brief Answers of the store by the request.
+    std::function<std::string(std::string_view)> reply = [](std::string_view /*request*/)
+    {
+        return std::string{not_published};
+    };
+    std::map<script_connection*, std::size_t> answers;
 };
 
+std::string found(std::string_view body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string{body};
+}
+
+// The store's answers to reads: a configuration and `orders`, as of `revision`.
+std::string operators_page(std::string_view orders, std::uint64_t revision)
+{
+    // {"version":3}
+    return found(R"({"items":[{"key":"op/config","value":"eyJ2ZXJzaW9uIjozfQ==","revision":2})" +
+                 std::string{orders} + R"(],"hasMore":false,"atRev":)" + std::to_string(revision) +
+                 "}");
+}
+
+constexpr std::string_view east_at_5 = R"(,{"key":"op/evacuate/east","value":"","revision":5})";
+constexpr auto east = state::named<state::zone_id>("east");
+
+bool asks(std::string_view request, std::string_view what)
+{
+    return request.find(what) != std::string_view::npos;
+}
+
 } // namespace
 
 // All 300 VMs lose power and start at the same moment, and callers come at once. Each needs the
@@ -126,3 +161,87 @@
     other.run(900ms);
     CHECK(other.asked() == 1);
 }
+
+// An order that was given before this VM started, and is told by no watch.
+TEST_CASE("a VM that starts learns of the orders in force", "[store_reader][evacuation]")
+{
+    starting_vm vm{true};
+    vm.reply = [](std::string_view request)
+    {
+        return asks(request, "prefix=op") ? operators_page(east_at_5, 9)
+                                          : std::string{not_published};
+    };
+    vm.run(200ms);
+    CHECK(vm.core.directory.evacuations().covers(east));
+    // What may lag is as of its newest part: a peer that knows of revision 6 knows better.
+    CHECK(vm.core.directory.evacuations().known().as_of == 5);
+    vm.core.take_evacuations({6, {}}, "test");
+    CHECK_FALSE(vm.core.directory.evacuations().covers(east));
+}
+
+// The store dropped the history in which an order was given, and later the one in which it was
+// taken back: the watch tells of neither.
+TEST_CASE("orders are read anew when the history was dropped", "[store_reader][evacuation]")
+{
+    starting_vm vm{true};
+    int reads = 0;
+    vm.reply = [&reads](std::string_view request)
+    {
+        if (asks(request, "prefix=op"))
+        {
+            // The first two: what may lag, and what is current.
+            ++reads;
+            return operators_page(reads <= 2 ? std::string_view{} : east_at_5, 3U + 10U * reads);
+        }
+        if (asks(request, "prefix=servers"))
+        {
+            return found(R"({"items":[],"hasMore":false,"atRev":4})");
+        }
+        return std::string{"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"};
+    };
+    vm.run(1'500ms);
+    CHECK(reads >= 3);
+    CHECK(vm.core.directory.evacuations().covers(east));
+}
+
+TEST_CASE("an order that the watch tells is in force, and passed on, until it is taken back",
+          "[store_reader][evacuation]")
+{
+    starting_vm vm{true};
+    int told = 0;
+    vm.core.evacuations_read = [&told]
+    {
+        ++told;
+    };
+    int watches = 0;
+    vm.reply = [&watches](std::string_view request)
+    {
+        if (asks(request, "prefix=op"))
+        {
+            return operators_page({}, 3);
+        }
+        if (asks(request, "prefix=servers"))
+        {
+            return found(R"({"items":[],"hasMore":false,"atRev":4})");
+        }
+        ++watches;
+        std::string_view const given =
+            R"({"events":[{"key":"op/evacuate/east","value":"","revision":5}],"atRev":5})";
+        std::string_view const back =
+            R"({"events":[{"key":"op/evacuate/east","revision":8,"deleted":true}],"atRev":8})";
+        return found(watches == 1 ? given : watches == 2 ? back : R"({"events":[],"atRev":8})");
+    };
+    auto const until = [&vm](auto const& condition)
+    {
+        for (int round = 0; round < 100 && !condition(); ++round)
+        {
+            vm.run(20ms);
+        }
+        CHECK(condition());
+    };
+    until([&] { return vm.core.directory.evacuations().covers(east); });
+    CHECK(told == 1);
+    until([&] { return !vm.core.directory.evacuations().covers(east); });
+    CHECK(told == 2);
+    CHECK(vm.core.directory.evacuations().known().as_of == 8);
+}
