An upstream that becomes cold again is told to all VMs

Cause: found by reading. It is a change of its own now and goes along the trees; while it stays cold, once.

--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -24,10 +24,12 @@
 enum class directory_change : std::uint8_t
 {
     none,
-    listed,  ///< A start may be used, for the first time or again.
-    leaving, ///< It announced that it is leaving.
-    removed, ///< It is gone from the list.
-    unusable ///< Its entry can't be believed any more: calls that run go on, new ones go elsewhere.
+    listed,   ///< A start may be used, for the first time or again.
+    leaving,  ///< It announced that it is leaving.
+    removed,  ///< It is gone from the list.
+    unusable, ///< Its entry can't be believed any more: calls that run go on, new ones go
+              ///< elsewhere.
+    cold      ///< It became cold again without a new start.
 };
 
 /// \brief One row of the directory.
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -150,6 +150,7 @@
 {
     bool const begins_to_leave = member.leaving && !entry.info.leaving;
     standing const before{entry.info.listed, entry.info.usable};
+    bool const was_cold = now < entry.cold_until;
     toggle_digest(entry.info);
     entry.info.leaving = entry.info.leaving || member.leaving;
     if (member.revision > entry.info.revision)
@@ -177,8 +178,13 @@
     {
         entry.removed_from = state::never;
     }
-    bool const tells_leaving = begins_to_leave && change != directory_change::removed;
-    return tells_leaving ? directory_change::leaving : change;
+    if (begins_to_leave && change != directory_change::removed)
+    {
+        return directory_change::leaving;
+    }
+    // Only readers of the store see its entry: the others would send it what all together may.
+    bool const turned_cold = !was_cold && now < entry.cold_until;
+    return turned_cold && change == directory_change::none ? directory_change::cold : change;
 }
 
 // The newest entry holds as a whole, so that one of another writer is undone by the upstream's
@@ -202,6 +208,7 @@
     entry.info.zone = member.zone;
     entry.info.address = member.address;
     entry.info.slots = member.slots;
+    entry.info.cold_ms = member.cold_ms;
 }
 
 void service_directory::supersede(member_key former, state::time_point now)
--- a/src/transport/change_lines.cpp
+++ b/src/transport/change_lines.cpp
@@ -10,9 +10,9 @@
 constexpr std::string_view part = "directory";
 
 // In the order of `directory_change`.
-constexpr std::array<std::string_view, 5> decisions{"upstream unchanged", "upstream listed",
-                                                    "upstream leaving", "upstream removed",
-                                                    "upstream's entry unusable"};
+constexpr std::array<std::string_view, 6> decisions{
+    "upstream unchanged", "upstream listed",           "upstream leaving",
+    "upstream removed",   "upstream's entry unusable", "upstream cold again"};
 
 } // namespace
 
--- a/tests/coordination/test_cold_share.cpp
+++ b/tests/coordination/test_cold_share.cpp
@@ -218,7 +218,12 @@
     state::service_member again = vm.directory.find(key)->info;
     again.cold_ms = 700;
     again.revision = 2;
-    vm.directory.join(again, began);
+    // Told to peers: they don't read its entry.
+    CHECK(vm.directory.join(again, began) == directory_change::cold);
+    CHECK(vm.directory.find(key)->info.cold_ms == 700);
+    again.revision = 3;
+    again.cold_ms = 300;
+    CHECK(vm.directory.join(again, began + 400ms) == directory_change::none);
     CHECK(is_cold(began + 699ms));
     CHECK_FALSE(is_cold(began + 700ms));
     vm.directory.note_cold(key, 2s, began);
