Upstreams are drawn before they are looked up; arithmetic of rare cold requests is bounded

Cause: found by reading. Of 11,000 upstreams each choice looked up every row before it drew some 8 of them. A cold allowance near zero divided out of range.

--- a/src/coordination/cold_share.cpp
+++ b/src/coordination/cold_share.cpp
@@ -9,14 +9,15 @@
 {
 
 constexpr state::duration second = std::chrono::seconds{1};
-// Sends are remembered for longer than any allowance is counted over.
+// Sends are remembered for as long as any allowance is counted over.
 constexpr state::duration remembered = std::chrono::seconds{10};
 
 // An allowance of less than one request a second is one in a longer time.
 state::duration counted_over(state::cold_limits const& limits)
 {
-    double const seconds = std::min(10.0, std::max(1.0, 1.0 / limits.requests_per_second));
-    return std::chrono::duration_cast<state::duration>(seconds * second);
+    double const least_rate = second / std::chrono::duration<double>{remembered};
+    double const rate = std::clamp(limits.requests_per_second, least_rate, 1.0);
+    return std::chrono::duration_cast<state::duration>(second / rate);
 }
 
 } // namespace
--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -116,11 +116,12 @@
     std::uniform_real_distribution<double> noise{0.0, spread};
     for (state::member_key const key : members)
     {
-        directory_entry const* const entry = directory_.find(key);
+        // Drawn first: of thousands, few are worth more than a draw.
+        directory_entry const* const entry = looked() ? directory_.find(key) : nullptr;
         bool const fits =
             entry != nullptr && may_send(*entry, service, now) &&
             std::find(terms.excluded.begin(), terms.excluded.end(), key) == terms.excluded.end();
-        if (!fits || !looked())
+        if (!fits)
         {
             continue;
         }
