Test: a draft whose backup is in an evacuated zone is copied away when its upstream leaves

A mutant that keeps counting on such a backup left all tests green: the last look keeps requests from the zone, but nothing would have been copied elsewhere.

--- a/tests/platform/test_evacuations.cpp
+++ b/tests/platform/test_evacuations.cpp
@@ -172,3 +172,26 @@
     auto const caller = scene.call("/fetch/1", "id-1");
     CHECK(scene.sent("id-1") != nullptr);
 }
+
+// Its upstream leaves after the order: were the backup still counted on, nothing would be copied,
+// and the draft would end with its upstream.
+TEST_CASE("a draft whose backup is in an evacuated zone is copied away when its upstream leaves",
+          "[evacuation]")
+{
+    forward_scene scene;
+    auto const caller = scene.call("/draft/1", "id-1", draft_fields);
+    script_upstream& source = scene.upstream_of("Plumdale-Request-Id: id-1");
+    auto const sent = source.connections_with("Plumdale-Request-Id: id-1").front();
+    REQUIRE(sent->received.find("Plumdale-Kv-Backup: ") != std::string::npos);
+    sent->send(stream_head("id-1"));
+    sent->send(event_chunk(1));
+    scene.run_until([&] { return caller->received.find("data: e1\n") != std::string::npos; });
+    add_far_upstream(scene, "engine");
+    scene.core.take_evacuations(order(5), "test");
+    state::service_member leaving = source.listing("engine", 6);
+    leaving.leaving = true;
+    std::vector<state::service_member> const news{leaving};
+    scene.core.take_members(news, "test");
+    scene.run_until([&] { return scene.sends("/v1/kv-move") == 1; });
+    CHECK(scene.sends("/v1/kv-move") == 1);
+}
