Large fleets alone leave out the list that was read at the start

Cause: read at the start, lists lag by more or less than each other; told to nobody, a VM whose list was older lacks what another read.

--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -338,7 +338,14 @@
 // misses the same datagrams. Passed on, each VM sends it to a few.
 void fleet_exchange::tell_members()
 {
-    std::vector<state::service_member> const told = std::exchange(core_.untold, {});
+    std::vector<state::service_member> told = std::exchange(core_.untold, {});
+    // Others' lists lagged by more or less than this one. Hundreds of VMs that each passed on a
+    // list of thousands filled all links; there the readers tell what changed since.
+    auto const of_start = std::exchange(core_.untold_of_start, {});
+    if (offer_peers().size() <= most_direct)
+    {
+        told.insert(told.end(), of_start.begin(), of_start.end());
+    }
     for (std::size_t next = 0; next < told.size(); next += fleet_news::max_members)
     {
         std::size_t const count = std::min(told.size() - next, fleet_news::max_members);
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -129,6 +129,8 @@
     state::time_point closing_since = state::never;
     /// \brief Upstreams that peers are to be told of.
     std::vector<state::service_member> untold;
+    /// \brief Those of the list that was read at the start: all others read one too.
+    std::vector<state::service_member> untold_of_start;
     std::uint32_t calls_in_progress = 0;
     /// \brief Called when a generation began at an upstream, had its first event or ended there:
     /// peers choose by that.
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -321,8 +321,8 @@
     core_.take_list(listed_, unusable_, list_revision_, part);
     if (kind == protocol::store_read::may_lag)
     {
-        // What a VM reads at its start is news to itself alone: hundreds of VMs that passed on a
-        // list of thousands filled all links.
+        auto const begin = core_.untold.begin() + static_cast<std::ptrdiff_t>(untold);
+        core_.untold_of_start.assign(begin, core_.untold.end());
         core_.untold.resize(untold);
     }
     if (kind == protocol::store_read::current)
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -248,7 +248,8 @@
 
 // Load pattern: all VMs of a fleet of hundreds start at once before thousands of upstreams. Each
 // passed on to all others what all read.
-TEST_CASE("the list that a VM reads at its start is told to nobody", "[store_reader][load]")
+TEST_CASE("the list that a VM reads at its start is no news to a large fleet",
+          "[store_reader][load]")
 {
     starting_vm vm{true};
     // {"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1","slots":24,"state":"ready",
@@ -283,4 +284,6 @@
     REQUIRE(vm.core.directory.entries().size() == 2);
     REQUIRE(vm.core.untold.size() == 1);
     CHECK(vm.core.untold.front().name == "i-2");
+    REQUIRE(vm.core.untold_of_start.size() == 1);
+    CHECK(vm.core.untold_of_start.front().name == "i-1");
 }
