--- a/include/plumdale/state/identifier.hpp
+++ b/include/plumdale/state/identifier.hpp
@@ -48,6 +48,9 @@
 using exchange_handle = identifier<struct exchange_tag>;
 /// \brief A digest of customer and idempotency key.
 using key_id = identifier<struct key_tag>;
+/// \brief What a caller asks for, whichever attempt asks: a digest of host, path, customer and
+/// body.
+using request_digest = identifier<struct request_tag>;
 /// \brief The transport's name for one waiting caller (an HTTP exchange or a peer's relay).
 using caller_handle = identifier<struct caller_tag>;
 /// \brief The shard's name for one exchange with an upstream.
--- a/src/transport/call_admission.cpp
+++ b/src/transport/call_admission.cpp
@@ -2,6 +2,8 @@
 #include "plain_call.hpp"
 #include "stream_call.hpp"
 
+#include <plumdale/protocol/digest.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -93,6 +95,15 @@
     return std::nullopt;
 }
 
+state::request_digest request_of(admitted_call const& admitted)
+{
+    protocol::message_head const& head = admitted.call.head;
+    std::string_view const customer =
+        admitted.customer == nullptr ? std::string_view{} : admitted.customer->name;
+    return protocol::digest_of_request(without_port(*head.find("Host")), path_of(head.target),
+                                       customer, admitted.call.body);
+}
+
 coordination::call_demand demand_of(protocol::call_terms const& terms)
 {
     std::uint32_t const expected =
@@ -122,6 +133,7 @@
         channel->refuse(away->kind, uninformed_come_back);
         return nullptr;
     }
+    admitted.request = request_of(admitted);
     admitted.demand = demand_of(admitted.terms);
     state::duration const left = admitted.terms.time_left.value_or(admitted.route->timeout);
     admitted.deadline = admitted.call.read_at + std::min(left, admitted.route->timeout);
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -3,6 +3,8 @@
 #include "boot_clock.hpp"
 #include "milliseconds.hpp"
 
+#include <plumdale/protocol/generation_text.hpp>
+
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
@@ -432,6 +434,7 @@
     core_.log.write(
         "call", decision, admitted_.terms.id,
         {{"why", why},
+         {"request", protocol::to_hex(admitted_.request.value)},
          {"route", admitted_.route->name},
          {"configuration", static_cast<std::int64_t>(admitted_.table->configuration().version)},
          {"upstream", member_name()},
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -30,6 +30,8 @@
     state::route const* route = nullptr;
     state::service const* service = nullptr;
     state::customer_keys const* customer = nullptr;
+    /// \brief The same for all attempts of a caller at this request.
+    state::request_digest request;
     coordination::call_demand demand;
     /// \brief When its caller, or its route, gives it up.
     state::time_point deadline{};
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -4,6 +4,7 @@
 #include "milliseconds.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
+#include <plumdale/protocol/generation_text.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -301,6 +302,7 @@
     core_.log.write(
         "call", "answered", admitted_.terms.id,
         {{"upstream", member_name()},
+         {"request", protocol::to_hex(admitted_.request.value)},
          {"route", admitted_.route->name},
          {"first_event_ms", whole_milliseconds(first_event_at_ - admitted_.call.read_at)},
          {"objective_ms", whole_milliseconds(admitted_.route->target_latency)},
--- /dev/null
+++ b/tests/protocol/test_digest.cpp
@@ -0,0 +1,25 @@
+#include <plumdale/protocol/digest.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <string>
+
+using namespace plumdale;
+using namespace plumdale::protocol;
+
+TEST_CASE("attempts of one request have one digest, other requests have others", "[digest]")
+{
+    state::request_digest const first = digest_of_request("a.example", "/q/1", "customer", "body");
+    CHECK(first);
+    CHECK(first == digest_of_request("a.example", "/q/1", "customer", "body"));
+    std::set<state::request_digest> const all{
+        first, digest_of_request("b.example", "/q/1", "customer", "body"),
+        digest_of_request("a.example", "/q/2", "customer", "body"),
+        digest_of_request("a.example", "/q/1", "another", "body"),
+        digest_of_request("a.example", "/q/1", "customer", "bodies"),
+        digest_of_request("a.example", "/q/1", "", ""),
+        // A letter that moves from one part to the next makes another request.
+        digest_of_request("a.example/", "q/1", "customer", "body")};
+    CHECK(all.size() == 7);
+}
--- a/tests/scripts/test_losses.py
+++ b/tests/scripts/test_losses.py
@@ -96,5 +96,15 @@
         self.assertEqual((sums["draft"]["n"], sums["draft"]["in_aim"], sums["draft"]["failed"]), (8, 4, 2))
 
 
+class Requests(unittest.TestCase):
+    def test_attempts_of_one_request_are_found_across_ids_and_vms(self):
+        broke = {"why": "connection broke", "request": "r-1"}
+        lines = [line(1, "source ended", "a", upstream="i-1", **broke),
+                 {**line(2, "source ended", "b", upstream="i-2", **broke), "node": "vm-2"},
+                 line(2, "source ended", "c", upstream="i-2", why="connection broke", request="r-2"),
+                 line(3, "refused", "d", upstream="i-3", why="time is over", request="r-1")]
+        self.assertEqual(losses.broken_under(lines), {"r-1": ({"i-1", "i-2"}, {"vm-1", "vm-2"}, {"a", "b"})})
+
+
 if __name__ == "__main__":
     unittest.main()
