--- a/tests/platform/forward_scene.cpp
+++ b/tests/platform/forward_scene.cpp
@@ -136,16 +136,17 @@
 
 // -- forward_scene --------------------------------------------------------------------------------
 
-forward_scene::forward_scene()
+forward_scene::forward_scene(int engines)
     : settings{scene_settings()}, log{null_descriptor(), "vm"}, core{context, settings, words, log},
       callers_{context, tcp::endpoint{net::ip::address_v4::loopback(), 0}}
 {
     std::vector<state::service_member> members;
-    for (int i = 0; i < 5; ++i)
+    constexpr int plain = 2;
+    for (int i = 0; i < plain + engines; ++i)
     {
         upstreams.push_back(
             std::make_unique<script_upstream>(context, "i-" + std::to_string(i), "a"));
-        members.push_back(upstreams.back()->listing(i < 2 ? "plain" : "engine", 1));
+        members.push_back(upstreams.back()->listing(i < plain ? "plain" : "engine", 1));
     }
     core.take_configuration(std::string{configuration}, "test");
     core.take_list(members, {}, 1, "test");
--- a/tests/platform/forward_scene.hpp
+++ b/tests/platform/forward_scene.hpp
@@ -64,11 +64,11 @@
 /// \brief A caller's connection.
 using script_caller = script_connection;
 
-/// \brief The entry VM under test with two upstreams of a plain service and three of an engine's.
+/// \brief The entry VM under test with two upstreams of a plain service and some of an engine's.
 class forward_scene
 {
 public:
-    forward_scene();
+    explicit forward_scene(int engines = 3);
     ~forward_scene();
 
     /// \brief Sends a call on a new connection.
