A request under which two upstreams ended is refused by all VMs

What callers saw: drafts broke off one upstream after another, 32 upstreams in 70 s; the caller of the request itself got 502 each time and sent it again. Cause: nothing counted the upstreams that ended under one request: attempts have new ids, reach any VM, and each bound of ours looks at one attempt, one VM or the sums of a service. Change: request_quarantine (evidence by digest of the request, two ended upstreams, cleared by any answer, joined in any order), told along the trees and by digest to who lacks it; looked at before each choice, before bytes leave and before a generation goes on. A connection that ends by bytes that are no answer, or by a lost path, is told apart from one that the upstream ended.

--- a/include/plumdale/coordination/fleet_news.hpp
+++ b/include/plumdale/coordination/fleet_news.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumdale/coordination/load_ledger.hpp>
+#include <plumdale/coordination/request_quarantine.hpp>
 #include <plumdale/coordination/spread_tree.hpp>
 #include <plumdale/state/evacuation.hpp>
 #include <plumdale/state/identifier.hpp>
@@ -31,6 +32,7 @@
     static constexpr std::size_t max_loads = 32;
     static constexpr std::size_t max_members = 7;
     static constexpr std::size_t max_readers = 2;
+    static constexpr std::size_t max_evidence = 24;
 
     state::node_id sender;
     state::incarnation uptime;
@@ -52,6 +54,9 @@
     std::vector<member_load> loads;
     /// \brief Upstreams that the sender just learnt something of.
     std::vector<state::service_member> members;
+    /// \brief Digest of what the sender knows of requests that end upstreams.
+    std::uint64_t quarantine = 0;
+    std::vector<request_evidence> evidence;
     /// \brief Number of the message that the receiver passes on within `range`; zero for none.
     std::uint64_t spread = 0;
     spread_range range;
--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -56,6 +56,7 @@
 class preset_agreement;
 class progress_timeout;
 class projected_memory_policy;
+class request_quarantine;
 class request_shard;
 class retry_budget;
 class round_robin;
--- a/include/plumdale/state/error_kind.hpp
+++ b/include/plumdale/state/error_kind.hpp
@@ -23,6 +23,7 @@
     over_customer_limit,
     overloaded,
     no_upstream,
+    quarantined,
     draining,
     not_ready,
     key_in_doubt,
--- a/programs/plumctl/forward.cpp
+++ b/programs/plumctl/forward.cpp
@@ -104,8 +104,9 @@
     {
         entries.push_back(page.at("entry"));
     }
-    print_rows(entries, {"name", "zone", "ready", "configuration", "platform_age_ms",
-                         "reads_platform", "live_entry_vms", "calls_in_progress"});
+    print_rows(entries,
+               {"name", "zone", "ready", "configuration", "platform_age_ms", "reads_platform",
+                "live_entry_vms", "calls_in_progress", "requests_quarantined"});
 }
 
 entry_standing standing_of(json::value const& page)
--- /dev/null
+++ b/src/coordination/request_quarantine.cpp
@@ -0,0 +1,216 @@
+#include <plumdale/coordination/request_quarantine.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plumdale::coordination
+{
+
+// -- answered requests ----------------------------------------------------------------------------
+
+void answered_requests::note(state::request_digest request, state::time_point now)
+{
+    if (now >= turned_at_ + kept || newer_.size() >= capacity)
+    {
+        older_ = std::move(newer_);
+        newer_.clear();
+        turned_at_ = now;
+    }
+    newer_.insert(request);
+}
+
+bool answered_requests::contains(state::request_digest request, state::time_point now) const
+{
+    bool const newer_counts = now < turned_at_ + 2 * kept;
+    bool const older_counts = now < turned_at_ + kept;
+    return (newer_counts && newer_.contains(request)) || (older_counts && older_.contains(request));
+}
+
+// -- evidence -------------------------------------------------------------------------------------
+
+bool request_quarantine::upstream_ended(state::request_digest request, state::member_key member,
+                                        state::time_point now)
+{
+    // Ends of upstreams come together, as of a rack that loses power: one request that many ask for
+    // ran at all of them and ended none. Its answers of before speak for it.
+    if (answered_.contains(request, now) || !add(request, member, now))
+    {
+        return false;
+    }
+    untold_.push_back({request, member, {}});
+    return true;
+}
+
+bool request_quarantine::answered(state::request_digest request, state::time_point now)
+{
+    answered_.note(request, now);
+    if (!clear(request))
+    {
+        return false;
+    }
+    untold_.push_back({request, {}, {}});
+    return true;
+}
+
+bool request_quarantine::hear(request_evidence const& told, state::time_point now)
+{
+    bool const is_old = told.age >= (told.ended ? lifetime : answered_requests::kept);
+    if (is_old || !told.request)
+    {
+        return false;
+    }
+    if (!told.ended)
+    {
+        // One peer that speaks for it is enough.
+        std::erase_if(untold_, [&told](request_evidence const& each)
+                      { return each.request == told.request; });
+        answered_.note(told.request, now);
+        return clear(told.request);
+    }
+    if (answered_.contains(told.request, now))
+    {
+        untold_.push_back({told.request, {}, {}});
+        return false;
+    }
+    return add(told.request, told.ended, now - told.age);
+}
+
+bool request_quarantine::add(state::request_digest request, state::member_key member,
+                             state::time_point seen)
+{
+    if (!suspects_.contains(request) && suspects_.size() >= capacity)
+    {
+        make_room();
+    }
+    suspect& row = suspects_[request];
+    row.seen = std::max(row.seen, seen);
+    auto const end = row.ended.begin() + static_cast<std::ptrdiff_t>(row.count);
+    bool const is_known = std::find(row.ended.begin(), end, member) != end;
+    if (is_known || is_refused(row))
+    {
+        return false;
+    }
+    digest_ ^= digest_of(request, row);
+    row.ended[row.count] = member;
+    ++row.count;
+    digest_ ^= digest_of(request, row);
+    return true;
+}
+
+bool request_quarantine::clear(state::request_digest request)
+{
+    auto const found = suspects_.find(request);
+    if (found == suspects_.end())
+    {
+        return false;
+    }
+    digest_ ^= digest_of(request, found->second);
+    suspects_.erase(found);
+    return true;
+}
+
+// The least is lost with one under which a single upstream ended long ago.
+void request_quarantine::make_room()
+{
+    auto const least = std::min_element(suspects_.begin(), suspects_.end(),
+                                        [](auto const& one, auto const& other)
+                                        {
+                                            return std::pair{one.second.count, one.second.seen} <
+                                                   std::pair{other.second.count, other.second.seen};
+                                        });
+    clear(least->first);
+}
+
+// Of a refused request it doesn't matter which upstreams ended: entry VMs that heard of different
+// ones know the same.
+std::uint64_t request_quarantine::digest_of(state::request_digest request, suspect const& row)
+{
+    if (row.count == 0 || is_refused(row))
+    {
+        return row.count == 0 ? 0 : state::mix(request.value, 0);
+    }
+    std::uint64_t digest = 0;
+    for (std::size_t i = 0; i < row.count; ++i)
+    {
+        digest ^= state::mix(request.value, row.ended[i].value);
+    }
+    return digest;
+}
+
+void request_quarantine::forget(state::time_point now)
+{
+    std::vector<state::request_digest> old;
+    for (auto const& [request, row] : suspects_)
+    {
+        if (now >= row.seen + lifetime)
+        {
+            old.push_back(request);
+        }
+    }
+    for (state::request_digest const request : old)
+    {
+        clear(request);
+    }
+}
+
+// -- decisions ------------------------------------------------------------------------------------
+
+// Who comes back before its time has not changed the request: it stays refused.
+bool request_quarantine::refuses(state::request_digest request, state::time_point now)
+{
+    if (refused_for(request, now) == state::duration::zero())
+    {
+        return false;
+    }
+    suspects_.find(request)->second.seen = now;
+    return true;
+}
+
+state::duration request_quarantine::refused_for(state::request_digest request,
+                                                state::time_point now) const
+{
+    auto const found = suspects_.find(request);
+    bool const is_known = found != suspects_.end() && is_refused(found->second);
+    return is_known ? std::max(state::duration::zero(), found->second.seen + lifetime - now)
+                    : state::duration::zero();
+}
+
+std::size_t request_quarantine::ended_under(state::request_digest request) const
+{
+    auto const found = suspects_.find(request);
+    return found == suspects_.end() ? 0 : found->second.count;
+}
+
+std::size_t request_quarantine::refused() const
+{
+    return static_cast<std::size_t>(std::count_if(suspects_.begin(), suspects_.end(),
+                                                  [](auto const& each)
+                                                  { return is_refused(each.second); }));
+}
+
+// -- telling --------------------------------------------------------------------------------------
+
+std::vector<request_evidence> request_quarantine::untold()
+{
+    return std::exchange(untold_, {});
+}
+
+std::vector<request_evidence> request_quarantine::evidence(std::size_t most,
+                                                           state::time_point now) const
+{
+    std::vector<request_evidence> found;
+    for (bool const refused_ones : {true, false})
+    {
+        for (auto const& [request, row] : suspects_)
+        {
+            bool const fits = found.size() + row.count <= most;
+            for (std::size_t i = 0; fits && is_refused(row) == refused_ones && i < row.count; ++i)
+            {
+                found.push_back({request, row.ended[i], now - row.seen});
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace plumdale::coordination
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -38,6 +38,12 @@
   revision @1 :UInt64;
 }
 
+struct RequestEvidence {
+  request @0 :UInt64;
+  ended @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
 struct FleetNews {
   sender @0 :UInt64;
   uptime @1 :UInt64;
@@ -57,6 +63,8 @@
   last @15 :UInt64;
   evacuationsAsOf @16 :UInt64;
   evacuations @17 :List(Evacuation);
+  quarantine @18 :UInt64;
+  evidence @19 :List(RequestEvidence);
 }
 
 struct ConfigurationOffer {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -65,6 +65,14 @@
     to.setRevision(from.revision);
 }
 
+void write(wire::RequestEvidence::Builder to, coordination::request_evidence const& from)
+{
+    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(from.age).count();
+    to.setRequest(from.request.value);
+    to.setEnded(from.ended.value);
+    to.setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX)));
+}
+
 template <class List, class Values>
 void write_rows(List to, Values const& from)
 {
@@ -87,6 +95,12 @@
     return {state::node_id{from.getReader()}, from.getBeat()};
 }
 
+coordination::request_evidence read(wire::RequestEvidence::Reader from)
+{
+    return {state::request_digest{from.getRequest()}, state::member_key{from.getEnded()},
+            std::chrono::milliseconds{from.getAgeMs()}};
+}
+
 state::service_member read(wire::ServiceMember::Reader from)
 {
     state::service_member member;
@@ -154,6 +168,11 @@
         news.readers.push_back(read(each));
     }
     news.evacuations = read_evacuations(from);
+    news.quarantine = from.getQuarantine();
+    for (auto const each : from.getEvidence())
+    {
+        news.evidence.push_back(read(each));
+    }
     return news;
 }
 
@@ -231,6 +250,9 @@
             write_rows(to.initReaders(static_cast<unsigned int>(news.readers.size())),
                        news.readers);
             write_evacuations(to, news.evacuations);
+            to.setQuarantine(news.quarantine);
+            write_rows(to.initEvidence(static_cast<unsigned int>(news.evidence.size())),
+                       news.evidence);
         });
     return sealed({text.data(), text.size()}, fleet_key);
 }
--- a/src/state/error_kind.cpp
+++ b/src/state/error_kind.cpp
@@ -32,6 +32,8 @@
      "There is no room on the engines."},
     {error_kind::no_upstream, "no_upstream", 503, not_run, true, 6,
      "No engine or service for this can be reached."},
+    {error_kind::quarantined, "quarantined", 503, not_run, true, 6,
+     "Upstreams ended while they ran this request."},
     {error_kind::draining, "draining", 503, not_run, true, 6, "This entry VM is shutting down."},
     {error_kind::not_ready, "not_ready", 503, not_run, true, 6,
      "This entry VM has no configuration yet."},
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -33,6 +33,12 @@
 constexpr state::duration probe_interval = std::chrono::seconds{1};
 // Between two questions for a directory: hundreds that lack the same ask at different moments.
 constexpr state::duration directory_pause = std::chrono::milliseconds{200};
+// Between two messages to peers that lack evidence, and how many VMs answer one of those on
+// average.
+constexpr state::duration evidence_pause = std::chrono::milliseconds{50};
+constexpr std::size_t evidence_tellers = 3;
+// Of what is known, to one peer at a time: more would be a burst on its link.
+constexpr std::size_t most_told_evidence = 4 * fleet_news::max_evidence;
 // Between two lines of how many peers are there.
 constexpr state::duration live_line_pause = std::chrono::seconds{1};
 
@@ -148,6 +154,7 @@
 void fleet_exchange::take_news(fleet_news const& news, state::endpoint from)
 {
     core_.take_evacuations(news.evacuations, part);
+    core_.quarantine.take(news.evidence);
     take_members(news);
     state::time_point const now = boot_now();
     // All entry VMs use the same ports.
@@ -156,6 +163,7 @@
     {
         return;
     }
+    tell_differing(news, from);
     core_.ledger.take(news.sender, news.uptime, news.sequence, news.whole, news.loads, now);
     configurations_.heard_of(news.configuration);
 }
@@ -291,6 +299,7 @@
     // Counted on from the start's own number, so that it grows across starts.
     news.beat = core_.store_reads == 0 ? 0 : settings_.self.uptime.value + core_.store_reads;
     news.readers = core_.fleet.reader_beats(boot_now());
+    news.quarantine = core_.quarantine.known().digest();
     return news;
 }
 
@@ -362,6 +371,44 @@
     spread(news);
 }
 
+void fleet_exchange::tell_evidence()
+{
+    std::vector<request_evidence> const told = core_.quarantine.known().untold();
+    for (std::size_t next = 0; next < told.size(); next += fleet_news::max_evidence)
+    {
+        std::size_t const count = std::min(told.size() - next, fleet_news::max_evidence);
+        auto const begin = told.begin() + static_cast<std::ptrdiff_t>(next);
+        fleet_news news;
+        news.evidence.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+        spread(news);
+    }
+}
+
+// One that has just started, was cut off or missed a datagram shows it by its digest, and a few of
+// those that see it tell it. It tells them likewise what they lack.
+void fleet_exchange::tell_differing(fleet_news const& heard, state::endpoint to)
+{
+    state::time_point const now = boot_now();
+    bool const differs = heard.quarantine != core_.quarantine.known().digest();
+    std::size_t const peers = core_.fleet.peers().size();
+    std::uniform_int_distribution<std::size_t> draw{0, std::max<std::size_t>(peers, 1) - 1};
+    if (!differs || now < differing_at_ || draw(core_.random) >= evidence_tellers)
+    {
+        return;
+    }
+    differing_at_ = now + evidence_pause;
+    std::vector<request_evidence> const known =
+        core_.quarantine.known().evidence(most_told_evidence, now);
+    for (std::size_t next = 0; next < known.size(); next += fleet_news::max_evidence)
+    {
+        std::size_t const count = std::min(known.size() - next, fleet_news::max_evidence);
+        auto const begin = known.begin() + static_cast<std::ptrdiff_t>(next);
+        fleet_news news = news_header();
+        news.evidence.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+        send(news, std::array{to});
+    }
+}
+
 void fleet_exchange::spread(fleet_news& news)
 {
     bool const is_direct = offer_peers().size() <= most_direct;
@@ -384,8 +431,10 @@
     for (spread_target const& target :
          targets_of(from.range, from.spread, peers, fan_out_for(peers.size())))
     {
-        fleet_news news = from.members.empty() ? news_with_orders() : news_header();
+        bool const has_rows = !from.members.empty() || !from.evidence.empty();
+        fleet_news news = has_rows ? news_header() : news_with_orders();
         news.members = from.members;
+        news.evidence = from.evidence;
         news.spread = from.spread;
         news.range = target.rest;
         news.has_range = target.has_rest;
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -45,6 +45,8 @@
     [[nodiscard]] std::string configuration_for(std::string_view target);
     /// \brief The own load at an upstream changed: told at once, as far as the budget goes.
     void tell_load(state::member_key member);
+    /// \brief There may be news of requests that end upstreams: all are to know.
+    void tell_evidence();
     /// \brief This VM leaves the fleet.
     void leave();
 
@@ -64,6 +66,9 @@
     void tell_members();
     void tell_loads();
     void note_told(coordination::fleet_news const& news);
+    /// \brief Tells a peer that knows other things of requests that end upstreams what is known
+    /// here.
+    void tell_differing(coordination::fleet_news const& heard, state::endpoint to);
     /// \brief Begins a message to all, along as many trees as make up for a lost datagram.
     void spread(coordination::fleet_news& news);
     /// \brief Sends upstreams and orders to the heads of a range, who pass them on.
@@ -95,6 +100,7 @@
     bool telling_ = false;
     std::size_t live_ = 1;
     state::time_point live_told_{};
+    state::time_point differing_at_{};
     state::time_point directory_fetch_at_{};
     bool fetching_directory_ = false;
 };
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -53,6 +53,10 @@
     {
         return time_over();
     }
+    if (is_quarantined())
+    {
+        return refuse_quarantined();
+    }
     bool const looks_again = waits_ && admitted_.service->engine;
     auto chosen = look_at(
         looks_again ? waiting_candidates : coordination::choice_terms::drawn_candidates, now);
@@ -168,7 +172,7 @@
 bool forward_call::may_send(state::time_point now) const
 {
     coordination::directory_entry const* const entry = core_.directory.find(member_);
-    if (entry == nullptr || now >= admitted_.deadline)
+    if (entry == nullptr || now >= admitted_.deadline || is_quarantined())
     {
         return false;
     }
@@ -251,6 +255,40 @@
 }
 
 void forward_call::on_end(exchange_end end)
+{
+    note_evidence(end);
+    exchange_ended(end);
+}
+
+bool forward_call::has_other_answer() const
+{
+    return has_head_ && !answer_.id.empty() && answer_.id != admitted_.terms.id;
+}
+
+bool forward_call::is_refused_by_upstream(exchange_end end) const
+{
+    return has_head_ && end == exchange_end::whole && (answer_.not_run || answer_.misdirected);
+}
+
+// Upstreams that leave end their connections too, and that says nothing of what they ran.
+void forward_call::note_evidence(exchange_end end)
+{
+    request_attempt const attempt{admitted_.request, admitted_.terms.id};
+    bool const is_own_answer = has_head_ && !has_other_answer() && !is_refused_by_upstream(end);
+    if (end == exchange_end::whole && is_own_answer)
+    {
+        return core_.quarantine.answered(attempt);
+    }
+    auto const since = runs_since();
+    bool const is_suspect = !since || boot_now() - *since <= suspected_for;
+    bool const leaves = core_.departures.find(member_) != nullptr;
+    if (end == exchange_end::broken && is_suspect && !leaves)
+    {
+        core_.quarantine.upstream_ended(attempt, member_, member_name());
+    }
+}
+
+void forward_call::exchange_ended(exchange_end end)
 {
     if (end == exchange_end::unreachable)
     {
@@ -261,16 +299,13 @@
     {
         return redispatch("not sent after all");
     }
-    bool const is_other = has_head_ && !answer_.id.empty() && answer_.id != admitted_.terms.id;
-    if (is_other)
+    if (has_other_answer())
     {
         // The answer to an earlier call came late, on a connection that was thought to be idle.
         core_.metrics.add(forward_count::answers_discarded);
         return ran_and_failed("answer to another call");
     }
-    bool const refused =
-        has_head_ && end == exchange_end::whole && (answer_.not_run || answer_.misdirected);
-    if (refused)
+    if (is_refused_by_upstream(end))
     {
         if (answer_.misdirected)
         {
@@ -301,7 +336,25 @@
     return first_come_back + state::duration{spread(core_.random)};
 }
 
+bool forward_call::is_quarantined() const
+{
+    return core_.quarantine.refuses(admitted_.request);
+}
+
+void forward_call::refuse_quarantined()
+{
+    core_.metrics.add(forward_count::quarantine_refused);
+    refuse(may_have_run() ? state::error_kind::may_have_run : state::error_kind::quarantined,
+           "upstreams ended under this request",
+           core_.quarantine.known().refused_for(admitted_.request, boot_now()));
+}
+
 void forward_call::refuse(state::error_kind kind, std::string_view why)
+{
+    refuse(kind, why, come_back());
+}
+
+void forward_call::refuse(state::error_kind kind, std::string_view why, state::duration come_back)
 {
     log("refused", why);
     core_.metrics.add(forward_count::refused);
@@ -309,7 +362,7 @@
                                                          : coordination::call_outcome::refused);
     auto const channel = channel_;
     finish();
-    channel->refuse(kind, come_back());
+    channel->refuse(kind, come_back);
 }
 
 // -- ends -----------------------------------------------------------------------------------------
@@ -454,6 +507,8 @@
          {"hinted_tokens", admitted_.demand.output_tokens},
          {"sends", sends_},
          {"may_have_run", runs_},
+         {"upstreams_ended",
+          static_cast<std::int64_t>(core_.quarantine.known().ended_under(admitted_.request))},
          {"status", has_head_ ? static_cast<std::int64_t>(head_.status) : 0},
          {"age_ms", whole_milliseconds(now - admitted_.call.read_at)},
          {"left_ms", whole_milliseconds(admitted_.deadline - now)}});
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -62,7 +62,7 @@
     void caller_ready() override;
     std::optional<std::string> request() override;
     void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
-    void on_end(exchange_end end) override;
+    void on_end(exchange_end end) final;
 
     /// \brief Upstreams that could not be reached, or refused, before a call is given up.
     static constexpr std::uint32_t try_limit = 6;
@@ -81,10 +81,20 @@
     /// at once come back in time.
     static constexpr int wait_part = 8;
     static constexpr state::duration wait_step = std::chrono::milliseconds{25};
+    /// \brief A request that an upstream has run for longer isn't what ended it: one that does so
+    /// does it as it is begun. Many others run there at that moment.
+    static constexpr state::duration suspected_for = std::chrono::seconds{5};
 
 protected:
     /// \brief What is passed on with the next send.
     [[nodiscard]] virtual protocol::onward_terms onward(state::time_point now) const;
+    /// \brief The exchange ended, in whatever way.
+    virtual void exchange_ended(exchange_end end);
+    /// \brief Returns since when the upstream has been seen to run the call; none before.
+    [[nodiscard]] virtual std::optional<state::time_point> runs_since() const
+    {
+        return std::nullopt;
+    }
     /// \brief The answer ended, and may be passed on or judged.
     virtual void answer_ended(exchange_end end) = 0;
     /// \brief The call's time is over.
@@ -127,6 +137,8 @@
     /// \brief The upstream failed after it may have run the call.
     void ran_and_failed(std::string_view why);
     void refuse(state::error_kind kind, std::string_view why);
+    /// \brief Returns whether the request is refused wherever it is sent.
+    [[nodiscard]] bool is_quarantined() const;
     /// \brief Stops everything; the channel has been answered or is gone.
     void finish();
     void close_exchange();
@@ -178,6 +190,12 @@
 
 private:
     void on_deadline_timer();
+    void refuse(state::error_kind kind, std::string_view why, state::duration come_back);
+    void refuse_quarantined();
+    /// \brief Notes what the end of the exchange says of the request itself.
+    void note_evidence(exchange_end end);
+    [[nodiscard]] bool has_other_answer() const;
+    [[nodiscard]] bool is_refused_by_upstream(exchange_end end) const;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -45,15 +45,16 @@
                                                                                    chosen)},
       random{random_seed()}, fleet{self, boot_now() + (is_seed ? seed_patience : start_patience)},
       cold{fleet, self, boot_now()}, choice{directory, ledger, health, cold, settings.zone, random},
-      orders{loop}, departures{loop,
-                               words,
-                               directory,
-                               ledger,
-                               lines,
-                               [this](state::member_key member, state::incarnation started)
-                               {
-                                   note_start(member, started);
-                               }},
+      quarantine{lines, metrics}, orders{loop}, departures{loop,
+                                                           words,
+                                                           directory,
+                                                           ledger,
+                                                           lines,
+                                                           [this](state::member_key member,
+                                                                  state::incarnation started)
+                                                           {
+                                                               note_start(member, started);
+                                                           }},
       changes_{lines}
 {
 }
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -6,6 +6,7 @@
 #include "forward_metrics.hpp"
 #include "http_fetch.hpp"
 #include "net.hpp"
+#include "quarantine_board.hpp"
 #include "upstream_pool.hpp"
 
 #include <plumdale/coordination/cold_share.hpp>
@@ -106,6 +107,7 @@
     coordination::fleet_view fleet;
     coordination::cold_share cold;
     coordination::member_choice choice;
+    quarantine_board quarantine;
     upstream_pool pool;
     /// \brief Orders to upstreams, each on a connection of its own.
     fetcher orders;
--- a/src/transport/forward_metrics.hpp
+++ b/src/transport/forward_metrics.hpp
@@ -33,6 +33,8 @@
     copies_refused,
     resumed,
     resume_refused,
+    upstream_ends,
+    quarantine_refused,
     platform_calls,
     platform_failures,
     news_sent,
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -78,6 +78,10 @@
         {
             fleet_->spread_evacuations();
         };
+        core_.quarantine.changed = [this]
+        {
+            fleet_->tell_evidence();
+        };
         core_.load_changed = [this](state::member_key member)
         {
             fleet_->tell_load(member);
@@ -253,6 +257,7 @@
         core_.pool.sweep(now);
         core_.directory.forget(now);
         core_.cold.forget(now);
+        core_.quarantine.sweep();
         core_.departures.sweep();
         note_readiness();
         log_.flush();
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -48,6 +48,7 @@
             {"directory", std::to_string(core.directory.digest())},
             {"evacuations", evacuation_rows(core)},
             {"evacuations_as_of", core.directory.evacuations().known().as_of},
+            {"requests_quarantined", core.quarantine.known().refused()},
             {"live_entry_vms", core.fleet.live(now)},
             {"calls_in_progress", core.calls_in_progress}};
 }
--- /dev/null
+++ b/src/transport/quarantine_board.cpp
@@ -0,0 +1,86 @@
+#include "quarantine_board.hpp"
+
+#include "boot_clock.hpp"
+
+#include <plumdale/protocol/generation_text.hpp>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+constexpr std::string_view part = "quarantine";
+constexpr std::string_view own = "own call";
+constexpr std::string_view peer = "fleet";
+
+} // namespace
+
+quarantine_board::quarantine_board(decision_log& log, forward_metrics& metrics)
+    : log_{log}, metrics_{metrics}
+{
+}
+
+void quarantine_board::upstream_ended(request_attempt const& attempt, state::member_key member,
+                                      std::string_view name)
+{
+    if (!known_.upstream_ended(attempt.request, member, boot_now()))
+    {
+        return;
+    }
+    metrics_.add(forward_count::upstream_ends);
+    log_change(known_.refused_for(attempt.request, boot_now()) > state::duration::zero()
+                   ? "refused from now on"
+                   : "upstream ended",
+               attempt, name, own);
+    changed();
+}
+
+void quarantine_board::answered(request_attempt const& attempt)
+{
+    if (known_.answered(attempt.request, boot_now()))
+    {
+        log_change("cleared", attempt, {}, own);
+        changed();
+    }
+}
+
+void quarantine_board::take(std::span<coordination::request_evidence const> told)
+{
+    for (coordination::request_evidence const& each : told)
+    {
+        state::time_point const now = boot_now();
+        bool const was_refused = known_.refused_for(each.request, now) > state::duration::zero();
+        known_.hear(each, now);
+        bool const is_refused = known_.refused_for(each.request, now) > state::duration::zero();
+        if (was_refused != is_refused)
+        {
+            log_change(is_refused ? "refused from now on" : "cleared", {each.request, {}}, {},
+                       peer);
+        }
+    }
+}
+
+bool quarantine_board::refuses(state::request_digest request)
+{
+    return known_.refuses(request, boot_now());
+}
+
+// Peers are told of requests that were answered here with the next sweep, not at once: all VMs that
+// answered one hear of its upstream's end together, and one answer to that is enough.
+void quarantine_board::sweep()
+{
+    known_.forget(boot_now());
+    changed();
+}
+
+void quarantine_board::log_change(std::string_view decision, request_attempt const& attempt,
+                                  std::string_view upstream, std::string_view source)
+{
+    log_.write(part, decision, attempt.id,
+               {{"request", protocol::to_hex(attempt.request.value)},
+                {"upstream", upstream},
+                {"upstreams_ended", static_cast<std::int64_t>(known_.ended_under(attempt.request))},
+                {"source", source}});
+}
+
+} // namespace plumdale::transport
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -152,6 +152,7 @@
     }
     if (is_first_of_run)
     {
+        run_began_at_ = now;
         prompt_read();
         note_backup();
     }
@@ -229,11 +230,17 @@
 
 // -- ends -----------------------------------------------------------------------------------------
 
-void stream_call::on_end(exchange_end end)
+std::optional<state::time_point> stream_call::runs_since() const
+{
+    bool const has_event = begun_ && !resuming_;
+    return has_event ? std::optional{run_began_at_} : std::nullopt;
+}
+
+void stream_call::exchange_ended(exchange_end end)
 {
     if (!resuming_)
     {
-        return begun_ ? answer_ended(end) : forward_call::on_end(end);
+        return begun_ ? answer_ended(end) : forward_call::exchange_ended(end);
     }
     state::time_point const now = boot_now();
     survival_actions actions;
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -27,7 +27,6 @@
 
     void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
     void on_body(std::string bytes) override;
-    void on_end(exchange_end end) override;
     void caller_ready() override;
     void caller_left() override;
     void member_leaves(state::member_key member, coordination::departure const& when) override;
@@ -56,6 +55,8 @@
     [[nodiscard]] state::duration longest_wait() const override;
     [[nodiscard]] coordination::generation_claim claim(state::time_point now) const;
     [[nodiscard]] state::duration come_back() override;
+    void exchange_ended(exchange_end end) override;
+    [[nodiscard]] std::optional<state::time_point> runs_since() const override;
     void answer_ended(exchange_end end) override;
     void time_over() override;
     void on_timer(state::time_point now) override;
@@ -109,6 +110,8 @@
     coordination::member_load copy_load_;
     std::optional<state::endpoint> backup_address_;
     state::time_point first_event_at_{};
+    /// \brief ... of the run at this upstream.
+    state::time_point run_began_at_{};
     state::duration longest_gap_{};
     bool streaming_ = false;
     bool begun_ = false;
--- a/src/transport/stream_survival.cpp
+++ b/src/transport/stream_survival.cpp
@@ -302,6 +302,10 @@
     {
         return break_off("the upstream to go on at is unknown");
     }
+    if (is_quarantined())
+    {
+        return break_off("upstreams ended under this request");
+    }
     close_exchange();
     resumed_ = protocol::continuation{holder->info.address,
                                       action.handle.empty() ? admitted_.terms.id : action.handle,
--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -134,7 +134,9 @@
         }
         return;
     }
-    finish(exchange_end::broken);
+    bool const by_upstream = error == net::error::eof || error == net::error::connection_reset ||
+                             error == net::error::broken_pipe;
+    finish(by_upstream ? exchange_end::broken : exchange_end::spoiled);
 }
 
 void upstream_exchange::take(std::string_view bytes)
@@ -151,7 +153,7 @@
     report_progress();
     if (sink_ != nullptr && reader_.progress() == protocol::read_progress::malformed)
     {
-        return finish(exchange_end::broken);
+        return finish(exchange_end::spoiled);
     }
     if (sink_ != nullptr && reader_.progress() == protocol::read_progress::whole)
     {
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -27,7 +27,8 @@
     unconfirmed, ///< It ended with the connection, in order; a break can look the same.
     unreachable, ///< No connection: nothing was sent.
     not_sent,    ///< `exchange_sink::request` declined: nothing was sent.
-    broken,      ///< The connection ended first, or sent what is no answer.
+    broken,      ///< The upstream ended the connection first.
+    spoiled,     ///< It sent what is no answer, or the path to it is gone.
 };
 
 /// \brief Who sent the call. Called on the loop, not after `upstream_exchange::cancel()`.
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -45,6 +45,8 @@
     news.loads = {{state::member_key{7}, 8, 9, 10, 11}};
     news.members = {member()};
     news.evacuations = {12, {{state::zone_id{13}, 11}}};
+    news.quarantine = 14;
+    news.evidence = {{state::request_digest{15}, state::member_key{16}, std::chrono::seconds{17}}};
     return news;
 }
 
@@ -66,6 +68,11 @@
     CHECK_FALSE(read.value().members[0].listed);
     CHECK(read.value().evacuations.as_of == 12);
     CHECK(read.value().evacuations.in_force == news().evacuations.in_force);
+    CHECK(read.value().quarantine == 14);
+    REQUIRE(read.value().evidence.size() == 1);
+    CHECK(read.value().evidence[0].request == state::request_digest{15});
+    CHECK(read.value().evidence[0].ended == state::member_key{16});
+    CHECK(read.value().evidence[0].age == std::chrono::seconds{17});
 }
 
 TEST_CASE("full news fits into a datagram", "[fleet_codec]")
@@ -78,6 +85,15 @@
     long_named.service = "a-service-with-a-long-name";
     full.members.assign(fleet_news::max_members, long_named);
     CHECK(encode(full, key).size() < 1'400);
+    full.members.clear();
+    full.loads.clear();
+    full.evidence.assign(fleet_news::max_evidence,
+                         {state::request_digest{0x123456789abcdef0},
+                          state::member_key{0x123456789abcdef0}, std::chrono::minutes{10}});
+    CHECK(encode(full, key).size() < 1'400);
+    full = news();
+    full.loads.assign(fleet_news::max_loads,
+                      {state::member_key{0x123456789abcdef0}, 24, 30'000, 34'000, 9'000});
     // Orders go along with rows of load alone.
     full.members.clear();
     full.evacuations = {
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -16,6 +16,10 @@
 # An order of evacuation is in force at VMs that hear anything within this, in seconds: our aim of 1 s, doubled for a
 # machine that other work shares.
 IN_FORCE_WITHIN = 2.0
+# A request with this body ends each upstream that runs it. After the third end and a time for all VMs to hear of it, in
+# seconds, it may reach so many more; a VM that was ended or paused less than that time ago excuses what arrives.
+ENDING_BODY = b"ends its upstream"
+CONTACT, ENDS_ALLOWED, MORE_ALLOWED = 3.0, 3, 3
 CONFIGURATION = {
     "routes": [
         {"name": "fetch", "host": "soak", "prefix": "/fetch/", "routeType": "idempotent", "timeoutMs": 4000,
@@ -114,6 +118,18 @@
         self.starts = {}
         # When each zone's evacuation was ordered; how many faults keep VMs from hearing of it, and when one last did.
         self.evacuated, self.disturbing, self.disturbed = {}, 0, 0.0
+        # When upstreams ended under the request that ends them, and how often it was sent on later than is allowed.
+        self.ends, self.sent_on, self.vms_disturbed = [], 0, 0.0
+
+    def note_ending_request(self):
+        """Another upstream got the request that ends them."""
+        now = asyncio.get_running_loop().time()
+        is_late = len(self.ends) >= ENDS_ALLOWED and now > self.ends[ENDS_ALLOWED - 1] + CONTACT
+        if is_late and now > self.vms_disturbed + CONTACT:
+            self.sent_on += 1
+        if self.sent_on == MORE_ALLOWED + 1:
+            self.broken.append(f"a request under which {len(self.ends)} upstreams ended was sent to more of them")
+        self.ends.append(now)
 
 
 class Upstream:
@@ -125,6 +141,7 @@
         self.born, self.address, self.dead_writers = 1_784_177_000_000, None, set()
         self.name, self.record, self.random = name, record, random.Random(seed)
         self.writers, self.alive, self.unreachable_until, self.leaves_at = set(), True, 0.0, None
+        self.ended = self.crash
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -171,6 +188,10 @@
         self.check_evacuation(call)
         if "plumdale-key" in headers or headers.get("plumdale-tenant") != "customer":
             self.record.broken.append(f"{call}: key passed on or wrong customer")
+        if body == ENDING_BODY:
+            if "kv-from" not in headers:
+                self.record.plain[call] = self.record.plain.get(call, 0) + 1
+            return await self.end_under(target, writer, fields)
         if target.startswith("/draft/"):
             return await self.generate(call, headers, writer, fields)
         if self.random.random() < 0.03:
@@ -182,6 +203,20 @@
         failed = target.startswith("/fetch/") and self.random.random() < 0.1
         writer.write(answer(500 if failed else 200, f"answer {call}".encode(), [*fields, (SEAL, "s")]))
 
+    async def end_under(self, target, writer, fields):
+        """Ends before its answer, or in the midst of a stream's first events."""
+        await asyncio.sleep(self.random.uniform(0.0, 0.1))
+        if not self.alive:
+            return
+        self.record.note_ending_request()
+        if target.startswith("/draft/") and self.random.random() < 0.5:
+            head = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in fields), f"{SEAL}: s", "Transfer-Encoding: chunked"]
+            event = b"id: 1\ndata: 1 of 9\n\n"
+            writer.write(("\r\n".join(head) + "\r\n\r\n").encode() + f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        self.ended()
+
     def check_evacuation(self, call):
         now, ordered = asyncio.get_running_loop().time(), self.record.evacuated.get(self.zone)
         if self.record.disturbing == 0 and ordered is not None and now - max(ordered, self.record.disturbed) > IN_FORCE_WITHIN:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,7 @@
 
 Each seed starts three entry VMs and five upstreams on loopback addresses of its own, sends calls for some seconds and
 injects faults in series that overlap: connections delayed, reset or silenced by a proxy; entry VMs paused, killed, stopped
-and started again; upstreams that leave, crash or start again under their name; entries of other writers; zones that are
+and started again; a request that ends each upstream that runs it; upstreams that leave, crash or start again under their name; entries of other writers; zones that are
 evacuated; a store that is down. Only processes that a seed started are signalled,
 by their ids. The last line is `N passed, N failed`; failed seeds print what broke and where their logs are.
 """
@@ -18,7 +18,7 @@
 import sys
 import tempfile
 
-from platform_standin import CONFIGURATION, Record, Store, Upstream
+from platform_standin import CONFIGURATION, ENDING_BODY, Record, Store, Upstream
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 
@@ -83,6 +83,7 @@
         host, port = await self.listen(proxy.serve)
         upstream.address = f"{host}:{port}"
         self.record.starts[upstream.address] = upstream.born
+        upstream.ended = lambda: asyncio.create_task(self.replace(upstream))
         upstream.entry = {"service": service, "address": upstream.address, "zone": zone, "version": "v1", "slots": 24,
                           "state": "ready", "coldLeftMs": 0 if self.next_name <= 5 else 1000, "sequence": 1, "born": upstream.born}
         self.upstreams[upstream.name] = upstream
@@ -125,20 +126,28 @@
 
     # -- callers ----------------------------------------------------------------------------------
 
-    async def call(self, number):
-        kind = self.random.choice(("fetch", "event", "event", "draft"))
+    async def ending_calls(self, until):
+        """The same request under new ids at any VM, as a caller that doesn't give up sends it."""
+        kind, number = self.random.choice(("event", "draft", "fetch")), 0
+        while asyncio.get_running_loop().time() < until:
+            number += 1
+            await self.call(f"ends-{number}", kind, f"/{kind}/ends", ENDING_BODY)
+            await asyncio.sleep(self.random.uniform(0.0, 0.3))
+
+    async def call(self, number, kind=None, path=None, body=b""):
+        kind = kind or self.random.choice(("fetch", "event", "event", "draft"))
         call = f"{self.seed:x}-{number}"
         seen = {"kind": kind, "status": None, "whole": False, "body": b""}
         self.calls[call] = seen
         fields = {"Host": "soak", "Plumdale-Request-Id": call, "Plumdale-Key": "key",
-                  "Plumdale-Request-Deadline-Ms": "15000" if kind == "draft" else "3000", "Content-Length": "0"}
+                  "Plumdale-Request-Deadline-Ms": "15000" if kind == "draft" else "3000", "Content-Length": str(len(body))}
         if kind == "draft":
             fields |= {"Plumdale-Token-Usage": "3000,900", "Plumdale-Length-Hint": "300"}
-        text = f"POST /{kind}/{call} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n"
+        text = f"POST {path or f'/{kind}/{call}'} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n"
         try:
             vm = f"{self.host}.{self.random.randint(1, 3)}"
             reader, writer = await asyncio.wait_for(asyncio.open_connection(vm, 18080), 1)
-            writer.write(text.encode())
+            writer.write(text.encode() + body)
             leaves = self.random.random() < 0.05
             await asyncio.wait_for(self.read_answer(reader, seen), self.random.uniform(0, 1) if leaves else 20)
             writer.close()
@@ -163,6 +172,8 @@
         faults = (self.pause_vm, self.kill_vm, self.stop_vm, self.leave, self.crash, self.store_down, self.disturb_links)
         # Seeds that are kept play what they played when they failed.
         if self.seed not in KEPT:
+            # Each third seed leaves the VMs alone: what they have to know then, none has an excuse not to.
+            faults = faults[3:] if self.seed % 3 == 2 else faults
             faults += (self.start_again, self.start_again_while_leaving, self.damage_entry, self.evacuate)
         fault = self.random.choice(faults)
         if fault not in (self.pause_vm, self.kill_vm, self.stop_vm, self.store_down, self.disturb_links):
@@ -188,6 +199,7 @@
 
     async def pause_vm(self):
         process = self.vms[self.random.randint(1, 3)]
+        self.record.vms_disturbed = asyncio.get_running_loop().time() + 1.5
         if process.returncode is None:
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
@@ -197,6 +209,7 @@
     async def end_vm(self, how):
         number = self.random.randint(1, 3)
         process = self.vms[number]
+        self.record.vms_disturbed = asyncio.get_running_loop().time() + 4.0
         if process.returncode is None:
             process.send_signal(how)
             process.send_signal(signal.SIGCONT)
@@ -292,7 +305,9 @@
             ran = call in self.record.plain or call in self.record.runs
             if seen["status"] in PROMISES_NOT_RUN and ran:
                 found.append(f"{call}: refused as not run with {seen['status']}, but it ran")
-            if seen["status"] == 200:
+            if seen["status"] == 200 and "ends" in call:
+                found += [f"{call}: whole, though its upstream ended"] if seen["whole"] else []
+            elif seen["status"] == 200:
                 found += self.wrong_answer(call, seen)
         return found
 
@@ -317,6 +332,8 @@
         await fleet.start()
         await asyncio.sleep(1.0)
         tasks, end, number = [], loop.time() + seconds, 0
+        if seed not in KEPT:
+            tasks.append(asyncio.create_task(fleet.ending_calls(end)))
         while loop.time() < end:
             number += 1
             tasks.append(asyncio.create_task(fleet.call(number)))
