Lines of a call tell the limit of requests that its upstream states

Cause looked for: two upstreams that stated a limit got more; the lines could not tell a statement that is not read from one that each VM takes for itself. No decision uses it.

--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -83,6 +83,8 @@
     std::optional<state::duration> keep_alive;
     /// \brief How long the upstream stays cold, when it says so.
     std::optional<state::duration> cold_for;
+    /// \brief Requests a second that it takes from all entry VMs together, while it says so.
+    std::optional<double> request_limit;
     bool is_event_stream = false;
 };
 
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace plumdale::transport
@@ -509,6 +510,8 @@
          {"may_have_run", runs_},
          {"upstreams_ended",
           static_cast<std::int64_t>(core_.quarantine.known().ended_under(admitted_.request))},
+         {"stated_limit_per_minute",
+          answer_.request_limit ? std::llround(60.0 * *answer_.request_limit) : std::int64_t{-1}},
          {"status", has_head_ ? static_cast<std::int64_t>(head_.status) : 0},
          {"age_ms", whole_milliseconds(now - admitted_.call.read_at)},
          {"left_ms", whole_milliseconds(admitted_.deadline - now)}});
--- a/tests/platform/test_dialect.cpp
+++ b/tests/platform/test_dialect.cpp
@@ -117,6 +117,23 @@
     CHECK(has(text, "Plumdale-Kv-Backup: 10.0.0.2:81"));
 }
 
+TEST_CASE("a limit of requests that can't be read is none", "[dialect]")
+{
+    auto const limit_in = [](std::string const& text)
+    {
+        protocol::message_head head;
+        head.fields = {{"Server-Limit", text}};
+        return platform_dialect{}.read_answer(head).request_limit;
+    };
+    CHECK(limit_in("3.1") == 3.1);
+    CHECK(limit_in("0") == 0.0);
+    for (std::string const damaged : {"", "many", "3,1", "3.1/s", "-1", "inf", "nan"})
+    {
+        CAPTURE(damaged);
+        CHECK_FALSE(limit_in(damaged));
+    }
+}
+
 TEST_CASE("an upstream's head is decoded once", "[dialect]")
 {
     protocol::message_head head;
@@ -132,6 +149,7 @@
     CHECK(terms.closes);
     CHECK(terms.keep_alive == 5s);
     CHECK(terms.cold_for == 700ms);
+    CHECK_FALSE(terms.request_limit);
     CHECK_FALSE(terms.not_run);
 }
 
