--- /dev/null
+++ b/tests/platform/test_stated_limits.cpp
@@ -0,0 +1,67 @@
+#include "forward_scene.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <string>
+
+using namespace plumdale;
+using namespace plumdale::test;
+
+namespace
+{
+
+constexpr std::string_view seal = "Plumdale-Response-Seal: seal\r\n";
+constexpr std::string_view limited = "Plumdale-Response-Seal: seal\r\nServer-Limit: 1\r\n";
+
+/// \brief Answers all calls that are waiting at the first upstream with a limit, at the second
+/// without.
+void answer_all(forward_scene& scene, std::string const& id)
+{
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        for (auto const& each : scene.upstreams[i]->connections_with(id))
+        {
+            each->send(answer_text(200, id, "yes", i == 0 ? limited : seal));
+        }
+    }
+}
+
+/// \brief Returns how many calls arrived at an upstream, on whatever connections.
+std::size_t arrivals(script_upstream const& upstream)
+{
+    constexpr std::string_view mark = "Plumdale-Request-Id: ";
+    std::size_t count = 0;
+    for (auto const& each : upstream.connections)
+    {
+        for (std::size_t at = each->received.find(mark); at != std::string::npos;
+             at = each->received.find(mark, at + 1))
+        {
+            ++count;
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+// Guards against an upstream in need that gets what it gets without it: two of its four seconds'
+// requests came in one.
+TEST_CASE("an upstream that states a limit gets no more than that", "[limits]")
+{
+    forward_scene scene;
+    constexpr int calls = 60;
+    auto const began = std::chrono::steady_clock::now();
+    for (int i = 0; i < calls; ++i)
+    {
+        std::string const id = "id-" + std::to_string(100 + i);
+        auto const caller = scene.call("/event/" + id, id, {}, {});
+        scene.run_until([&] { return scene.sends(id) > 0; });
+        answer_all(scene, id);
+        scene.run_until([&] { return caller->received.ends_with("yes"); });
+    }
+    // What was sent before it was stated, one at once, and one for each second that the test took.
+    std::chrono::duration<double> const took = std::chrono::steady_clock::now() - began;
+    CHECK(static_cast<double>(arrivals(*scene.upstreams[0])) <= 3.0 + took.count());
+    CHECK(arrivals(*scene.upstreams[0]) + arrivals(*scene.upstreams[1]) == calls);
+}
