An upstream that states how much it takes gets no more of all VMs together

What was seen: upstreams in need that stated 3.3 and 3 requests a second got 28 and 30 in four seconds; nothing told them apart from their neighbours. Cause: the statement in their answers was read nowhere; calls of a plain service go by what is in flight. Ruled out: second attempts (two in those seconds); statements that are taken but shared wrongly (no part of the code had the header's name). Change: upstream_limits: of each limit one more VM than whole requests a second, chosen by rank for each upstream, has an equal part as a bucket; statements go to all VMs, the newer counts, ends are told or lapse; looked at in each choice and before bytes leave.

--- a/include/plumdale/coordination/fleet_news.hpp
+++ b/include/plumdale/coordination/fleet_news.hpp
@@ -6,6 +6,7 @@
 #include <plumdale/state/evacuation.hpp>
 #include <plumdale/state/identifier.hpp>
 #include <plumdale/state/service_member.hpp>
+#include <plumdale/state/stated_limit.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -33,6 +34,7 @@
     static constexpr std::size_t max_members = 7;
     static constexpr std::size_t max_readers = 2;
     static constexpr std::size_t max_evidence = 24;
+    static constexpr std::size_t max_limits = 24;
 
     state::node_id sender;
     state::incarnation uptime;
@@ -57,6 +59,7 @@
     /// \brief Digest of what the sender knows of requests that end upstreams.
     std::uint64_t quarantine = 0;
     std::vector<request_evidence> evidence;
+    std::vector<state::stated_limit> limits;
     /// \brief Number of the message that the receiver passes on within `range`; zero for none.
     std::uint64_t spread = 0;
     spread_range range;
--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -63,6 +63,7 @@
 class safeguard_set;
 class time_estimate;
 class two_choices;
+class upstream_limits;
 class upstream_list;
 struct answer_operator;
 struct burn_count;
--- a/include/plumdale/coordination/member_choice.hpp
+++ b/include/plumdale/coordination/member_choice.hpp
@@ -4,6 +4,7 @@
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/member_health.hpp>
 #include <plumdale/coordination/service_directory.hpp>
+#include <plumdale/coordination/upstream_limits.hpp>
 #include <plumdale/state/routing_configuration.hpp>
 
 #include <optional>
@@ -65,12 +66,13 @@
 
 /// \brief Takes the upstream that will be least full, its own zone and sound ones first.
 ///
-/// Example: `member_choice choice{directory, ledger, health, "heredia-a", random};`
+/// Example: `member_choice choice{directory, ledger, health, share, limits, "heredia-a", random};`
 class member_choice
 {
 public:
     member_choice(service_directory const& directory, load_ledger const& ledger,
-                  member_health const& health, cold_share const& share, std::string_view own_zone,
+                  member_health const& health, cold_share const& share,
+                  upstream_limits const& limits, std::string_view own_zone,
                   std::minstd_rand& random);
 
     /// \brief Returns the best upstream of a service; none when there is none that may take work,
@@ -82,8 +84,8 @@
     /// \brief Returns whether an upstream is taken for cold.
     [[nodiscard]] bool is_cold(directory_entry const& entry, state::service const& service,
                                state::time_point now) const;
-    /// \brief Returns whether a request may be sent to it now: it takes work, and is not cold, or
-    /// this VM's share of what it bears is not used up.
+    /// \brief Returns whether a request may be sent to it now: it takes work, and this VM's shares
+    /// of what it states that it takes, and of what it bears while it is cold, are not used up.
     [[nodiscard]] bool may_send(directory_entry const& entry, state::service const& service,
                                 state::time_point now) const;
     /// \brief Returns how full an upstream would be with this call.
@@ -129,6 +131,7 @@
     load_ledger const& ledger_;
     member_health const& health_;
     cold_share const& share_;
+    upstream_limits const& limits_;
     std::string_view own_zone_;
     std::minstd_rand& random_;
 };
--- /dev/null
+++ b/include/plumdale/coordination/upstream_limits.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <plumdale/coordination/fleet_view.hpp>
+#include <plumdale/state/service_member.hpp>
+#include <plumdale/state/stated_limit.hpp>
+#include <plumdale/state/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+/// \file
+/// \brief Requests a second that upstreams take from all entry VMs together, as they state it.
+
+namespace plumdale::coordination
+{
+
+/// \brief What a statement changed.
+enum class limit_change : std::uint8_t
+{
+    none,
+    begins,
+    other_value,
+    ends
+};
+
+/// \brief Keeps a fleet under what its upstreams say that they take.
+///
+/// What one VM reads in an answer is told to all. Of each limit some VMs, chosen by rank for each
+/// upstream, have an equal part; the others send nothing there while it is stated. Example:
+/// \code
+/// upstream_limits limits{fleet, self};
+/// limits.answered(member, 3.1, now);
+/// if (limits.may_send(member, now)) { send(); limits.note_sent(member, now); }
+/// \endcode
+class upstream_limits
+{
+public:
+    upstream_limits(fleet_view const& fleet, state::node_id self) noexcept
+        : fleet_{fleet}, self_{self}
+    {
+    }
+
+    /// \brief An upstream answered this VM, and stated this limit or none.
+    limit_change answered(state::member_key member, std::optional<double> per_second,
+                          state::time_point now);
+    /// \brief Takes what a peer tells; of two statements the newer counts.
+    limit_change hear(state::stated_limit const& told, state::time_point now);
+    /// \brief Returns whether this VM may send a request to an upstream now.
+    [[nodiscard]] bool may_send(state::member_key member, state::time_point now) const;
+    /// \brief Counts a request that left.
+    void note_sent(state::member_key member, state::time_point now);
+    /// \brief Drops statements that nobody has repeated for `lapse`.
+    void forget(state::time_point now);
+
+    /// \brief Returns the limit in force for an upstream; none if there is none.
+    [[nodiscard]] std::optional<double> limit_of(state::member_key member) const;
+    /// \brief Returns how many VMs send to an upstream with this limit.
+    [[nodiscard]] static std::size_t senders(double per_second, std::size_t vms) noexcept;
+    /// \brief Returns what is to be told to all peers, once.
+    [[nodiscard]] std::vector<state::stated_limit> untold(state::time_point now);
+    /// \brief Returns what this VM read itself lately, for peers that missed it.
+    [[nodiscard]] std::vector<state::stated_limit> confirmed(std::size_t most,
+                                                             state::time_point now) const;
+
+    /// \brief An upstream that states nothing in an answer may have done so in another one at the
+    /// same moment: the limit ends once none was stated for so long.
+    static constexpr state::duration ends_after = std::chrono::seconds{1};
+    /// \brief For so long after an answer this VM repeats its statement to peers.
+    static constexpr state::duration confirmed_for = std::chrono::seconds{10};
+    /// \brief A statement that nobody repeats: its end was missed, or no VM that sends has calls.
+    static constexpr state::duration lapse = std::chrono::seconds{30};
+    /// \brief Another value is told to peers from this part of it on.
+    static constexpr double telling_part = 0.05;
+    /// \brief Requests a second to an upstream that takes next to nothing: some answer has to tell
+    /// when that is over.
+    static constexpr double least_rate = 0.1;
+    /// \brief Requests that were not sent may be sent later, those of so long at most: calls come
+    /// unevenly. A VM may always save up one.
+    static constexpr state::duration longest_saved = std::chrono::milliseconds{500};
+    /// \brief Most rows, above the upstreams in need of any fleet at one moment.
+    static constexpr std::size_t capacity = 4'096;
+
+private:
+    struct row
+    {
+        std::optional<double> per_second;
+        /// \brief When it was stated, or found to be stated no more.
+        state::time_point as_of{};
+        /// \brief When it was last stated.
+        state::time_point stated_at{};
+        /// \brief When this VM had an answer itself.
+        state::time_point confirmed_at{};
+        /// \brief Requests that may be sent at `counted_at`; less than none after requests that
+        /// could not wait.
+        double allowed = 0.0;
+        state::time_point counted_at{};
+    };
+
+    [[nodiscard]] std::size_t rank_for(state::member_key member) const;
+    [[nodiscard]] double own_rate(state::member_key member, row const& limit) const;
+    [[nodiscard]] double allowed_at(state::member_key member, row const& limit,
+                                    state::time_point now) const;
+    limit_change change(state::member_key member, row& limit, std::optional<double> per_second,
+                        state::time_point now);
+
+    fleet_view const& fleet_;
+    state::node_id self_;
+    std::unordered_map<state::member_key, row> rows_;
+    std::vector<state::member_key> untold_;
+};
+
+} // namespace plumdale::coordination
--- a/src/coordination/member_choice.cpp
+++ b/src/coordination/member_choice.cpp
@@ -24,9 +24,10 @@
 
 member_choice::member_choice(service_directory const& directory, load_ledger const& ledger,
                              member_health const& health, cold_share const& share,
-                             std::string_view own_zone, std::minstd_rand& random)
-    : directory_{directory}, ledger_{ledger}, health_{health}, share_{share}, own_zone_{own_zone},
-      random_{random}
+                             upstream_limits const& limits, std::string_view own_zone,
+                             std::minstd_rand& random)
+    : directory_{directory}, ledger_{ledger}, health_{health}, share_{share}, limits_{limits},
+      own_zone_{own_zone}, random_{random}
 {
 }
 
@@ -47,7 +48,9 @@
 bool member_choice::may_send(directory_entry const& entry, state::service const& service,
                              state::time_point now) const
 {
-    if (!directory_.may_take_work(entry, now))
+    bool const is_open =
+        directory_.may_take_work(entry, now) && limits_.may_send(state::key_of(entry.info), now);
+    if (!is_open)
     {
         return false;
     }
--- /dev/null
+++ b/src/coordination/upstream_limits.cpp
@@ -0,0 +1,206 @@
+#include <plumdale/coordination/upstream_limits.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace plumdale::coordination
+{
+namespace
+{
+
+double seconds(state::duration time)
+{
+    return std::chrono::duration<double>{time}.count();
+}
+
+// Above what any VM sends, so that the arithmetic stays in range whatever an answer says.
+constexpr double most_per_second = 1e6;
+
+} // namespace
+
+// -- statements -----------------------------------------------------------------------------------
+
+limit_change upstream_limits::answered(state::member_key member, std::optional<double> per_second,
+                                       state::time_point now)
+{
+    auto found = rows_.find(member);
+    if (found == rows_.end())
+    {
+        if (!per_second || rows_.size() >= capacity)
+        {
+            return limit_change::none;
+        }
+        found = rows_.emplace(member, row{}).first;
+    }
+    row& limit = found->second;
+    limit.confirmed_at = now;
+    bool const is_early = !per_second && now < limit.stated_at + ends_after;
+    if (is_early || (!per_second && !limit.per_second))
+    {
+        return limit_change::none;
+    }
+    double const before = limit.per_second.value_or(0.0);
+    limit_change const changed = change(member, limit, per_second, now);
+    bool const is_told = changed == limit_change::begins || changed == limit_change::ends ||
+                         std::abs(before - per_second.value_or(0.0)) > telling_part * before;
+    if (changed != limit_change::none && is_told)
+    {
+        untold_.push_back(member);
+    }
+    return is_told ? changed : limit_change::none;
+}
+
+limit_change upstream_limits::hear(state::stated_limit const& told, state::time_point now)
+{
+    // A damaged number passes no comparison.
+    bool const is_sound = !told.per_second || *told.per_second >= 0.0;
+    state::time_point const as_of = now - told.age;
+    auto found = rows_.find(told.member);
+    if (found == rows_.end())
+    {
+        // An end is kept as well: the statement that it ends may come later.
+        if (told.age >= lapse || !is_sound || rows_.size() >= capacity)
+        {
+            return limit_change::none;
+        }
+        found = rows_.emplace(told.member, row{}).first;
+    }
+    if (as_of <= found->second.as_of || !is_sound)
+    {
+        return limit_change::none;
+    }
+    return change(told.member, found->second, told.per_second, as_of);
+}
+
+limit_change upstream_limits::change(state::member_key member, row& limit,
+                                     std::optional<double> per_second, state::time_point now)
+{
+    if (per_second)
+    {
+        per_second = std::min(*per_second, most_per_second);
+        limit.stated_at = std::max(limit.stated_at, now);
+    }
+    limit.as_of = now;
+    auto const before = std::exchange(limit.per_second, per_second);
+    if (before == per_second)
+    {
+        return limit_change::none;
+    }
+    if (!per_second)
+    {
+        return limit_change::ends;
+    }
+    if (before)
+    {
+        return limit_change::other_value;
+    }
+    // Those that send begin one after the other, spread over the time of one request.
+    std::size_t const vms = fleet_.peers().size() + 1;
+    limit.allowed =
+        static_cast<double>(rank_for(member)) / static_cast<double>(senders(*per_second, vms));
+    limit.counted_at = now;
+    return limit_change::begins;
+}
+
+// -- sending --------------------------------------------------------------------------------------
+
+// With more senders than that the first requests of all exceed the limit by themselves: each may
+// have saved up one.
+std::size_t upstream_limits::senders(double per_second, std::size_t vms) noexcept
+{
+    return std::clamp<std::size_t>(static_cast<std::size_t>(per_second) + 1, 1, vms);
+}
+
+double upstream_limits::own_rate(state::member_key member, row const& limit) const
+{
+    // Also those that are silent: cut off from this VM, they send all the same.
+    std::size_t const vms = fleet_.peers().size() + 1;
+    std::size_t const sharing = senders(*limit.per_second, vms);
+    return rank_for(member) < sharing
+               ? std::max(*limit.per_second, least_rate) / static_cast<double>(sharing)
+               : 0.0;
+}
+
+double upstream_limits::allowed_at(state::member_key member, row const& limit,
+                                   state::time_point now) const
+{
+    double const since = seconds(std::max(state::duration::zero(), now - limit.counted_at));
+    double const rate = own_rate(member, limit);
+    double const saved_up = std::max(1.0, rate * seconds(longest_saved));
+    return std::min(saved_up, limit.allowed + since * rate);
+}
+
+bool upstream_limits::may_send(state::member_key member, state::time_point now) const
+{
+    auto const found = rows_.find(member);
+    if (found == rows_.end() || !found->second.per_second)
+    {
+        return true;
+    }
+    bool const is_sender = own_rate(member, found->second) > 0.0;
+    return is_sender && allowed_at(member, found->second, now) >= 1.0;
+}
+
+void upstream_limits::note_sent(state::member_key member, state::time_point now)
+{
+    auto const found = rows_.find(member);
+    if (found != rows_.end() && found->second.per_second)
+    {
+        found->second.allowed = allowed_at(member, found->second, now) - 1.0;
+        found->second.counted_at = now;
+    }
+}
+
+std::size_t upstream_limits::rank_for(state::member_key member) const
+{
+    std::uint64_t const own = state::mix(self_.value, member.value);
+    return static_cast<std::size_t>(
+        std::count_if(fleet_.peers().begin(), fleet_.peers().end(),
+                      [member, own](auto const& each)
+                      { return state::mix(each.first.value, member.value) < own; }));
+}
+
+std::optional<double> upstream_limits::limit_of(state::member_key member) const
+{
+    auto const found = rows_.find(member);
+    return found == rows_.end() ? std::nullopt : found->second.per_second;
+}
+
+void upstream_limits::forget(state::time_point now)
+{
+    std::erase_if(rows_, [now](auto const& each) { return now >= each.second.as_of + lapse; });
+}
+
+// -- telling --------------------------------------------------------------------------------------
+
+std::vector<state::stated_limit> upstream_limits::untold(state::time_point now)
+{
+    std::vector<state::stated_limit> told;
+    for (state::member_key const member : std::exchange(untold_, {}))
+    {
+        if (auto const found = rows_.find(member); found != rows_.end())
+        {
+            told.push_back({member, found->second.per_second, now - found->second.as_of});
+        }
+    }
+    return told;
+}
+
+std::vector<state::stated_limit> upstream_limits::confirmed(std::size_t most,
+                                                            state::time_point now) const
+{
+    std::vector<state::stated_limit> told;
+    for (auto const& [member, limit] : rows_)
+    {
+        bool const is_own =
+            limit.confirmed_at != state::time_point{} && now < limit.confirmed_at + confirmed_for;
+        if (is_own && told.size() < most)
+        {
+            told.push_back({member, limit.per_second, now - limit.as_of});
+        }
+    }
+    return told;
+}
+
+} // namespace plumdale::coordination
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -44,6 +44,13 @@
   ageMs @2 :UInt32;
 }
 
+struct StatedLimit {
+  member @0 :UInt64;
+  isStated @1 :Bool;
+  perSecond @2 :Float64;
+  ageMs @3 :UInt32;
+}
+
 struct FleetNews {
   sender @0 :UInt64;
   uptime @1 :UInt64;
@@ -65,6 +72,7 @@
   evacuations @17 :List(Evacuation);
   quarantine @18 :UInt64;
   evidence @19 :List(RequestEvidence);
+  limits @20 :List(StatedLimit);
 }
 
 struct ConfigurationOffer {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -65,12 +65,25 @@
     to.setRevision(from.revision);
 }
 
+std::uint32_t milliseconds_of(state::duration age)
+{
+    auto const whole = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(whole, 0, UINT32_MAX));
+}
+
 void write(wire::RequestEvidence::Builder to, coordination::request_evidence const& from)
 {
-    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(from.age).count();
     to.setRequest(from.request.value);
     to.setEnded(from.ended.value);
-    to.setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX)));
+    to.setAgeMs(milliseconds_of(from.age));
+}
+
+void write(wire::StatedLimit::Builder to, state::stated_limit const& from)
+{
+    to.setMember(from.member.value);
+    to.setIsStated(from.per_second.has_value());
+    to.setPerSecond(from.per_second.value_or(0.0));
+    to.setAgeMs(milliseconds_of(from.age));
 }
 
 template <class List, class Values>
@@ -101,6 +114,13 @@
             std::chrono::milliseconds{from.getAgeMs()}};
 }
 
+state::stated_limit read(wire::StatedLimit::Reader from)
+{
+    return {state::member_key{from.getMember()},
+            from.getIsStated() ? std::optional{from.getPerSecond()} : std::nullopt,
+            std::chrono::milliseconds{from.getAgeMs()}};
+}
+
 state::service_member read(wire::ServiceMember::Reader from)
 {
     state::service_member member;
@@ -173,6 +193,10 @@
     {
         news.evidence.push_back(read(each));
     }
+    for (auto const each : from.getLimits())
+    {
+        news.limits.push_back(read(each));
+    }
     return news;
 }
 
@@ -253,6 +277,7 @@
             to.setQuarantine(news.quarantine);
             write_rows(to.initEvidence(static_cast<unsigned int>(news.evidence.size())),
                        news.evidence);
+            write_rows(to.initLimits(static_cast<unsigned int>(news.limits.size())), news.limits);
         });
     return sealed({text.data(), text.size()}, fleet_key);
 }
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -155,6 +155,7 @@
 {
     core_.take_evacuations(news.evacuations, part);
     core_.quarantine.take(news.evidence);
+    core_.limits.take(news.limits);
     take_members(news);
     state::time_point const now = boot_now();
     // All entry VMs use the same ports.
@@ -384,6 +385,30 @@
     }
 }
 
+void fleet_exchange::tell_limits()
+{
+    std::vector<state::stated_limit> const told = core_.limits.known().untold(boot_now());
+    for (std::size_t next = 0; next < told.size(); next += fleet_news::max_limits)
+    {
+        std::size_t const count = std::min(told.size() - next, fleet_news::max_limits);
+        auto const begin = told.begin() + static_cast<std::ptrdiff_t>(next);
+        fleet_news news;
+        news.limits.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+        spread(news);
+    }
+}
+
+// For those that missed what was told at once, or that were not there.
+void fleet_exchange::tell_confirmed_limits()
+{
+    fleet_news news = news_header();
+    news.limits = core_.limits.known().confirmed(fleet_news::max_limits, boot_now());
+    if (!news.limits.empty())
+    {
+        send(news, audience());
+    }
+}
+
 // One that has just started, was cut off or missed a datagram shows it by its digest, and a few of
 // those that see it tell it. It tells them likewise what they lack.
 void fleet_exchange::tell_differing(fleet_news const& heard, state::endpoint to)
@@ -431,10 +456,12 @@
     for (spread_target const& target :
          targets_of(from.range, from.spread, peers, fan_out_for(peers.size())))
     {
-        bool const has_rows = !from.members.empty() || !from.evidence.empty();
+        bool const has_rows =
+            !from.members.empty() || !from.evidence.empty() || !from.limits.empty();
         fleet_news news = has_rows ? news_header() : news_with_orders();
         news.members = from.members;
         news.evidence = from.evidence;
+        news.limits = from.limits;
         news.spread = from.spread;
         news.range = target.rest;
         news.has_range = target.has_rest;
@@ -536,6 +563,7 @@
         whole_at_ =
             now + (core_.fleet.is_reader() ? core_.fleet.interval() : core_.fleet.calm_interval());
         tell_whole();
+        tell_confirmed_limits();
     }
     else if (is_urgent)
     {
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -47,6 +47,8 @@
     void tell_load(state::member_key member);
     /// \brief There may be news of requests that end upstreams: all are to know.
     void tell_evidence();
+    /// \brief There may be news of what upstreams state that they take: all are to know.
+    void tell_limits();
     /// \brief This VM leaves the fleet.
     void leave();
 
@@ -63,6 +65,7 @@
     void advance_members();
     void tell_whole();
     void tell_standing();
+    void tell_confirmed_limits();
     void tell_members();
     void tell_loads();
     void note_told(coordination::fleet_news const& news);
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace plumdale::transport
@@ -169,7 +168,8 @@
 }
 
 // What goes on with a generation is lost if it can't, and no more of them come to an upstream than
-// have room there: they go beyond this VM's share of what a cold one bears.
+// have room there: they go beyond this VM's share of what a cold one bears, or of what one in need
+// takes, and are counted there.
 bool forward_call::may_send(state::time_point now) const
 {
     coordination::directory_entry const* const entry = core_.directory.find(member_);
@@ -195,6 +195,7 @@
     {
         core_.cold.note_sent(member_, now);
     }
+    core_.limits.known().note_sent(member_, now);
     send_at_ = now;
     first_send_at_ = sends_ == 0 ? now : first_send_at_;
     ++sends_;
@@ -252,6 +253,13 @@
     {
         core_.directory.note_cold(member_, *answer_.cold_for, boot_now());
     }
+    // A refusal says nothing of a limit that it doesn't state, and another start's answer nothing
+    // at all.
+    bool const is_statement = answer_.request_limit || !answer_.not_run;
+    if (is_statement && !answer_.misdirected && !has_other_answer())
+    {
+        core_.limits.answered(member_, answer_.request_limit);
+    }
     exchange_->keep_alive(answer_.keep_alive, answer_.closes);
 }
 
@@ -510,8 +518,8 @@
          {"may_have_run", runs_},
          {"upstreams_ended",
           static_cast<std::int64_t>(core_.quarantine.known().ended_under(admitted_.request))},
-         {"stated_limit_per_minute",
-          answer_.request_limit ? std::llround(60.0 * *answer_.request_limit) : std::int64_t{-1}},
+         {"stated_limit_per_minute", per_minute(answer_.request_limit)},
+         {"known_limit_per_minute", per_minute(core_.limits.known().limit_of(member_))},
          {"status", has_head_ ? static_cast<std::int64_t>(head_.status) : 0},
          {"age_ms", whole_milliseconds(now - admitted_.call.read_at)},
          {"left_ms", whole_milliseconds(admitted_.deadline - now)}});
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -44,7 +44,8 @@
       self{state::named<state::node_id>(protocol::to_text(chosen.datagrams))}, is_seed{names_itself(
                                                                                    chosen)},
       random{random_seed()}, fleet{self, boot_now() + (is_seed ? seed_patience : start_patience)},
-      cold{fleet, self, boot_now()}, choice{directory, ledger, health, cold, settings.zone, random},
+      cold{fleet, self, boot_now()}, limits{fleet, self, directory, lines},
+      choice{directory, ledger, health, cold, limits.known(), settings.zone, random},
       quarantine{lines, metrics}, orders{loop}, departures{loop,
                                                            words,
                                                            directory,
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -5,6 +5,7 @@
 #include "departure_board.hpp"
 #include "forward_metrics.hpp"
 #include "http_fetch.hpp"
+#include "limit_board.hpp"
 #include "net.hpp"
 #include "quarantine_board.hpp"
 #include "upstream_pool.hpp"
@@ -106,6 +107,7 @@
     coordination::member_health health;
     coordination::fleet_view fleet;
     coordination::cold_share cold;
+    limit_board limits;
     coordination::member_choice choice;
     quarantine_board quarantine;
     upstream_pool pool;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -82,6 +82,10 @@
         {
             fleet_->tell_evidence();
         };
+        core_.limits.changed = [this]
+        {
+            fleet_->tell_limits();
+        };
         core_.load_changed = [this](state::member_key member)
         {
             fleet_->tell_load(member);
@@ -258,6 +262,7 @@
         core_.directory.forget(now);
         core_.cold.forget(now);
         core_.quarantine.sweep();
+        core_.limits.sweep();
         core_.departures.sweep();
         note_readiness();
         log_.flush();
--- /dev/null
+++ b/src/transport/limit_board.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "decision_log.hpp"
+
+#include <plumdale/coordination/service_directory.hpp>
+#include <plumdale/coordination/upstream_limits.hpp>
+
+#include <functional>
+#include <optional>
+#include <span>
+#include <string_view>
+
+/// \file
+/// \brief What upstreams state that they take.
+
+namespace plumdale::transport
+{
+
+/// \brief Keeps the limits, logs what changes, and has peers told; on one loop.
+class limit_board
+{
+public:
+    limit_board(coordination::fleet_view const& fleet, state::node_id self,
+                coordination::service_directory const& directory, decision_log& log);
+
+    /// \brief An upstream answered this VM, and stated this limit or none.
+    void answered(state::member_key member, std::optional<double> per_second);
+    /// \brief Takes what a peer tells.
+    void take(std::span<state::stated_limit const> told);
+    /// \brief Does what is due.
+    void sweep();
+
+    [[nodiscard]] coordination::upstream_limits& known() noexcept
+    {
+        return known_;
+    }
+    [[nodiscard]] coordination::upstream_limits const& known() const noexcept
+    {
+        return known_;
+    }
+
+    /// \brief Called when peers are to be told something.
+    std::function<void()> changed = [] {
+    };
+
+private:
+    void log_change(coordination::limit_change change, state::member_key member,
+                    state::duration age, std::string_view source);
+
+    coordination::fleet_view const& fleet_;
+    coordination::service_directory const& directory_;
+    decision_log& log_;
+    coordination::upstream_limits known_;
+};
+
+/// \brief Returns a limit as lines and pages tell it: requests a minute, -1 where there is none.
+[[nodiscard]] std::int64_t per_minute(std::optional<double> per_second);
+
+} // namespace plumdale::transport
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import collections
 import itertools
 import json
 import random
@@ -20,6 +21,9 @@
 # seconds, it may reach so many more; a VM that was ended or paused less than that time ago excuses what arrives.
 ENDING_BODY = b"ends its upstream"
 CONTACT, ENDS_ALLOWED, MORE_ALLOWED = 3.0, 3, 3
+# An upstream that states how many requests a second it takes may get one and a half times as many, and some, in a window of
+# so many seconds.
+LIMIT_WINDOW, LIMIT_PART, LIMIT_SLACK = 4.0, 1.5, 5
 CONFIGURATION = {
     "routes": [
         {"name": "fetch", "host": "soak", "prefix": "/fetch/", "routeType": "idempotent", "timeoutMs": 4000,
@@ -142,6 +146,8 @@
         self.name, self.record, self.random = name, record, random.Random(seed)
         self.writers, self.alive, self.unreachable_until, self.leaves_at = set(), True, 0.0, None
         self.ended = self.crash
+        # What it states that it takes, since when, and when requests came since.
+        self.limit, self.limited_since, self.arrived = None, 0.0, collections.deque()
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -160,6 +166,21 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def state_limit(self, per_second):
+        self.limit, self.limited_since = per_second, asyncio.get_running_loop().time()
+
+    def note_arrival(self, call):
+        """Requests count from when all VMs had the time to hear of the limit, without those that were held up."""
+        now = asyncio.get_running_loop().time()
+        excused = now < max(self.limited_since, self.record.vms_disturbed) + CONTACT or now < self.unreachable_until + LIMIT_WINDOW
+        if self.limit is None or excused:
+            return self.arrived.clear()
+        self.arrived.append(now)
+        while self.arrived[0] < now - LIMIT_WINDOW:
+            self.arrived.popleft()
+        if len(self.arrived) > LIMIT_PART * LIMIT_WINDOW * self.limit + LIMIT_SLACK:
+            self.record.broken.append(f"{call}: {self.name} takes {self.limit} a second and got {len(self.arrived)} in {LIMIT_WINDOW} s")
+
     def restart(self, silent):
         """A later start with nothing of before. Connections are reset, or stay silent as after a loss of power."""
         self.born += 1000
@@ -183,6 +204,9 @@
             return writer.write(answer(200, b"{}"))
         call, expected = headers.get("plumdale-request-id", ""), headers.get("plumdale-expect-instance")
         fields = [("Plumdale-Request-Id", call)]
+        self.note_arrival(call)
+        if self.limit is not None:
+            fields.append(("Server-Limit", f"{self.limit:.1f}"))
         if expected != self.name:
             return writer.write(answer(421, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
         self.check_evacuation(call)
