A store that comes back from a copy: its era goes before its revisions

What would be seen: after a drill in which the store comes back from a copy some seconds old, revisions are given out again. Upstreams that register there stood at lower revisions than what VMs knew, so nobody heard of them; the copy's own entries would have listed removed upstreams again once revisions had passed the old ones; orders and lists from before would have been joined with those of after by a number that means two things; a watch would have gone on over a gap. Cause: the store's revision was taken for a clock that never goes back, in directory, orders and watch. Change: positions of era and revision in one number; what the copy can hold counts as of the era before; a reader that sees another era reads all anew and, 3.6 s later, once more; only that second read takes anything for gone. An order that the copy lacks stays in force until then.

--- a/include/plumdale/coordination/evacuation_orders.hpp
+++ b/include/plumdale/coordination/evacuation_orders.hpp
@@ -49,10 +49,13 @@
     static constexpr std::size_t capacity = 32;
 
 private:
+    [[nodiscard]] bool lacks_kept(state::evacuations const& heard) const;
     std::vector<state::evacuation_change> replace(std::vector<state::evacuation> in_force,
                                                   state::time_point now);
 
     state::evacuations known_;
+    /// \brief Zones whose orders the store lacked when it came back from a copy.
+    std::vector<state::zone_id> kept_;
     std::unordered_map<state::zone_id, state::time_point> ended_at_;
 };
 
--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -61,6 +61,7 @@
 class retry_budget;
 class round_robin;
 class safeguard_set;
+class store_history;
 class time_estimate;
 class two_choices;
 class upstream_limits;
--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -182,6 +183,10 @@
     [[nodiscard]] virtual std::string operators_target(store_read kind,
                                                        std::string_view page) const = 0;
     [[nodiscard]] virtual std::string list_target(store_read kind, std::string_view page) const = 0;
+    /// \brief Reads from the fields of any of the store's answers how often it has come back from
+    /// a copy; none where it doesn't tell.
+    [[nodiscard]] virtual std::optional<std::uint64_t>
+    read_era(std::span<header_field const> fields) const = 0;
     /// \brief Reads a page of upstreams or of what the operators wrote.
     [[nodiscard]] virtual state::result<store_page> read_list(std::string_view body) const = 0;
     [[nodiscard]] virtual std::string watch_target(std::uint64_t after,
--- /dev/null
+++ b/include/plumdale/state/store_position.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+
+/// \file
+/// \brief Where something stands in the history of the platform's store.
+
+namespace plumdale::state
+{
+
+/// \brief A revision and the era of the store in which it was given out.
+///
+/// A store that comes back from a copy gives revisions out again; its era rises each time. Kept as
+/// one number, so that what joins by the greatest revision joins by the greatest position.
+struct store_position
+{
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+
+    /// \brief Bits of a revision: at 25,000 changes a second they last for more than a year.
+    static constexpr unsigned revision_bits = 40;
+    static constexpr std::uint64_t revision_mask = (std::uint64_t{1} << revision_bits) - 1;
+
+    /// \brief Returns a number that is greater for a later position.
+    [[nodiscard]] constexpr std::uint64_t value() const noexcept
+    {
+        return (era << revision_bits) | (revision & revision_mask);
+    }
+    /// \brief Returns the position that `value()` gave.
+    [[nodiscard]] static constexpr store_position of(std::uint64_t value) noexcept
+    {
+        return {value >> revision_bits, value & revision_mask};
+    }
+};
+
+/// \brief Returns the revision as the store tells it.
+[[nodiscard]] constexpr std::uint64_t revision_in(std::uint64_t position) noexcept
+{
+    return store_position::of(position).revision;
+}
+
+/// \brief Returns the era in which a revision was given out.
+[[nodiscard]] constexpr std::uint64_t era_in(std::uint64_t position) noexcept
+{
+    return store_position::of(position).era;
+}
+
+} // namespace plumdale::state
--- a/src/coordination/evacuation_orders.cpp
+++ b/src/coordination/evacuation_orders.cpp
@@ -1,4 +1,5 @@
 #include <plumdale/coordination/evacuation_orders.hpp>
+#include <plumdale/state/store_position.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -34,12 +35,35 @@
 {
     // One that was cut off, or whose message was delayed, tells of orders that have been taken back
     // since: only the newest set counts, whole.
-    if (heard.as_of <= known_.as_of)
+    bool const is_newer = heard.as_of > known_.as_of;
+    bool const is_repeated = heard.as_of == known_.as_of && lacks_kept(heard);
+    if (!is_newer && !is_repeated)
     {
         return {};
     }
+    // A store that came back from a copy may lack an order that it acknowledged, until the operator
+    // has written it again: it stays in force until a later set of the same era lacks it too.
+    bool const came_back = state::era_in(heard.as_of) > state::era_in(known_.as_of);
+    std::vector<evacuation> in_force = heard.in_force;
+    kept_.clear();
+    for (evacuation const& former : known_.in_force)
+    {
+        if (came_back && !names(heard.in_force, former.zone))
+        {
+            in_force.push_back(former);
+            kept_.push_back(former.zone);
+        }
+    }
     known_.as_of = heard.as_of;
-    return replace(heard.in_force, now);
+    return replace(std::move(in_force), now);
+}
+
+// Read once more, a store in which nothing was written since gives the same set at the same
+// revision.
+bool evacuation_orders::lacks_kept(state::evacuations const& heard) const
+{
+    return std::any_of(kept_.begin(), kept_.end(),
+                       [&heard](state::zone_id zone) { return !names(heard.in_force, zone); });
 }
 
 std::vector<evacuation_change> evacuation_orders::follow(std::span<evacuation_change const> changes,
--- a/src/transport/change_lines.cpp
+++ b/src/transport/change_lines.cpp
@@ -1,5 +1,7 @@
 #include "change_lines.hpp"
 
+#include <plumdale/state/store_position.hpp>
+
 #include <algorithm>
 
 namespace plumdale::transport
@@ -57,7 +59,7 @@
     log_.write(part, decisions[kind], {},
                {{"upstream", from.names},
                 {"count", static_cast<std::int64_t>(from.count)},
-                {"revision", static_cast<std::int64_t>(from.revision)},
+                {"revision", static_cast<std::int64_t>(state::revision_in(from.revision))},
                 {"source", from.source},
                 {"digest", std::to_string(digest)}});
 }
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -4,6 +4,7 @@
 #include "milliseconds.hpp"
 
 #include <plumdale/protocol/generation_text.hpp>
+#include <plumdale/state/store_position.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -501,7 +502,8 @@
          {"configuration", static_cast<std::int64_t>(admitted_.table->configuration().version)},
          {"upstream", member_name()},
          {"listed_revision",
-          entry == nullptr ? 0 : static_cast<std::int64_t>(entry->info.revision)},
+          entry == nullptr ? 0
+                           : static_cast<std::int64_t>(state::revision_in(entry->info.revision))},
          {"platform_age_ms", whole_milliseconds(core_.platform_age(now))},
          {"best", name_of(best_.member)},
          {"looked_at", static_cast<std::int64_t>(best_.looked_at)},
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -4,6 +4,7 @@
 #include "milliseconds.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
+#include <plumdale/state/store_position.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -161,7 +162,7 @@
         log.write(part, "entry unreadable", {},
                   {{"upstream", each.name},
                    {"field", each.reason},
-                   {"revision", static_cast<std::int64_t>(each.revision)},
+                   {"revision", static_cast<std::int64_t>(state::revision_in(each.revision))},
                    {"source", source}});
         if (!each.name.empty())
         {
@@ -257,8 +258,9 @@
     {
         log.write("evacuation", each.taken_back ? "taken back" : "in force", {},
                   {{"zone", name_of(each.order.zone)},
-                   {"revision", static_cast<std::int64_t>(each.order.revision)},
-                   {"as_of", static_cast<std::int64_t>(directory.evacuations().known().as_of)},
+                   {"revision", static_cast<std::int64_t>(state::revision_in(each.order.revision))},
+                   {"as_of", static_cast<std::int64_t>(
+                                 state::revision_in(directory.evacuations().known().as_of))},
                    {"platform_age_ms", whole_milliseconds(platform_age(boot_now()))},
                    {"source", source}});
         if (!each.taken_back)
--- a/src/transport/http_fetch.cpp
+++ b/src/transport/http_fetch.cpp
@@ -78,7 +78,7 @@
     void finish()
     {
         exchange_end end;
-        end.answer = {parser_.get().result_int(), std::move(parser_.get().body())};
+        end.answer = {parser_.get().result_int(), std::move(parser_.get().body()), fields()};
         if (request_.keep_alive() && parser_.keep_alive() && buffer_.size() == 0)
         {
             socket_->expires_never();
@@ -87,6 +87,16 @@
         handler_(std::move(end));
     }
 
+    [[nodiscard]] std::vector<protocol::header_field> fields() const
+    {
+        std::vector<protocol::header_field> found;
+        for (auto const& each : parser_.get())
+        {
+            found.push_back({std::string{each.name_string()}, std::string{each.value()}});
+        }
+        return found;
+    }
+
     void fail(error_code error)
     {
         exchange_end end;
--- a/src/transport/http_fetch.hpp
+++ b/src/transport/http_fetch.hpp
@@ -2,12 +2,14 @@
 
 #include "net.hpp"
 
+#include <plumdale/protocol/message_head.hpp>
 #include <plumdale/state/result.hpp>
 
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 /// \file
 /// \brief One HTTP exchange with a whole answer.
@@ -32,6 +34,7 @@
 {
     unsigned status = 0;
     std::string body;
+    std::vector<protocol::header_field> fields{};
 };
 
 using fetch_handler = std::function<void(state::result<fetch_answer>)>;
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -4,6 +4,7 @@
 #include "milliseconds.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
+#include <plumdale/state/store_position.hpp>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -31,7 +32,8 @@
     json::array rows;
     for (state::evacuation const& each : core.directory.evacuations().known().in_force)
     {
-        rows.push_back({{"zone", core.name_of(each.zone)}, {"revision", each.revision}});
+        rows.push_back(
+            {{"zone", core.name_of(each.zone)}, {"revision", state::revision_in(each.revision)}});
     }
     return rows;
 }
@@ -47,7 +49,8 @@
             {"reads_platform", core.fleet.is_reader()},
             {"directory", std::to_string(core.directory.digest())},
             {"evacuations", evacuation_rows(core)},
-            {"evacuations_as_of", core.directory.evacuations().known().as_of},
+            {"evacuations_as_of", state::revision_in(core.directory.evacuations().known().as_of)},
+            {"store_era", state::era_in(core.directory.evacuations().known().as_of)},
             {"requests_quarantined", core.quarantine.known().refused()},
             {"live_entry_vms", core.fleet.live(now)},
             {"calls_in_progress", core.calls_in_progress}};
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -3,6 +3,8 @@
 #include "boot_clock.hpp"
 #include "milliseconds.hpp"
 
+#include <plumdale/state/store_position.hpp>
+
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
@@ -92,6 +94,12 @@
         core_.reads_store = false;
         return step_in(duty_check);
     }
+    if (boot_now() >= reread_at_)
+    {
+        reread_at_ = state::never;
+        synced_ = false;
+        has_configuration_ = false;
+    }
     if (!has_configuration_)
     {
         return read_operators(protocol::store_read::current, {});
@@ -133,7 +141,82 @@
     request.address = core_.settings.platform;
     request.target = std::move(target);
     request.timeout = std::chrono::milliseconds{whole_milliseconds(timeout)};
-    fetcher_.fetch(std::move(request), std::move(handler));
+    fetcher_.fetch(std::move(request),
+                   [this, handler = std::move(handler)](state::result<fetch_answer> const& answer)
+                   {
+                       note_era(answer);
+                       handler(answer);
+                   });
+}
+
+void store_reader::read(std::string target, state::duration timeout, fetch_handler handler)
+{
+    call(std::move(target), timeout,
+         [this, handler = std::move(handler)](state::result<fetch_answer> const& answer)
+         { std::exchange(starts_over_, false) ? step() : handler(answer); });
+}
+
+// Its revisions are given out again, so a watch that goes on would miss what was written between;
+// and it lacks for a while what was written since the copy.
+void store_reader::note_era(state::result<fetch_answer> const& answer)
+{
+    auto const era = answer ? core_.dialect.read_era(answer.value().fields) : std::nullopt;
+    if (!era || !history_.begins_era(*era))
+    {
+        return;
+    }
+    core_.log.write(
+        part, "came back from a copy", {},
+        {{"era", static_cast<std::int64_t>(*era)}, {"after", static_cast<std::int64_t>(after_)}});
+    synced_ = false;
+    has_configuration_ = false;
+    starts_over_ = true;
+    reread_at_ = boot_now() + rewriting;
+    core_.directory.platform_returned(boot_now());
+}
+
+void store_reader::place(protocol::store_page& page, protocol::store_read kind)
+{
+    using protocol::store_read;
+    auto const placed = [this, kind](std::uint64_t revision)
+    {
+        return kind == store_read::current ? history_.position_of(revision)
+                                           : history_.lagging(revision);
+    };
+    for (state::service_member& member : page.members)
+    {
+        member.revision = placed(member.revision);
+    }
+    for (protocol::unusable_entry& entry : page.unusable)
+    {
+        entry.revision = placed(entry.revision);
+    }
+    for (protocol::zone_order& order : page.orders)
+    {
+        order.change.order.revision = placed(order.change.order.revision);
+    }
+    page.revision = kind == store_read::current ? history_.present(page.revision)
+                                                : history_.lagging(page.revision);
+    page.newest = placed(page.newest);
+}
+
+state::result<protocol::store_page> store_reader::page_in(state::result<fetch_answer> const& answer,
+                                                          protocol::store_read kind)
+{
+    if (!is_whole(answer))
+    {
+        return state::failure{};
+    }
+    auto page = core_.dialect.read_list(answer.value().body);
+    if (page)
+    {
+        if (kind == protocol::store_read::current)
+        {
+            history_.note_read(page.value().revision);
+        }
+        place(page.value(), kind);
+    }
+    return page;
 }
 
 void store_reader::succeeded(protocol::store_read kind)
@@ -199,16 +282,14 @@
     {
         operators_ = {};
     }
-    call(core_.dialect.operators_target(kind, page), answer_time,
+    read(core_.dialect.operators_target(kind, page), answer_time,
          [this, kind](state::result<fetch_answer> const& answer)
          {
              if (answer && answer.value().status == not_found)
              {
                  return not_published();
              }
-             auto answered = is_whole(answer)
-                                 ? core_.dialect.read_list(answer.value().body)
-                                 : state::result<protocol::store_page>{state::failure{}};
+             auto answered = page_in(answer, kind);
              if (!answered)
              {
                  return failed("configuration", answer);
@@ -230,7 +311,7 @@
     if (kind == protocol::store_read::current)
     {
         has_configuration_ = core_.informed();
-        after_ = operators_.revision;
+        after_ = state::revision_in(operators_.revision);
     }
     bool const is_newer = core_.take_configuration(std::move(operators_.configuration), part);
     if (is_newer && kind == protocol::store_read::current)
@@ -291,12 +372,10 @@
         unusable_.clear();
         list_revision_ = 0;
     }
-    call(core_.dialect.list_target(kind, page), answer_time,
+    read(core_.dialect.list_target(kind, page), answer_time,
          [this, kind](state::result<fetch_answer> const& answer)
          {
-             auto const answered = is_whole(answer)
-                                       ? core_.dialect.read_list(answer.value().body)
-                                       : state::result<protocol::store_page>{state::failure{}};
+             auto const answered = page_in(answer, kind);
              if (!answered)
              {
                  return failed("list", answer);
@@ -318,7 +397,10 @@
 void store_reader::take_list(protocol::store_read kind)
 {
     std::size_t const untold = core_.untold.size();
-    core_.take_list(listed_, unusable_, list_revision_, part);
+    // What a store that came back from a copy lacks may be written again; what it still lacks when
+    // it is read once more is gone.
+    bool const is_complete = reread_at_ == state::never;
+    core_.take_list(listed_, unusable_, is_complete ? list_revision_ : 0, part);
     if (kind == protocol::store_read::may_lag)
     {
         auto const begin = core_.untold.begin() + static_cast<std::ptrdiff_t>(untold);
@@ -329,14 +411,14 @@
     {
         synced_ = true;
         // The configuration was read first; what came between is heard from the watch.
-        after_ = std::min(after_, list_revision_);
+        after_ = std::min(after_, state::revision_in(list_revision_));
     }
     step();
 }
 
 void store_reader::watch()
 {
-    call(core_.dialect.watch_target(after_, watch_wait), watch_wait + answer_time,
+    read(core_.dialect.watch_target(after_, watch_wait), watch_wait + answer_time,
          [this](state::result<fetch_answer> const& answer)
          {
              if (answer && answer.value().status == gone)
@@ -347,15 +429,15 @@
                  has_configuration_ = false;
                  return step();
              }
-             auto const page = is_whole(answer)
-                                   ? core_.dialect.read_changes(answer.value().body)
-                                   : state::result<protocol::store_page>{state::failure{}};
+             auto page = is_whole(answer) ? core_.dialect.read_changes(answer.value().body)
+                                          : state::result<protocol::store_page>{state::failure{}};
              if (!page)
              {
                  return failed("watch", answer);
              }
              succeeded(protocol::store_read::current);
              after_ = std::max(after_, page.value().revision);
+             place(page.value(), protocol::store_read::current);
              bool const is_newer = !page.value().configuration.empty() &&
                                    core_.take_configuration(page.value().configuration, part);
              if (is_newer)
--- a/src/transport/store_reader.hpp
+++ b/src/transport/store_reader.hpp
@@ -2,6 +2,8 @@
 
 #include "forward_core.hpp"
 
+#include <plumdale/coordination/store_history.hpp>
+
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
@@ -61,6 +63,9 @@
     /// \brief An outage this long may have let upstreams' entries lapse: three of their heartbeats
     /// of 1.2 s, less one.
     static constexpr state::duration lapse_outage = std::chrono::milliseconds{2'000};
+    /// \brief Time that operators and upstreams have to write again what a store that came back
+    /// from a copy has lost: three heartbeats of upstreams.
+    static constexpr state::duration rewriting = std::chrono::milliseconds{3'600};
 
 private:
     void step();
@@ -74,6 +79,14 @@
     void watch();
     void read_newer(protocol::store_read kind, std::function<void()> const& otherwise);
     void call(std::string target, state::duration timeout, fetch_handler handler);
+    /// \brief Calls the store, and starts over instead of `handler` where it has come back from a
+    /// copy.
+    void read(std::string target, state::duration timeout, fetch_handler handler);
+    void note_era(state::result<fetch_answer> const& answer);
+    /// \brief Replaces the revisions in a page by positions in the store's history.
+    void place(protocol::store_page& page, protocol::store_read kind);
+    [[nodiscard]] state::result<protocol::store_page>
+    page_in(state::result<fetch_answer> const& answer, protocol::store_read kind);
     void note_duty(bool reads);
     void succeeded(protocol::store_read kind);
     [[nodiscard]] state::duration spread(state::duration time);
@@ -88,7 +101,12 @@
     std::uint64_t list_revision_ = 0;
     /// \brief Pages read so far of what the operators wrote, as one.
     protocol::store_page operators_;
+    coordination::store_history history_;
+    /// \brief The store's own revision from which it is watched.
     std::uint64_t after_ = 0;
+    /// \brief When all is read once more after the store came back from a copy.
+    state::time_point reread_at_ = state::never;
+    bool starts_over_ = false;
     state::time_point last_read_{};
     state::duration retry_ = first_retry;
     bool reads_ = false;
--- /dev/null
+++ b/tests/coordination/test_store_history.cpp
@@ -0,0 +1,61 @@
+#include <plumdale/coordination/evacuation_orders.hpp>
+#include <plumdale/coordination/store_history.hpp>
+#include <plumdale/state/store_position.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace plumdale;
+using namespace plumdale::coordination;
+
+TEST_CASE("positions are ordered by era, then by revision", "[store_era]")
+{
+    state::store_position const before{3, 1'000'000};
+    state::store_position const after{4, 1};
+    CHECK(before.value() < after.value());
+    CHECK(state::revision_in(before.value()) == 1'000'000);
+    CHECK(state::era_in(after.value()) == 4);
+    // A store that tells no era keeps its revisions as they are.
+    CHECK(state::store_position{0, 77}.value() == 77);
+}
+
+TEST_CASE("what a copy holds is older than what was heard before, what is written since is newer",
+          "[store_era]")
+{
+    store_history history;
+    CHECK_FALSE(history.begins_era(2));
+    history.note_read(100);
+    std::uint64_t const heard = history.position_of(97);
+    CHECK_FALSE(history.begins_era(2));
+    CHECK(history.begins_era(3));
+    history.note_read(90);
+    CHECK(history.position_of(88) < heard);
+    CHECK(history.position_of(91) > heard);
+    history.note_read(95);
+    CHECK(history.position_of(91) > heard);
+    CHECK(history.present(90) > heard);
+    CHECK(history.lagging(99) < history.present(1));
+    // An answer that was on its way.
+    CHECK_FALSE(history.begins_era(2));
+    CHECK(history.era() == 3);
+}
+
+TEST_CASE("a store that tells no era is read as it is", "[store_era]")
+{
+    store_history history;
+    history.note_read(10);
+    CHECK(history.position_of(5) == 5);
+    CHECK(history.present(9) == 9);
+    CHECK(history.lagging(9) == 9);
+}
+
+// Guards against an order that a peer's set of the new era drops before it can be written again.
+TEST_CASE("the first set of an era drops no order, the next one does", "[store_era][evacuation]")
+{
+    constexpr auto east = state::named<state::zone_id>("east");
+    evacuation_orders orders;
+    orders.take({state::store_position{1, 50}.value(), {{east, 45}}}, {});
+    orders.take({state::store_position{2, 40}.value(), {}}, {});
+    CHECK(orders.covers(east));
+    orders.take({state::store_position{2, 41}.value(), {}}, {});
+    CHECK_FALSE(orders.covers(east));
+}
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -59,7 +59,7 @@
     }
 
     /// \brief Runs for `time`; each request is answered as not published.
-    void run(std::chrono::milliseconds time)
+    void run(state::duration time)
     {
         auto const end = std::chrono::steady_clock::now() + time;
         while (std::chrono::steady_clock::now() < end)
@@ -287,3 +287,198 @@
     REQUIRE(vm.core.untold_of_start.size() == 1);
     CHECK(vm.core.untold_of_start.front().name == "i-1");
 }
+
+namespace
+{
+
+// {"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1","slots":24,"state":"ready",
+//  "coldLeftMs":0,"sequence":4}
+constexpr std::string_view listed_entry =
+    "eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJhIiwidmVyc2lvbiI6InYxIiwi"
+    "c2xvdHMiOjI0LCJzdGF0ZSI6InJlYWR5IiwiY29sZExlZnRNcyI6MCwic2VxdWVuY2UiOjR9";
+
+/// \brief A store that can come back from a copy of a former state.
+struct copied_store
+{
+    std::map<std::string, int> items;
+    std::vector<std::pair<std::string, int>> removed;
+    int revision = 10;
+    int era = 4;
+
+    void write(std::string const& key)
+    {
+        items[key] = ++revision;
+    }
+
+    void remove(std::string const& key)
+    {
+        items.erase(key);
+        removed.emplace_back(key, ++revision);
+    }
+
+    /// \brief Everything is as in `copy`, and one era later.
+    void come_back(copied_store const& copy)
+    {
+        int const next = era + 1;
+        *this = copy;
+        era = next;
+    }
+
+    [[nodiscard]] std::string reply(std::string_view request) const
+    {
+        bool const watches = asks(request, "kv-watch");
+        int after = 0;
+        if (watches)
+        {
+            std::size_t const at = request.find("afterRev=") + 9;
+            after = std::stoi(std::string{request.substr(at, 12)});
+        }
+        if (watches && after > revision)
+        {
+            return with_era("410 Gone", "");
+        }
+        std::string rows;
+        for (auto const& [key, at] : items)
+        {
+            std::string_view const wanted = asks(request, "prefix=op") ? "op/" : "servers/";
+            if (at > after && (watches || key.starts_with(wanted)))
+            {
+                rows += rows.empty() ? "" : ",";
+                rows += row(key, at);
+            }
+        }
+        for (auto const& [key, at] : removed)
+        {
+            if (watches && at > after)
+            {
+                rows += std::string{rows.empty() ? "" : ","} + R"({"key":")" + key +
+                        R"(","revision":)" + std::to_string(at) + R"(,"deleted":true})";
+            }
+        }
+        std::string const name = watches ? "events" : "items";
+        return with_era("200 OK", R"({")" + name + R"(":[)" + rows +
+                                      R"(],"hasMore":false,"atRev":)" + std::to_string(revision) +
+                                      "}");
+    }
+
+    [[nodiscard]] static std::string row(std::string const& key, int at)
+    {
+        std::string_view const value = key == "op/config"            ? "eyJ2ZXJzaW9uIjozfQ=="
+                                       : key.starts_with("servers/") ? listed_entry
+                                                                     : "";
+        return R"({"key":")" + key + R"(","value":")" + std::string{value} + R"(","revision":)" +
+               std::to_string(at) + "}";
+    }
+
+    [[nodiscard]] std::string with_era(std::string_view status, std::string const& body) const
+    {
+        return "HTTP/1.1 " + std::string{status} + "\r\nStore-Era: " + std::to_string(era) +
+               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+};
+
+/// \brief A VM that reads such a store.
+struct reading_vm : starting_vm
+{
+    reading_vm() : starting_vm{true}
+    {
+        content.write("op/config");
+        content.write("servers/i-1");
+        content.write("servers/i-2");
+        reply = [this](std::string_view request)
+        {
+            return content.reply(request);
+        };
+        until([this] { return is_listed("i-2") && core.reads_store; });
+    }
+
+    template <class Condition>
+    void until(Condition const& condition)
+    {
+        for (int round = 0; round < 500 && !condition(); ++round)
+        {
+            run(20ms);
+        }
+        REQUIRE(condition());
+    }
+
+    [[nodiscard]] bool is_listed(std::string_view name) const
+    {
+        auto const latest = core.directory.latest(name);
+        return latest && core.directory.find(*latest)->info.listed;
+    }
+
+    copied_store content;
+};
+
+} // namespace
+
+// Guards against new upstreams that nobody hears of, as the store gives their revisions out a
+// second time.
+TEST_CASE("what is written after the store came back from a copy is heard",
+          "[store_reader][store_era]")
+{
+    reading_vm vm;
+    copied_store const copy = vm.content;
+    for (int i = 0; i < 20; ++i)
+    {
+        vm.content.write("servers/i-1");
+    }
+    vm.content.write("servers/i-3");
+    vm.until([&] { return vm.is_listed("i-3"); });
+    vm.content.come_back(copy);
+    vm.content.write("servers/i-4");
+    vm.content.write("servers/i-1");
+    vm.until([&] { return vm.is_listed("i-4"); });
+    // One that has not written again yet may still do so.
+    CHECK(vm.is_listed("i-3"));
+    vm.content.remove("servers/i-1");
+    vm.until([&] { return !vm.is_listed("i-1"); });
+    vm.until([&] { return !vm.is_listed("i-3"); });
+    CHECK(vm.is_listed("i-2"));
+}
+
+// Guards against work for an upstream that is gone: its entry is in the copy, where its removal is
+// not.
+TEST_CASE("what was removed is not listed again by a copy of the store",
+          "[store_reader][store_era]")
+{
+    reading_vm vm;
+    copied_store const copy = vm.content;
+    vm.content.remove("servers/i-2");
+    vm.until([&] { return !vm.is_listed("i-2"); });
+    vm.content.come_back(copy);
+    vm.content.write("servers/i-5");
+    vm.until([&] { return vm.is_listed("i-5"); });
+    CHECK_FALSE(vm.is_listed("i-2"));
+    // It lives, and writes its entry again.
+    vm.content.write("servers/i-2");
+    vm.until([&] { return vm.is_listed("i-2"); });
+}
+
+// Guards against requests to an evacuated zone between the store's return and the operator's
+// writing the order again.
+TEST_CASE("an order that the copy of the store lacks stays in force until it can be written again",
+          "[store_reader][store_era][evacuation]")
+{
+    reading_vm vm;
+    copied_store const copy = vm.content;
+    vm.content.write("op/evacuate/east");
+    vm.until([&] { return vm.core.directory.evacuations().covers(east); });
+    vm.content.come_back(copy);
+    vm.content.write("servers/i-6");
+    vm.until([&] { return vm.is_listed("i-6"); });
+    CHECK(vm.core.directory.evacuations().covers(east));
+    SECTION("written again")
+    {
+        vm.content.write("op/evacuate/east");
+        vm.run(transport::store_reader::rewriting + 500ms);
+        CHECK(vm.core.directory.evacuations().covers(east));
+        vm.content.remove("op/evacuate/east");
+        vm.until([&] { return !vm.core.directory.evacuations().covers(east); });
+    }
+    SECTION("not written again")
+    {
+        vm.until([&] { return !vm.core.directory.evacuations().covers(east); });
+    }
+}
