Soak: a store that comes back from a copy

Failure played: the store is away for a moment and comes back from a copy of up to two seconds ago; what was written since is written again one by one; revisions are given out again, a watch from one that it doesn't have gets 410, and its era rises in all its answers.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -56,13 +56,29 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+# The page of a watch that asks for history that the store doesn't have.
+GONE = {}
+
+
 class Store:
-    """Keys with revisions, ranges and watches; `down` makes it answer 503."""
+    """Keys with revisions, ranges and watches; `down` makes it answer 503. It may come back from a copy."""
 
     def __init__(self):
         self.items, self.revision, self.log, self.changed, self.down = {}, 0, [], asyncio.Event(), False
+        self.era, self.values = 1, {}
+
+    def copy(self):
+        return dict(self.items), self.revision, list(self.log)
+
+    def come_back(self, copy):
+        """All that was written since the copy is gone, and its revisions are given out again."""
+        self.items, self.revision, self.log = dict(copy[0]), copy[1], list(copy[2])
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def put(self, key, value):
+        self.values[key] = value
         self.revision += 1
         item = {"key": key, "revision": self.revision, "createdRev": 1, "leaseId": 0}
         if value is None:
@@ -84,19 +100,23 @@
         if path.endswith("kv-range"):
             found = [item for key, item in self.items.items() if key.startswith(name)]
             return {"items": found, "hasMore": False, "atRev": self.revision}
-        after = int(asked["afterRev"])
+        after, era = int(asked["afterRev"]), self.era
+        if after > self.revision:
+            return GONE
         if not [item for item in self.log if item["revision"] > after]:
             try:
                 await asyncio.wait_for(self.changed.wait(), int(asked["maxWaitMs"]) / 1000)
             except asyncio.TimeoutError:
                 pass
+        if era != self.era:
+            return GONE
         return {"events": [i for i in self.log if i["revision"] > after], "atRev": self.revision}
 
     async def serve(self, reader, writer):
         while message := await read_message(reader):
             page = None if self.down else await self.page(message[0].split(" ")[1])
-            status = 503 if self.down else 200 if page is not None else 404
-            writer.write(answer(status, json.dumps(page).encode()))
+            status = 503 if self.down else 404 if page is None else 410 if page is GONE else 200
+            writer.write(answer(status, json.dumps(page).encode(), [("Store-Era", str(self.era))]))
         writer.close()
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,7 +5,7 @@
 Each seed starts three entry VMs and five upstreams on loopback addresses of its own, sends calls for some seconds and
 injects faults in series that overlap: connections delayed, reset or silenced by a proxy; entry VMs paused, killed, stopped
 and started again; a request that ends each upstream that runs it; an upstream that states a limit; upstreams that leave, crash or start again under their name; entries of other writers; zones that are
-evacuated; a store that is down. Only processes that a seed started are signalled,
+evacuated; a store that is down, or comes back from a copy. Only processes that a seed started are signalled,
 by their ids. The last line is `N passed, N failed`; failed seeds print what broke and where their logs are.
 """
 
@@ -174,9 +174,9 @@
         if self.seed not in KEPT:
             # Each third seed leaves the VMs alone: what they have to know then, none has an excuse not to.
             faults = faults[3:] if self.seed % 3 == 2 else faults
-            faults += (self.start_again, self.start_again_while_leaving, self.damage_entry, self.evacuate)
+            faults += (self.store_comes_back, self.start_again, self.start_again_while_leaving, self.damage_entry, self.evacuate)
         fault = self.random.choice(faults)
-        if fault not in (self.pause_vm, self.kill_vm, self.stop_vm, self.store_down, self.disturb_links):
+        if fault not in (self.pause_vm, self.kill_vm, self.stop_vm, self.store_down, self.disturb_links, self.store_comes_back):
             return await fault()
         # These keep VMs from hearing of an order.
         self.record.disturbing += 1
@@ -278,6 +278,18 @@
         if upstream.alive:
             self.store.put(f"servers/{upstream.name}", upstream.entry)
 
+    async def store_comes_back(self):
+        """Away for a moment, then back from a copy of a while ago; what was written since is written again, one by one."""
+        copy = self.store.copy()
+        await asyncio.sleep(self.random.uniform(0.3, 2.0))
+        self.store.down = True
+        await asyncio.sleep(self.random.uniform(0.1, 0.8))
+        self.store.come_back(copy)
+        self.store.down = False
+        for key, value in list(self.store.values.items()):
+            await asyncio.sleep(self.random.uniform(0.0, 0.05))
+            self.store.put(key, self.store.values.get(key, value))
+
     async def store_down(self):
         self.store.down = True
         await asyncio.sleep(self.random.uniform(0.5, 2.0))
