What a VM tells its peers, and a call's lines, in files of their own

Change: fleet_telling.cpp (what is told and to whom), forward_call_lines.cpp; one way to cut rows into messages. Moves only besides.

--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -54,6 +54,9 @@
 
     /// \brief Path at which peers give out their directory of upstreams.
     static constexpr std::string_view directory_target = "/fleet/upstreams";
+    /// \brief The first byte of a datagram says which codec reads the rest.
+    static constexpr char members_mark = 'm';
+    static constexpr char news_mark = 'n';
 
 private:
     void receive();
--- /dev/null
+++ b/src/transport/forward_call_lines.cpp
@@ -0,0 +1,61 @@
+#include "boot_clock.hpp"
+#include "forward_call.hpp"
+#include "milliseconds.hpp"
+
+#include <plumdale/protocol/generation_text.hpp>
+#include <plumdale/state/store_position.hpp>
+
+// What a call's lines tell of it.
+
+namespace plumdale::transport
+{
+
+std::string_view forward_call::member_name() const
+{
+    return name_of(member_);
+}
+
+std::string_view forward_call::name_of(state::member_key member) const
+{
+    coordination::directory_entry const* const entry = core_.directory.find(member);
+    return entry == nullptr ? std::string_view{} : std::string_view{entry->info.name};
+}
+
+void forward_call::log(std::string_view decision, std::string_view why)
+{
+    state::time_point const now = boot_now();
+    coordination::directory_entry const* const entry = core_.directory.find(member_);
+    core_.log.write(
+        "call", decision, admitted_.terms.id,
+        {{"why", why},
+         {"request", protocol::to_hex(admitted_.request.value)},
+         {"route", admitted_.route->name},
+         {"configuration", static_cast<std::int64_t>(admitted_.table->configuration().version)},
+         {"upstream", member_name()},
+         {"listed_revision",
+          entry == nullptr ? 0
+                           : static_cast<std::int64_t>(state::revision_in(entry->info.revision))},
+         {"platform_age_ms", whole_milliseconds(core_.platform_age(now))},
+         {"best", name_of(best_.member)},
+         {"looked_at", static_cast<std::int64_t>(best_.looked_at)},
+         {"limit", coordination::limit_name(limit_)},
+         {"fullness_percent", static_cast<std::int64_t>(100.0 * best_.fullness)},
+         {"expected_first_event_ms", whole_milliseconds(best_.first_event)},
+         {"zones_evacuated",
+          static_cast<std::int64_t>(core_.directory.evacuations().known().in_force.size())},
+         {"cold", is_cold_ ? 1 : 0},
+         {"comes_back", admitted_.returns ? 1 : 0},
+         {"prompt_tokens", admitted_.demand.prompt_tokens},
+         {"hinted_tokens", admitted_.demand.output_tokens},
+         {"sends", sends_},
+         {"may_have_run", runs_},
+         {"upstreams_ended",
+          static_cast<std::int64_t>(core_.quarantine.known().ended_under(admitted_.request))},
+         {"stated_limit_per_minute", per_minute(answer_.request_limit)},
+         {"known_limit_per_minute", per_minute(core_.limits.known().limit_of(member_))},
+         {"status", has_head_ ? static_cast<std::int64_t>(head_.status) : 0},
+         {"age_ms", whole_milliseconds(now - admitted_.call.read_at)},
+         {"left_ms", whole_milliseconds(admitted_.deadline - now)}});
+}
+
+} // namespace plumdale::transport
