--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -35,6 +35,7 @@
 class engine_ranking;
 class entry_node;
 class evacuation_orders;
+class evidence_exchange;
 class fair_queue;
 class finished_generations;
 class generation_life;
