A VM's part of a stated limit is counted when VMs change, not for each request

Cause: each look at an upstream that states a limit ranked this VM among all peers: 300 steps for each candidate of each choice in a fleet of 300.

--- a/include/plumdale/coordination/upstream_limits.hpp
+++ b/include/plumdale/coordination/upstream_limits.hpp
@@ -52,8 +52,8 @@
     [[nodiscard]] bool may_send(state::member_key member, state::time_point now) const;
     /// \brief Counts a request that left.
     void note_sent(state::member_key member, state::time_point now);
-    /// \brief Drops statements that nobody has repeated for `lapse`.
-    void forget(state::time_point now);
+    /// \brief Counts anew who shares, and drops statements that nobody has repeated for `lapse`.
+    void sweep(state::time_point now);
 
     /// \brief Returns the limit in force for an upstream; none if there is none.
     [[nodiscard]] std::optional<double> limit_of(state::member_key member) const;
@@ -97,12 +97,15 @@
         /// could not wait.
         double allowed = 0.0;
         state::time_point counted_at{};
+        /// \brief This VM's rank for the upstream, and of how many: the places of all are counted
+        /// when the statement comes and with each sweep, not for each request.
+        std::size_t rank = 0;
+        std::size_t vms = 1;
     };
 
-    [[nodiscard]] std::size_t rank_for(state::member_key member) const;
-    [[nodiscard]] double own_rate(state::member_key member, row const& limit) const;
-    [[nodiscard]] double allowed_at(state::member_key member, row const& limit,
-                                    state::time_point now) const;
+    void count_sharing(state::member_key member, row& limit) const;
+    [[nodiscard]] static double own_rate(row const& limit) noexcept;
+    [[nodiscard]] static double allowed_at(row const& limit, state::time_point now) noexcept;
     limit_change change(state::member_key member, row& limit, std::optional<double> per_second,
                         state::time_point now);
 
--- a/src/coordination/upstream_limits.cpp
+++ b/src/coordination/upstream_limits.cpp
@@ -96,9 +96,9 @@
         return limit_change::other_value;
     }
     // Those that send begin one after the other, spread over the time of one request.
-    std::size_t const vms = fleet_.peers().size() + 1;
+    count_sharing(member, limit);
     limit.allowed =
-        static_cast<double>(rank_for(member)) / static_cast<double>(senders(*per_second, vms));
+        static_cast<double>(limit.rank) / static_cast<double>(senders(*per_second, limit.vms));
     limit.counted_at = now;
     return limit_change::begins;
 }
@@ -112,21 +112,31 @@
     return std::clamp<std::size_t>(static_cast<std::size_t>(per_second) + 1, 1, vms);
 }
 
-double upstream_limits::own_rate(state::member_key member, row const& limit) const
+// Also those that are silent: cut off from this VM, they send all the same.
+void upstream_limits::count_sharing(state::member_key member, row& limit) const
 {
-    // Also those that are silent: cut off from this VM, they send all the same.
-    std::size_t const vms = fleet_.peers().size() + 1;
-    std::size_t const sharing = senders(*limit.per_second, vms);
-    return rank_for(member) < sharing
+    std::uint64_t const own = state::mix(self_.value, member.value);
+    auto const is_before = [member, own](auto const& each)
+    {
+        return state::mix(each.first.value, member.value) < own;
+    };
+    limit.vms = fleet_.peers().size() + 1;
+    limit.rank = static_cast<std::size_t>(
+        std::count_if(fleet_.peers().begin(), fleet_.peers().end(), is_before));
+}
+
+double upstream_limits::own_rate(row const& limit) noexcept
+{
+    std::size_t const sharing = senders(*limit.per_second, limit.vms);
+    return limit.rank < sharing
                ? std::max(*limit.per_second, least_rate) / static_cast<double>(sharing)
                : 0.0;
 }
 
-double upstream_limits::allowed_at(state::member_key member, row const& limit,
-                                   state::time_point now) const
+double upstream_limits::allowed_at(row const& limit, state::time_point now) noexcept
 {
     double const since = seconds(std::max(state::duration::zero(), now - limit.counted_at));
-    double const rate = own_rate(member, limit);
+    double const rate = own_rate(limit);
     double const saved_up = std::max(1.0, rate * seconds(longest_saved));
     return std::min(saved_up, limit.allowed + since * rate);
 }
@@ -138,8 +148,8 @@
     {
         return true;
     }
-    bool const is_sender = own_rate(member, found->second) > 0.0;
-    return is_sender && allowed_at(member, found->second, now) >= 1.0;
+    bool const is_sender = own_rate(found->second) > 0.0;
+    return is_sender && allowed_at(found->second, now) >= 1.0;
 }
 
 void upstream_limits::note_sent(state::member_key member, state::time_point now)
@@ -147,29 +157,24 @@
     auto const found = rows_.find(member);
     if (found != rows_.end() && found->second.per_second)
     {
-        found->second.allowed = allowed_at(member, found->second, now) - 1.0;
+        found->second.allowed = allowed_at(found->second, now) - 1.0;
         found->second.counted_at = now;
     }
 }
 
-std::size_t upstream_limits::rank_for(state::member_key member) const
-{
-    std::uint64_t const own = state::mix(self_.value, member.value);
-    return static_cast<std::size_t>(
-        std::count_if(fleet_.peers().begin(), fleet_.peers().end(),
-                      [member, own](auto const& each)
-                      { return state::mix(each.first.value, member.value) < own; }));
-}
-
 std::optional<double> upstream_limits::limit_of(state::member_key member) const
 {
     auto const found = rows_.find(member);
     return found == rows_.end() ? std::nullopt : found->second.per_second;
 }
 
-void upstream_limits::forget(state::time_point now)
+void upstream_limits::sweep(state::time_point now)
 {
     std::erase_if(rows_, [now](auto const& each) { return now >= each.second.as_of + lapse; });
+    for (auto& [member, limit] : rows_)
+    {
+        count_sharing(member, limit);
+    }
 }
 
 // -- telling --------------------------------------------------------------------------------------
--- a/src/transport/limit_board.cpp
+++ b/src/transport/limit_board.cpp
@@ -50,7 +50,7 @@
 
 void limit_board::sweep()
 {
-    known_.forget(boot_now());
+    known_.sweep(boot_now());
 }
 
 void limit_board::log_change(limit_change change, state::member_key member, state::duration age,
--- a/tests/coordination/test_upstream_limits.cpp
+++ b/tests/coordination/test_upstream_limits.cpp
@@ -217,7 +217,7 @@
     vm.limits.hear({member, 3.0, 0s}, began);
     vm.limits.hear({other, 3.0, 0s}, began);
     vm.limits.hear({other, 3.0, 0s}, began + 20s);
-    vm.limits.forget(began + upstream_limits::lapse);
+    vm.limits.sweep(began + upstream_limits::lapse);
     CHECK_FALSE(vm.limits.limit_of(member));
     CHECK(vm.limits.limit_of(other) == 3.0);
     vm.limits.hear({member, 3.0, upstream_limits::lapse}, began + 30s);
