--- a/include/plumdale/coordination/request_quarantine.hpp
+++ b/include/plumdale/coordination/request_quarantine.hpp
@@ -82,10 +82,11 @@
     [[nodiscard]] std::size_t refused() const;
     /// \brief Returns what is to be told to all peers, once.
     [[nodiscard]] std::vector<request_evidence> untold();
-    /// \brief Returns evidence for a peer that knows other things: of refused requests first.
+    /// \brief Returns the evidence of refused requests, for a peer that refuses others.
     [[nodiscard]] std::vector<request_evidence> evidence(std::size_t most,
                                                          state::time_point now) const;
-    /// \brief Returns a digest of what is known; equal ones mean that there is nothing to tell.
+    /// \brief Returns a digest of which requests are refused; equal ones mean that there is
+    /// nothing to tell.
     [[nodiscard]] std::uint64_t digest() const noexcept
     {
         return digest_;
@@ -98,6 +99,8 @@
     static constexpr state::duration lifetime = std::chrono::minutes{10};
     /// \brief Most requests that are kept: all that some twenty upstreams ran as they ended.
     static constexpr std::size_t capacity = 512;
+    /// \brief Ends that a VM tells in a second: one upstream's calls of this VM.
+    static constexpr std::size_t most_told_per_second = 8;
 
 private:
     struct suspect
@@ -119,6 +122,8 @@
     std::unordered_map<state::request_digest, suspect> suspects_;
     answered_requests answered_;
     std::vector<request_evidence> untold_;
+    state::time_point telling_since_{};
+    std::size_t told_ = 0;
     std::uint64_t digest_ = 0;
 };
 
--- a/src/coordination/request_quarantine.cpp
+++ b/src/coordination/request_quarantine.cpp
@@ -37,7 +37,17 @@
     {
         return false;
     }
-    untold_.push_back({request, member, {}});
+    // Where a zone is cut off all calls to it end together, at all VMs: told at once, they would
+    // fill all links. What isn't told counts here.
+    if (now >= telling_since_ + std::chrono::seconds{1})
+    {
+        telling_since_ = now;
+        told_ = 0;
+    }
+    if (++told_ <= most_told_per_second)
+    {
+        untold_.push_back({request, member, {}});
+    }
     return true;
 }
 
@@ -121,20 +131,11 @@
     clear(least->first);
 }
 
-// Of a refused request it doesn't matter which upstreams ended: entry VMs that heard of different
-// ones know the same.
+// Of refused requests alone, whichever upstreams ended: single ends come by hundreds where a zone
+// is cut off, and VMs that know different ones need not be made equal.
 std::uint64_t request_quarantine::digest_of(state::request_digest request, suspect const& row)
 {
-    if (row.count == 0 || is_refused(row))
-    {
-        return row.count == 0 ? 0 : state::mix(request.value, 0);
-    }
-    std::uint64_t digest = 0;
-    for (std::size_t i = 0; i < row.count; ++i)
-    {
-        digest ^= state::mix(request.value, row.ended[i].value);
-    }
-    return digest;
+    return is_refused(row) ? state::mix(request.value, 0) : 0;
 }
 
 void request_quarantine::forget(state::time_point now)
@@ -199,15 +200,12 @@
                                                            state::time_point now) const
 {
     std::vector<request_evidence> found;
-    for (bool const refused_ones : {true, false})
+    for (auto const& [request, row] : suspects_)
     {
-        for (auto const& [request, row] : suspects_)
+        bool const fits = is_refused(row) && found.size() + row.count <= most;
+        for (std::size_t i = 0; fits && i < row.count; ++i)
         {
-            bool const fits = found.size() + row.count <= most;
-            for (std::size_t i = 0; fits && is_refused(row) == refused_ones && i < row.count; ++i)
-            {
-                found.push_back({request, row.ended[i], now - row.seen});
-            }
+            found.push_back({request, row.ended[i], now - row.seen});
         }
     }
     return found;
--- a/tests/coordination/test_request_quarantine.cpp
+++ b/tests/coordination/test_request_quarantine.cpp
@@ -200,3 +200,20 @@
     CHECK_FALSE(quarantine.hear({request, {}, 0s}, at(0s)));
     CHECK(quarantine.digest() == 0);
 }
+
+// Guards against links that fill up where a zone is cut off and hundreds of calls end together.
+TEST_CASE("of ends that come together a few are told, and no two VMs are made equal by them",
+          "[quarantine][load]")
+{
+    request_quarantine quarantine;
+    for (std::uint64_t i = 1; i <= 200; ++i)
+    {
+        quarantine.upstream_ended(state::request_digest{i}, upstream(i % 20 + 1), at(0s));
+    }
+    CHECK(quarantine.untold().size() == request_quarantine::most_told_per_second);
+    CHECK(quarantine.ended_under(state::request_digest{200}) == 1);
+    CHECK(quarantine.digest() == 0);
+    CHECK(quarantine.evidence(100, at(0s)).empty());
+    quarantine.upstream_ended(state::request_digest{201}, upstream(1), at(1s));
+    CHECK(quarantine.untold().size() == 1);
+}
