A VM that starts serves from the first page of the list

Cause, from the log: all 584 VMs had a configuration within 0.9 s; then 580 of 584 logged "lost, call list, timeout": 13 pages of some 175 KB for each VM keep the store's link of 1 Gbit/s busy for longer than the 700 ms of one answer, and each timeout began the list again.

Change: pages count as they come; the page that failed is read again; a page that keeps arriving is not given up; what follows the first page is read at half the pace, so that the link is left to VMs that have none.

--- a/src/transport/http_fetch.cpp
+++ b/src/transport/http_fetch.cpp
@@ -37,9 +37,11 @@
 {
 public:
     exchange(connection socket, fetch_request const& wanted, bool keep, result_handler handler)
-        : socket_{std::move(socket)}, handler_{std::move(handler)}
+        : socket_{std::move(socket)}, handler_{std::move(handler)}, timeout_{wanted.timeout},
+          extends_on_progress_{wanted.extends_on_progress}
     {
         parser_.body_limit(max_answer_bytes);
+        parser_.eager(true);
         request_.version(11);
         request_.method_string(wanted.method);
         request_.target(wanted.target);
@@ -70,11 +72,29 @@
 private:
     void read()
     {
+        if (extends_on_progress_)
+        {
+            return read_some();
+        }
         http::async_read(*socket_, buffer_, parser_,
                          [self = shared_from_this()](error_code error, std::size_t)
                          { error ? self->fail(error) : self->finish(); });
     }
 
+    void read_some()
+    {
+        socket_->expires_after(timeout_);
+        http::async_read_some(*socket_, buffer_, parser_,
+                              [self = shared_from_this()](error_code error, std::size_t)
+                              {
+                                  if (error)
+                                  {
+                                      return self->fail(error);
+                                  }
+                                  self->parser_.is_done() ? self->finish() : self->read_some();
+                              });
+    }
+
     void finish()
     {
         exchange_result end;
@@ -106,6 +126,8 @@
 
     connection socket_;
     result_handler handler_;
+    std::chrono::milliseconds timeout_;
+    bool extends_on_progress_;
     http::request<http::string_body> request_;
     http::response_parser<http::string_body> parser_;
     beast::flat_buffer buffer_;
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -82,7 +82,7 @@
 
 void store_reader::step()
 {
-    if (!core_.can_route())
+    if (core_.version() == 0 || core_.coverage != list_coverage::whole)
     {
         return bootstrap();
     }
@@ -94,6 +94,7 @@
         synced_ = false;
         has_configuration_ = false;
         last_call_failed_ = false;
+        list_ = {};
         core_.is_active_reader = false;
         return schedule_step(role_check_interval);
     }
@@ -107,7 +108,7 @@
     {
         return read_operator_entries(protocol::read_consistency::current, {});
     }
-    synced_ ? watch() : read_list(protocol::read_consistency::current, {});
+    synced_ ? watch() : read_list(protocol::read_consistency::current);
 }
 
 // After a power loss the whole fleet starts at once. A read that may lag is enough to serve calls
@@ -117,7 +118,7 @@
     bool const asks_first = core_.is_seed && !is_published_;
     protocol::read_consistency const consistency =
         asks_first ? protocol::read_consistency::current : protocol::read_consistency::allow_stale;
-    core_.version() == 0 ? read_operator_entries(consistency, {}) : read_list(consistency, {});
+    core_.version() == 0 ? read_operator_entries(consistency, {}) : read_list(consistency);
 }
 
 void store_reader::retry_unpublished()
@@ -145,6 +146,7 @@
     request.address = core_.settings.platform;
     request.target = std::move(target);
     request.timeout = std::chrono::milliseconds{whole_milliseconds(timeout)};
+    request.extends_on_progress = true;
     fetcher_.fetch(std::move(request),
                    [this, handler = std::move(handler)](state::result<fetch_answer> const& answer)
                    {
@@ -175,6 +177,7 @@
     synced_ = false;
     has_configuration_ = false;
     restart_pending_ = true;
+    list_ = {};
     reread_at_ = boot_now() + rewrite_time;
     core_.directory.platform_recovered(boot_now());
 }
@@ -380,54 +383,78 @@
          });
 }
 
-void store_reader::read_list(protocol::read_consistency consistency, std::string const& page)
+// A page that fails is read again, not the list: when hundreds of VMs start at once, the store's
+// link is full for longer than an answer may take, and VMs that began again never had a whole list.
+void store_reader::read_list(protocol::read_consistency consistency)
 {
-    if (page.empty())
+    if (list_.next_page.empty() || list_.consistency != consistency)
     {
-        listed_.clear();
-        unusable_.clear();
-        list_revision_ = 0;
+        list_ = {};
+        list_.consistency = consistency;
     }
-    read(core_.dialect.member_list_target(consistency, page), answer_timeout,
-         [this, consistency](state::result<fetch_answer> const& answer)
+    state::time_point const asked_at = boot_now();
+    bool const is_urgent = consistency == protocol::read_consistency::current;
+    read(core_.dialect.member_list_target(consistency, list_.next_page),
+         is_urgent ? answer_timeout : list_page_timeout,
+         [this, consistency, asked_at, is_urgent](state::result<fetch_answer> const& answer)
          {
-             auto const answered = parse_page(answer, consistency);
-             if (!answered)
+             auto const page = parse_page(answer, consistency);
+             if (!page)
              {
                  return failed("list", answer);
              }
              succeeded(consistency);
-             protocol::store_page const& read = answered.value();
-             // Pages are not one snapshot: the watch reports changes since the first.
-             list_revision_ = list_revision_ == 0 ? read.revision : list_revision_;
-             listed_.insert(listed_.end(), read.members.begin(), read.members.end());
-             unusable_.insert(unusable_.end(), read.unusable.begin(), read.unusable.end());
-             if (!read.next_page.empty())
+             apply_list_page(page.value());
+             if (list_.next_page.empty())
              {
-                 return read_list(consistency, read.next_page);
+                 return apply_list();
              }
-             apply_list(consistency);
+             // Calls are served from the first page on. The pages after it leave the store's link
+             // to those that have none yet.
+             is_urgent ? read_list(consistency) : schedule_step(boot_now() - asked_at);
          });
 }
 
-void store_reader::apply_list(protocol::read_consistency consistency)
+void store_reader::apply_list_page(protocol::store_page const& page)
+{
+    list_.revision = list_.revision == 0 ? page.revision : list_.revision;
+    list_.members.insert(list_.members.end(), page.members.begin(), page.members.end());
+    list_.unusable.insert(list_.unusable.end(), page.unusable.begin(), page.unusable.end());
+    list_.next_page = page.next_page;
+    bool const is_last = list_.next_page.empty();
+    if (list_.consistency == protocol::read_consistency::allow_stale && !is_last)
+    {
+        std::size_t const unreported = core_.unreported.size();
+        core_.apply_list_part(page.members, page.unusable, part);
+        withhold_from_peers(unreported);
+    }
+}
+
+void store_reader::withhold_from_peers(std::size_t begin)
 {
+    auto const first = core_.unreported.begin() + static_cast<std::ptrdiff_t>(begin);
+    core_.unreported_at_start.insert(core_.unreported_at_start.end(), first,
+                                     core_.unreported.end());
+    core_.unreported.resize(begin);
+}
+
+void store_reader::apply_list()
+{
+    list_progress const list = std::exchange(list_, {});
     std::size_t const unreported = core_.unreported.size();
     // What a store restored from a copy lacks may be written again; what it still lacks when it is
     // read once more is gone.
     bool const is_complete = reread_at_ == state::never;
-    core_.apply_list(listed_, unusable_, is_complete ? list_revision_ : 0, part);
-    if (consistency == protocol::read_consistency::allow_stale)
+    core_.apply_list(list.members, list.unusable, is_complete ? list.revision : 0, part);
+    if (list.consistency == protocol::read_consistency::allow_stale)
     {
-        auto const begin = core_.unreported.begin() + static_cast<std::ptrdiff_t>(unreported);
-        core_.unreported_at_start.assign(begin, core_.unreported.end());
-        core_.unreported.resize(unreported);
+        withhold_from_peers(unreported);
     }
-    if (consistency == protocol::read_consistency::current)
+    else
     {
         synced_ = true;
         // The configuration was read first; the watch reports what changed in between.
-        watch_revision_ = std::min(watch_revision_, state::revision_in(list_revision_));
+        watch_revision_ = std::min(watch_revision_, state::revision_in(list.revision));
     }
     step();
 }
--- a/src/transport/store_reader.hpp
+++ b/src/transport/store_reader.hpp
@@ -45,9 +45,12 @@
     /// 1.5 s.
     static constexpr state::duration watch_pause = std::chrono::milliseconds{150};
     static constexpr state::duration watch_wait = std::chrono::milliseconds{600};
-    /// \brief Time for an answer, beyond the wait; the store answers in 4 ms, or in 60 times that
-    /// when it is slow.
+    /// \brief Time for an answer, or for more of it, beyond the wait; the store answers in 4 ms, or
+    /// in 60 times that when it is slow.
     static constexpr state::duration answer_timeout = std::chrono::milliseconds{700};
+    /// \brief The same for a page of the list that a VM reads at its start: while 1,000 VMs start
+    /// at once, a page of 175 KB for each keeps the store's link of 1 Gbit/s busy for 1.4 s.
+    static constexpr state::duration list_page_timeout = std::chrono::seconds{2};
     static constexpr state::duration initial_retry_delay = std::chrono::milliseconds{150};
     /// \brief Before the first start nothing is published: the seeds retry at this interval and
     /// inform the others.
@@ -77,8 +80,12 @@
     void retry_unpublished();
     void read_operator_entries(protocol::read_consistency consistency, std::string const& page);
     void apply_operator_entries(protocol::read_consistency consistency);
-    void read_list(protocol::read_consistency consistency, std::string const& page);
-    void apply_list(protocol::read_consistency consistency);
+    /// \brief Reads the next page of the list; goes on where an earlier read ended.
+    void read_list(protocol::read_consistency consistency);
+    void apply_list_page(protocol::store_page const& page);
+    void apply_list();
+    /// \brief Moves upstreams from the `begin`th unreported one on to those known at the start.
+    void withhold_from_peers(std::size_t begin);
     void watch();
     void read_newer(protocol::read_consistency consistency,
                     std::function<void()> const& on_not_newer);
@@ -97,12 +104,22 @@
     [[nodiscard]] std::size_t other_requesters() const;
     void failed(std::string_view what, state::result<fetch_answer> const& answer);
 
+    /// \brief The pages of the list that have been read.
+    struct list_progress
+    {
+        protocol::read_consistency consistency = protocol::read_consistency::allow_stale;
+        std::vector<state::service_member> members;
+        std::vector<protocol::unusable_entry> unusable;
+        /// \brief Revision of the first page: the watch reports changes since.
+        std::uint64_t revision = 0;
+        /// \brief Page to read next; empty for the first.
+        std::string next_page;
+    };
+
     forward_core& core_;
     fetcher fetcher_;
     net::steady_timer timer_;
-    std::vector<state::service_member> listed_;
-    std::vector<protocol::unusable_entry> unusable_;
-    std::uint64_t list_revision_ = 0;
+    list_progress list_;
     /// \brief The operators' entries read so far, with their pages merged.
     protocol::store_page operator_entries_;
     coordination::store_position_tracker position_tracker_;
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -296,6 +296,84 @@
 namespace
 {
 
+constexpr std::string_view service_unavailable =
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+// Returns a page of the list with one upstream: `{"service":"s",...,"address":"10.0.0.9:80",...}`.
+std::string list_page(std::string_view name, bool has_more)
+{
+    return ok_answer(
+        R"({"items":[{"key":"servers/)" + std::string{name} +
+        R"(","value":")"
+        R"(eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJhIiwidmVyc2lvbiI6InYxIiwi)"
+        R"(c2xvdHMiOjI0LCJzdGF0ZSI6InJlYWR5IiwiY29sZExlZnRNcyI6MCwic2VxdWVuY2UiOjR9)"
+        R"(","revision":1}],"hasMore":)" +
+        (has_more ? "true" : "false") + R"(,"atRev":4})");
+}
+
+} // namespace
+
+// Load pattern: 584 VMs lose power together before 6,000 upstreams, and all read a list of 13 pages
+// over one link of 1 Gbit/s. Nobody was served until the last page had come.
+TEST_CASE("calls are routed from the first page of the list on", "[store_reader][load]")
+{
+    starting_vm vm{false};
+    vm.reply = [](std::string_view request)
+    {
+        if (contains(request, "prefix=op"))
+        {
+            return operator_entries_page({}, 3);
+        }
+        bool const is_first = !contains(request, "afterRev=");
+        return is_first ? list_page("i-1", true) : std::string{service_unavailable};
+    };
+    for (int round = 0; round < 100 && !vm.core.can_route(); ++round)
+    {
+        vm.run(20ms);
+    }
+    CHECK(vm.core.can_route());
+    CHECK(vm.core.coverage == transport::list_coverage::partial);
+    CHECK(vm.core.directory.entries().size() == 1);
+}
+
+// Load pattern: as above. A page that took over 0.7 s made its reader begin the list again, so that
+// most of what the store's link carried was for nothing.
+TEST_CASE("a page that fails is read again, and not the list", "[store_reader][load]")
+{
+    starting_vm vm{false};
+    int first_pages = 0;
+    int second_pages = 0;
+    vm.reply = [&](std::string_view request)
+    {
+        if (contains(request, "prefix=op"))
+        {
+            return operator_entries_page({}, 3);
+        }
+        if (!contains(request, "prefix=servers"))
+        {
+            return ok_answer(R"({"events":[],"atRev":4})");
+        }
+        if (!contains(request, "afterRev="))
+        {
+            first_pages += contains(request, allow_stale) ? 1 : 0;
+            return list_page("i-1", true);
+        }
+        ++second_pages;
+        return second_pages <= 2 ? std::string{service_unavailable} : list_page("i-2", false);
+    };
+    for (int round = 0; round < 200 && vm.core.coverage != transport::list_coverage::whole; ++round)
+    {
+        vm.run(20ms);
+    }
+    CHECK(vm.core.coverage == transport::list_coverage::whole);
+    CHECK(vm.core.directory.entries().size() == 2);
+    CHECK(first_pages == 1);
+    CHECK(second_pages == 3);
+}
+
+namespace
+{
+
 // {"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1","slots":24,"state":"ready",
 //  "coldLeftMs":0,"sequence":4}
 constexpr std::string_view listed_entry =
--- a/tests/transport/test_http_fetch.cpp
+++ b/tests/transport/test_http_fetch.cpp
@@ -140,3 +140,42 @@
     REQUIRE(run_until(engine.context, [&] { return engine.answers.size() == 1; }));
     CHECK(engine.answers[0].error().kind == state::error_kind::connection_failed);
 }
+
+// A page of some 200 KB arrives slowly while hundreds of VMs read from one store. Guards against
+// giving it up although it is arriving: all that was sent of it would have been for nothing.
+TEST_CASE("an answer that keeps arriving is not given up")
+{
+    using namespace std::chrono_literals;
+    constexpr auto timeout = 200ms;
+    for (bool const extends : {true, false})
+    {
+        fake_engine engine;
+        fetch_request request{engine.listener.where(), "GET", "/v1/list", {}, {}, timeout};
+        request.extends_on_progress = extends;
+        engine.send(request);
+        REQUIRE(run_until(engine.context, [&] { return engine.request_arrived(0); }));
+        engine.connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+        for (int piece = 0; piece < 4 && engine.answers.empty(); ++piece)
+        {
+            auto const end = std::chrono::steady_clock::now() + 100ms;
+            REQUIRE(
+                run_until(engine.context, [&] { return std::chrono::steady_clock::now() >= end; }));
+            engine.connections[0]->send("ok");
+        }
+        REQUIRE(run_until(engine.context, [&] { return !engine.answers.empty(); }));
+        CHECK(engine.answers.front().has_value() == extends);
+    }
+}
+
+TEST_CASE("an answer that stops arriving fails")
+{
+    using namespace std::chrono_literals;
+    fake_engine engine;
+    fetch_request request{engine.listener.where(), "GET", "/v1/list", {}, {}, 100ms};
+    request.extends_on_progress = true;
+    engine.send(request);
+    REQUIRE(run_until(engine.context, [&] { return engine.request_arrived(0); }));
+    engine.connections[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nok");
+    REQUIRE(run_until(engine.context, [&] { return !engine.answers.empty(); }));
+    CHECK_FALSE(engine.answers.front().has_value());
+}
