Load of a large service goes to the VMs that share the upstream

Cause: each start, first event and end of a generation went to all peers: 68 KB a row at 584 VMs, 30 KB/s a VM as deployed, one row in two seconds, while a call among 5,720 upstreams meets a nearly empty one.

Change: each VM routes over a fixed pseudorandom part of its zone's upstreams (some 80 at 584 VMs and 6,000 upstreams, and at 1,000 and 11,000), and a row goes to the some eight VMs whose part has that upstream. Services with at most 128 upstreams are not divided, so earlier deployments route as before. Calls widen to all upstreams where the part takes no work or is ejected, and before they are refused.

Two ways weighed: parts by rendezvous ranks (exactly eight VMs each, but ranks of all pairs are kept and worked out anew at each join) and a threshold on the hash of VM and upstream (eight on the mean, no state, and views that differ by 14 VMs agree on nearly all). The second is kept.

--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -33,6 +33,7 @@
 class dispatch_policy;
 class drain;
 class subset_selector;
+class upstream_subset;
 class balancing_strategy;
 class entry_node;
 class evacuation_orders;
--- a/include/plumdale/coordination/load_update_queue.hpp
+++ b/include/plumdale/coordination/load_update_queue.hpp
@@ -28,8 +28,10 @@
 class load_update_queue
 {
 public:
-    /// \brief `bytes_per_second` is the budget for all peers together.
-    explicit load_update_queue(double bytes_per_second) noexcept;
+    /// \brief `bytes_per_second` is the budget for all peers together; a message has at most
+    /// `rows_per_message` rows.
+    explicit load_update_queue(double bytes_per_second,
+                               std::size_t rows_per_message = max_rows) noexcept;
 
     /// \brief Queues an upstream at which the own load changed, unless it is queued already.
     void push(state::member_key member);
@@ -51,6 +53,7 @@
 
 private:
     double bytes_per_second_;
+    std::size_t rows_per_message_;
     double budget_bytes_;
     state::time_point budget_updated_at_{};
     std::vector<state::member_key> pending_;
--- a/include/plumdale/coordination/upstream_selector.hpp
+++ b/include/plumdale/coordination/upstream_selector.hpp
@@ -5,6 +5,7 @@
 #include <plumdale/coordination/outlier_detector.hpp>
 #include <plumdale/coordination/service_directory.hpp>
 #include <plumdale/coordination/upstream_limits.hpp>
+#include <plumdale/coordination/upstream_subset.hpp>
 #include <plumdale/state/routing_configuration.hpp>
 
 #include <optional>
@@ -64,15 +65,15 @@
 
 /// \brief Selects the upstream that will be least full; prefers its own zone and healthy ones.
 ///
-/// Example: `upstream_selector selector{directory, ledger, health, share, limits, "heredia-a",
-/// random};`
+/// Example: `upstream_selector selector{directory, ledger, health, share, limits, subset,
+/// "heredia-a", random};`
 class upstream_selector
 {
 public:
     upstream_selector(service_directory const& directory, load_ledger const& ledger,
                       outlier_detector const& health, cold_upstream_limiter const& share,
-                      upstream_limits const& limits, std::string_view own_zone,
-                      std::minstd_rand& random);
+                      upstream_limits const& limits, upstream_subset const& subset,
+                      std::string_view own_zone, std::minstd_rand& random);
 
     /// \brief Returns the best upstream of a service; none when no upstream may take work, or none
     /// of those that were sampled.
@@ -121,6 +122,10 @@
     static constexpr double ejection_penalty = 10.0;
 
 private:
+    [[nodiscard]] std::optional<selected_upstream>
+    choose_sampled(std::span<state::member_key const> members, state::service const& service,
+                   call_demand const& demand, selection_options const& options,
+                   state::time_point now) const;
     template <class Sampled>
     [[nodiscard]] std::optional<selected_upstream>
     best_of(std::span<state::member_key const> members, state::service const& service,
@@ -132,6 +137,7 @@
     outlier_detector const& health_;
     cold_upstream_limiter const& share_;
     upstream_limits const& limits_;
+    upstream_subset const& subset_;
     std::string_view own_zone_;
     std::minstd_rand& random_;
 };
--- a/src/coordination/load_update_queue.cpp
+++ b/src/coordination/load_update_queue.cpp
@@ -6,8 +6,9 @@
 namespace plumdale::coordination
 {
 
-load_update_queue::load_update_queue(double bytes_per_second) noexcept
-    : bytes_per_second_{bytes_per_second}, budget_bytes_{burst_seconds * bytes_per_second}
+load_update_queue::load_update_queue(double bytes_per_second, std::size_t rows_per_message) noexcept
+    : bytes_per_second_{bytes_per_second}, rows_per_message_{rows_per_message},
+      budget_bytes_{burst_seconds * bytes_per_second}
 {
 }
 
@@ -27,7 +28,7 @@
         bytes_per_second_ * std::chrono::duration<double>(now - budget_updated_at_).count();
     budget_bytes_ = std::min(burst, budget_bytes_ + gained);
     budget_updated_at_ = now;
-    std::size_t const rows = std::min(pending_.size(), max_rows);
+    std::size_t const rows = std::min(pending_.size(), rows_per_message_);
     double const cost = static_cast<double>(peer_count) *
                         (datagram_overhead_bytes + row_bytes * static_cast<double>(rows));
     // A message that costs more than a whole burst is sent when the budget is full.
--- a/src/coordination/upstream_selector.cpp
+++ b/src/coordination/upstream_selector.cpp
@@ -25,10 +25,10 @@
 upstream_selector::upstream_selector(service_directory const& directory, load_ledger const& ledger,
                                      outlier_detector const& health,
                                      cold_upstream_limiter const& share,
-                                     upstream_limits const& limits, std::string_view own_zone,
-                                     std::minstd_rand& random)
+                                     upstream_limits const& limits, upstream_subset const& subset,
+                                     std::string_view own_zone, std::minstd_rand& random)
     : directory_{directory}, ledger_{ledger}, health_{health}, share_{share}, limits_{limits},
-      own_zone_{own_zone}, random_{random}
+      subset_{subset}, own_zone_{own_zone}, random_{random}
 {
 }
 
@@ -93,7 +93,26 @@
                                                            selection_options const& options,
                                                            state::time_point now) const
 {
-    std::span<state::member_key const> const members = directory_.members_of(service.name);
+    bool const is_thorough = options.candidates > selection_options::sampled_candidates;
+    if (subset_.divides(service.name) && !is_thorough)
+    {
+        std::vector<state::member_key> const part =
+            subset_.own_part(service.name, options.preferred_zone);
+        auto const best = choose_sampled(part, service, demand, options, now);
+        // Where the subset has only ejected upstreams, as after a cut, others may be reachable.
+        if (best && health_.penalty(best->member, now) < 1.0)
+        {
+            return best;
+        }
+    }
+    return choose_sampled(directory_.members_of(service.name), service, demand, options, now);
+}
+
+std::optional<selected_upstream>
+upstream_selector::choose_sampled(std::span<state::member_key const> members,
+                                  state::service const& service, call_demand const& demand,
+                                  selection_options const& options, state::time_point now) const
+{
     std::uniform_real_distribution<double> draw{0.0, 1.0};
     double const probability = sampling_probability(members.size(), options.candidates);
     auto best = best_of(members, service, demand, options, now,
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -62,6 +62,7 @@
     : core_{core}, socket_{std::move(socket)},
       last_read_{std::move(last_read)}, settings_{make_node_settings(core.settings, streams)},
       members_{settings_, core.random()}, loads_{core.settings.load_news_bytes_per_second},
+      divided_loads_{core.settings.load_news_bytes_per_second, 1},
       configurations_{core,
                       {[this] { return broadcast_peers(); },
                        [this](std::string datagram, state::endpoint to)
@@ -256,6 +257,19 @@
     }
 }
 
+void fleet_exchange::update_subsets()
+{
+    std::vector<state::zone_id> zones{settings_.self.zone};
+    for (state::member_entry const& entry : members_.table().entries())
+    {
+        if (entry.info.id != settings_.self.id && entry.info.health != state::member_health::dead)
+        {
+            zones.push_back(entry.info.zone);
+        }
+    }
+    core_.subset.update_fleet(zones);
+}
+
 void fleet_exchange::log_live_peers(state::time_point now)
 {
     std::size_t const live_count = core_.fleet.live_count(now);
@@ -273,6 +287,7 @@
 {
     state::time_point const now = boot_now();
     advance_members();
+    update_subsets();
     core_.ledger.forget_silent(now, core_.fleet.silence_timeout() + fleet_view::max_interval);
     core_.fleet.forget_silent(now);
     log_live_peers(now);
@@ -294,6 +309,7 @@
         send_status();
     }
     announce_loads();
+    announce_loads_of_divided_services();
 }
 
 void fleet_exchange::leave()
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -75,6 +75,10 @@
     void send_confirmed_limits();
     void announce_members();
     void announce_loads();
+    void announce_loads_of_divided_services();
+    /// \brief Sends a row of the own load to the VMs whose subsets have that upstream.
+    void announce_to_sharers(state::member_key member);
+    void update_subsets();
     void record_sent_status(coordination::fleet_update const& update);
     /// \brief Exchanges evidence on requests that end upstreams with a peer whose evidence differs.
     void exchange_evidence(coordination::fleet_update const& received, state::endpoint to);
@@ -106,6 +110,8 @@
     std::uint64_t sequence_ = 0;
     state::time_point next_full_update_at_{};
     coordination::load_update_queue loads_;
+    /// \brief Upstreams of divided services: each row has receivers of its own.
+    coordination::load_update_queue divided_loads_;
     configuration_exchange configurations_;
     bool announced_store_lost_ = false;
     bool announced_is_reader_ = false;
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -125,6 +125,7 @@
     coordination::fleet_view fleet;
     coordination::cold_upstream_limiter cold_limiter;
     limit_tracker limits;
+    coordination::upstream_subset subset;
     coordination::upstream_selector selector;
     quarantine_tracker quarantine;
     upstream_pool pool;
--- a/tests/coordination/test_cold_upstream_limiter.cpp
+++ b/tests/coordination/test_cold_upstream_limiter.cpp
@@ -43,8 +43,10 @@
     entry_vm(std::size_t index, std::size_t vms)
         : random{static_cast<unsigned>(index + 1)}, fleet{node(index)}, limiter{fleet, node(index),
                                                                                 start_time - 20s},
-          limits{fleet, node(index)}, selector{directory, ledger, health, limiter,
-                                               limits,    "a",    random}
+          limits{fleet, node(index)}, subset{directory, node(index)}, selector{directory, ledger,
+                                                                               health,    limiter,
+                                                                               limits,    subset,
+                                                                               "a",       random}
     {
         for (std::size_t i = 0; i < vms; ++i)
         {
@@ -76,6 +78,7 @@
     fleet_view fleet;
     cold_upstream_limiter limiter;
     upstream_limits limits;
+    upstream_subset subset;
     upstream_selector selector;
 };
 
--- a/tests/coordination/test_upstream_selector.cpp
+++ b/tests/coordination/test_upstream_selector.cpp
@@ -36,7 +36,8 @@
     fleet_view fleet{state::node_id{1}};
     cold_upstream_limiter share{fleet, state::node_id{1}, {}};
     upstream_limits limits{fleet, {}};
-    upstream_selector selector{directory, ledger, health, share, limits, "a", random};
+    upstream_subset subset{directory, state::node_id{1}};
+    upstream_selector selector{directory, ledger, health, share, limits, subset, "a", random};
 
     state::member_key add(std::string const& name, std::string const& zone)
     {
