Exchanges of directory and load have modules of their own

fleet_exchange had grown to three jobs: it sends and receives updates; directory_exchange requests and answers rows; load_exchange announces load.

--- /dev/null
+++ b/src/transport/directory_exchange.cpp
@@ -0,0 +1,116 @@
+#include "directory_exchange.hpp"
+
+#include "boot_clock.hpp"
+
+#include <plumdale/protocol/endpoint_text.hpp>
+#include <plumdale/protocol/fleet_codec.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <utility>
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using coordination::directory_copy;
+
+constexpr std::string_view part = "fleet";
+constexpr unsigned success = 200;
+constexpr std::chrono::milliseconds peer_timeout{700};
+
+} // namespace
+
+directory_exchange::directory_exchange(forward_core& core) : core_{core}, sync_{core.random} {}
+
+void directory_exchange::advance(state::time_point now)
+{
+    if (!sync_.is_due(now))
+    {
+        return;
+    }
+    bool const has_list = core_.coverage == list_coverage::whole;
+    auto const peer = has_list ? core_.fleet.peer_with_newer_directory(core_.random(), now)
+                               : core_.fleet.bootstrap_peer(core_.random(), now);
+    if (peer)
+    {
+        request_rows(*peer);
+    }
+}
+
+// This VM lacks only some rows; hundreds that fetched the whole list from one peer filled its link
+// for longer than any of them waited.
+void directory_exchange::request_rows(state::endpoint peer)
+{
+    sync_.requested();
+    fetch_request request;
+    request.address = peer;
+    request.method = "POST";
+    request.target = target;
+    request.body = protocol::encode(core_.directory.digests_by_bucket());
+    request.timeout = peer_timeout;
+    fetch(core_.context, std::move(request),
+          [this, peer](state::result<fetch_answer> const& answer)
+          {
+              auto const copy = answer && answer.value().status == success
+                                    ? protocol::decode_directory_copy(answer.value().body)
+                                    : state::result<directory_copy>{state::failure{}};
+              bool const is_new = copy && apply(copy.value());
+              sync_.answered(is_new, boot_now());
+              if (!copy)
+              {
+                  core_.log.write(part, "peer gave no directory", {},
+                                  {{"peer", protocol::to_text(peer)},
+                                   {"detail", answer ? std::to_string(answer.value().status)
+                                                     : answer.error().detail}});
+              }
+          });
+}
+
+// A peer of an earlier version answers with a whole list and its revision.
+bool directory_exchange::apply(directory_copy const& copy)
+{
+    core_.apply_evacuations(copy.evacuations, part);
+    std::uint64_t const before = core_.directory.digest();
+    std::size_t const unreported = core_.unreported.size();
+    if (copy.revision != 0)
+    {
+        core_.apply_list(copy.members, {}, copy.revision, part);
+    }
+    else if (!copy.members.empty())
+    {
+        core_.apply_list_part(copy.members, {}, part);
+    }
+    // The other VMs receive them by broadcast or request them as well.
+    core_.unreported.resize(unreported);
+    if (copy.is_rest)
+    {
+        core_.mark_list_whole();
+    }
+    return core_.directory.digest() != before;
+}
+
+// A peer that sends its digests gets rows that differ; one that sends none, of an earlier version,
+// gets the whole list.
+std::string directory_exchange::answer_to(std::string_view request_body)
+{
+    directory_copy copy;
+    copy.evacuations = core_.directory.evacuations().known();
+    if (auto const digests = protocol::decode_bucket_digests(request_body))
+    {
+        auto rows =
+            core_.directory.rows_differing_from(digests.value(), max_rows, core_.random());
+        copy.members = std::move(rows.members);
+        copy.is_rest = rows.is_rest && core_.coverage == list_coverage::whole;
+        return protocol::encode(copy);
+    }
+    copy.revision = core_.list_revision;
+    for (auto const& [key, entry] : core_.directory.entries())
+    {
+        copy.members.push_back(entry.info);
+    }
+    return protocol::encode(copy);
+}
+
+} // namespace plumdale::transport
--- /dev/null
+++ b/src/transport/directory_exchange.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "forward_core.hpp"
+
+#include <plumdale/coordination/directory_sync.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief Exchange of the directory of upstreams between forwarding entry VMs.
+
+namespace plumdale::transport
+{
+
+/// \brief Requests the rows that this VM lacks from its peers, and answers their requests.
+class directory_exchange
+{
+public:
+    explicit directory_exchange(forward_core& core);
+
+    /// \brief Requests rows from a peer if this VM lacks some and a request is due.
+    void advance(state::time_point now);
+    /// \brief Returns the response body for a peer's request with the digests of its directory.
+    [[nodiscard]] std::string answer_to(std::string_view request_body);
+
+    /// \brief Path at which peers serve their directory of upstreams.
+    static constexpr std::string_view target = "/fleet/upstreams";
+    /// \brief Rows of one answer, some 100 bytes each: 20 ms of a link of 20 Mbit/s.
+    static constexpr std::size_t max_rows = 512;
+
+private:
+    void request_rows(state::endpoint peer);
+    /// \brief Applies a peer's answer; returns whether it brought anything new.
+    bool apply(coordination::directory_copy const& copy);
+
+    forward_core& core_;
+    coordination::directory_sync sync_;
+};
+
+} // namespace plumdale::transport
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -7,7 +7,6 @@
 #include <plumdale/protocol/peer_codec.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -23,8 +22,6 @@
 using boost::system::error_code;
 
 constexpr std::string_view part = "fleet";
-constexpr unsigned success = 200;
-constexpr std::chrono::milliseconds peer_timeout{700};
 // Probes find members and updates show which are live, so probes need only maintain the table: 3.7
 // KB/s at this interval.
 constexpr state::duration probe_interval = std::chrono::seconds{1};
@@ -61,14 +58,19 @@
                                std::function<void(std::function<void()>)> read_store)
     : core_{core}, socket_{std::move(socket)},
       last_read_{std::move(last_read)}, settings_{make_node_settings(core.settings, streams)},
-      members_{settings_, core.random()}, loads_{core.settings.load_news_bytes_per_second},
-      divided_loads_{core.settings.load_news_bytes_per_second, 1},
+      members_{settings_, core.random()},
+      loads_{core,
+             members_.table(),
+             {[this] { return make_update(); },
+              [this](fleet_update& update, std::span<state::endpoint const> peers)
+              { send(update, peers); },
+              [this] { return recipients(); }}},
       configurations_{core,
                       {[this] { return broadcast_peers(); },
                        [this](std::string datagram, state::endpoint to)
                        { send(std::move(datagram), to); },
                        std::move(read_store)}},
-      directory_sync_{core.random}
+      directories_{core}
 {
 }
 
@@ -178,70 +180,9 @@
     return configurations_.answer_to(target);
 }
 
-void fleet_exchange::sync_directory(state::time_point now)
+std::string fleet_exchange::directory_for(std::string_view request_body)
 {
-    if (!directory_sync_.is_due(now))
-    {
-        return;
-    }
-    bool const has_list = core_.coverage == list_coverage::whole;
-    auto const peer = has_list ? core_.fleet.peer_with_newer_directory(core_.random(), now)
-                               : core_.fleet.bootstrap_peer(core_.random(), now);
-    if (peer)
-    {
-        fetch_directory(*peer);
-    }
-}
-
-void fleet_exchange::fetch_directory(state::endpoint peer)
-{
-    directory_sync_.requested();
-    fetch_request request;
-    request.address = peer;
-    request.target = directory_target;
-    request.timeout = peer_timeout;
-    // This VM lacks only some rows; hundreds that fetched the whole list from one peer filled its
-    // link for longer than any of them waited.
-    request.method = "POST";
-    request.body = protocol::encode(core_.directory.digests_by_bucket());
-    fetch(core_.context, std::move(request),
-          [this, peer](state::result<fetch_answer> const& answer)
-          {
-              auto const copy = answer && answer.value().status == success
-                                    ? protocol::decode_directory_copy(answer.value().body)
-                                    : state::result<directory_copy>{state::failure{}};
-              bool const is_new = copy && apply_directory(copy.value());
-              directory_sync_.answered(is_new, boot_now());
-              if (!copy)
-              {
-                  core_.log.write(part, "peer gave no directory", {},
-                                  {{"peer", protocol::to_text(peer)},
-                                   {"detail", answer ? std::to_string(answer.value().status)
-                                                     : answer.error().detail}});
-              }
-          });
-}
-
-// A peer of an earlier version answers with a whole list and its revision.
-bool fleet_exchange::apply_directory(directory_copy const& copy)
-{
-    core_.apply_evacuations(copy.evacuations, part);
-    std::uint64_t const before = core_.directory.digest();
-    std::size_t const unreported = core_.unreported.size();
-    if (copy.revision != 0)
-    {
-        core_.apply_list(copy.members, {}, copy.revision, part);
-    }
-    else if (!copy.members.empty())
-    {
-        core_.apply_list_part(copy.members, {}, part);
-    }
-    core_.unreported.resize(unreported);
-    if (copy.is_rest && core_.coverage != list_coverage::whole)
-    {
-        core_.mark_list_whole();
-    }
-    return core_.directory.digest() != before;
+    return directories_.answer_to(request_body);
 }
 
 // -- time -----------------------------------------------------------------------------------------
@@ -257,19 +198,6 @@
     }
 }
 
-void fleet_exchange::update_subsets()
-{
-    std::vector<state::zone_id> zones{settings_.self.zone};
-    for (state::member_entry const& entry : members_.table().entries())
-    {
-        if (entry.info.id != settings_.self.id && entry.info.health != state::member_health::dead)
-        {
-            zones.push_back(entry.info.zone);
-        }
-    }
-    core_.subset.update_fleet(zones);
-}
-
 void fleet_exchange::log_live_peers(state::time_point now)
 {
     std::size_t const live_count = core_.fleet.live_count(now);
@@ -287,11 +215,10 @@
 {
     state::time_point const now = boot_now();
     advance_members();
-    update_subsets();
     core_.ledger.forget_silent(now, core_.fleet.silence_timeout() + fleet_view::max_interval);
     core_.fleet.forget_silent(now);
     log_live_peers(now);
-    sync_directory(now);
+    directories_.advance(now);
     configurations_.advance();
     bool const store_lost = !last_read_();
     bool const became_reader = core_.is_active_reader && !announced_is_reader_;
@@ -308,8 +235,7 @@
     {
         send_status();
     }
-    announce_loads();
-    announce_loads_of_divided_services();
+    loads_.advance();
 }
 
 void fleet_exchange::leave()
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "configuration_exchange.hpp"
+#include "directory_exchange.hpp"
 #include "forward_core.hpp"
+#include "load_exchange.hpp"
 
-#include <plumdale/coordination/directory_sync.hpp>
 #include <plumdale/coordination/evidence_exchange.hpp>
-#include <plumdale/coordination/load_update_queue.hpp>
 #include <plumdale/coordination/membership.hpp>
 #include <plumdale/coordination/node_settings.hpp>
 
@@ -45,6 +45,8 @@
     void broadcast_evacuations();
     /// \brief Returns the response body for a peer that requests the configuration at `target`.
     [[nodiscard]] std::string configuration_for(std::string_view target);
+    /// \brief Returns the response body for a peer that requests upstreams with `request_body`.
+    [[nodiscard]] std::string directory_for(std::string_view request_body);
     /// \brief Sends this VM's changed load at an upstream at once, as far as the budget allows.
     void announce_load(state::member_key member);
     /// \brief Broadcasts new evidence on requests that end upstreams, if there is any.
@@ -54,10 +56,6 @@
     /// \brief Announces that this VM leaves the fleet.
     void leave();
 
-    /// \brief Path at which peers serve their directory of upstreams.
-    static constexpr std::string_view directory_target = "/fleet/upstreams";
-    /// \brief Rows of one answer there, some 100 bytes each: 20 ms of a link of 20 Mbit/s.
-    static constexpr std::size_t max_directory_rows = 512;
     /// \brief The first byte of a datagram says which codec reads the rest.
     static constexpr char membership_tag = 'm';
     static constexpr char update_tag = 'n';
@@ -74,11 +72,6 @@
     void send_status();
     void send_confirmed_limits();
     void announce_members();
-    void announce_loads();
-    void announce_loads_of_divided_services();
-    /// \brief Sends a row of the own load to the VMs whose subsets have that upstream.
-    void announce_to_sharers(state::member_key member);
-    void update_subsets();
     void record_sent_status(coordination::fleet_update const& update);
     /// \brief Exchanges evidence on requests that end upstreams with a peer whose evidence differs.
     void exchange_evidence(coordination::fleet_update const& received, state::endpoint to);
@@ -93,10 +86,6 @@
     /// \brief Assigns a sequence number to a message and sends it to all of `peers`.
     void send(coordination::fleet_update& update, std::span<state::endpoint const> peers);
     void log_live_peers(state::time_point now);
-    void fetch_directory(state::endpoint peer);
-    /// \brief Applies a peer's answer; returns whether it brought anything new.
-    bool apply_directory(coordination::directory_copy const& copy);
-    void sync_directory(state::time_point now);
     [[nodiscard]] std::vector<state::endpoint> recipients() const;
     [[nodiscard]] std::vector<broadcast_peer> broadcast_peers() const;
 
@@ -109,17 +98,14 @@
     coordination::membership members_;
     std::uint64_t sequence_ = 0;
     state::time_point next_full_update_at_{};
-    coordination::load_update_queue loads_;
-    /// \brief Upstreams of divided services: each row has receivers of its own.
-    coordination::load_update_queue divided_loads_;
+    load_exchange loads_;
     configuration_exchange configurations_;
     bool announced_store_lost_ = false;
     bool announced_is_reader_ = false;
-    bool load_announcement_posted_ = false;
     std::size_t logged_live_count_ = 1;
     state::time_point live_count_logged_at_{};
     coordination::evidence_exchange evidence_;
-    coordination::directory_sync directory_sync_;
+    directory_exchange directories_;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/fleet_exchange_sending.cpp
+++ b/src/transport/fleet_exchange_sending.cpp
@@ -5,7 +5,6 @@
 #include <plumdale/protocol/peer_codec.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -265,57 +264,6 @@
     }
 }
 
-void fleet_exchange::announce_loads()
-{
-    std::vector<state::endpoint> const peers = recipients();
-    std::vector<state::member_key> const due = loads_.take_due(boot_now(), peers.size());
-    if (due.empty())
-    {
-        return;
-    }
-    fleet_update update = make_update();
-    for (state::member_key const member : due)
-    {
-        update.loads.push_back(core_.ledger.own(member));
-    }
-    send(update, peers);
-}
-
-void fleet_exchange::announce_loads_of_divided_services()
-{
-    state::time_point const now = boot_now();
-    for (auto due = divided_loads_.take_due(now, upstream_subset::min_vms); !due.empty();
-         due = divided_loads_.take_due(now, upstream_subset::min_vms))
-    {
-        announce_to_sharers(due.front());
-    }
-}
-
-void fleet_exchange::announce_to_sharers(state::member_key member)
-{
-    directory_entry const* const entry = core_.directory.find(member);
-    if (entry == nullptr)
-    {
-        return;
-    }
-    auto const zone = state::id_from_name<state::zone_id>(entry->info.zone);
-    double const share = core_.subset.share(entry->info.service, entry->info.zone);
-    std::vector<state::endpoint> peers;
-    for (state::member_entry const& each : members_.table().entries())
-    {
-        bool const is_sharer = each.info.zone == zone && each.info.id != settings_.self.id &&
-                               each.info.health != state::member_health::dead &&
-                               upstream_subset::contains(each.info.id, member, share);
-        if (is_sharer)
-        {
-            peers.push_back(each.info.datagrams);
-        }
-    }
-    fleet_update update = make_update();
-    update.loads.push_back(core_.ledger.own(member));
-    send(update, peers);
-}
-
 void fleet_exchange::send(fleet_update& update, std::span<state::endpoint const> peers)
 {
     update.sequence = ++sequence_;
@@ -352,21 +300,7 @@
 
 void fleet_exchange::announce_load(state::member_key member)
 {
-    directory_entry const* const entry = core_.directory.find(member);
-    bool const is_divided = entry != nullptr && core_.subset.divides(entry->info.service);
-    (is_divided ? divided_loads_ : loads_).push(member);
-    if (std::exchange(load_announcement_posted_, true))
-    {
-        return;
-    }
-    // Runs after the pending events, so that their changes are included.
-    net::post(core_.context,
-              [this]
-              {
-                  load_announcement_posted_ = false;
-                  announce_loads();
-                  announce_loads_of_divided_services();
-              });
+    loads_.announce(member);
 }
 
 } // namespace plumdale::transport
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -216,37 +216,16 @@
         return nullptr;
     }
 
-    // A peer that sends its digests gets rows that differ; they are no complete list.
-    [[nodiscard]] coordination::directory_copy directory_for(std::string_view request_body)
-    {
-        coordination::directory_copy copy;
-        copy.evacuations = core_.directory.evacuations().known();
-        if (auto const digests = protocol::decode_bucket_digests(request_body))
-        {
-            auto rows = core_.directory.rows_differing_from(
-                digests.value(), fleet_exchange::max_directory_rows, core_.random());
-            copy.members = std::move(rows.members);
-            copy.is_rest = rows.is_rest && core_.coverage == list_coverage::whole;
-            return copy;
-        }
-        copy.revision = core_.list_revision;
-        for (auto const& [key, entry] : core_.directory.entries())
-        {
-            copy.members.push_back(entry.info);
-        }
-        return copy;
-    }
-
     std::shared_ptr<call_handler> answer_peer(caller_channel& channel, received_call const& call)
     {
         if (call.head.target.starts_with(configuration_exchange::target) && core_.version() != 0)
         {
             channel.answer(ok, "OK", {}, fleet_->configuration_for(call.head.target));
         }
-        else if (call.head.target == fleet_exchange::directory_target &&
+        else if (call.head.target == directory_exchange::target &&
                  core_.coverage != list_coverage::none)
         {
-            channel.answer(ok, "OK", {}, protocol::encode(directory_for(call.body)));
+            channel.answer(ok, "OK", {}, fleet_->directory_for(call.body));
         }
         else
         {
