Metrics and log tell what VMs exchange, by kind and direction

What a VM spends on its peers could only be worked out. Counters of messages and bytes by kind, both ways, on /metrics; one log line each 10 s.

--- a/src/transport/configuration_exchange.cpp
+++ b/src/transport/configuration_exchange.cpp
@@ -208,6 +208,8 @@
     fetch(core_.context, std::move(request),
           [this, done = std::move(done)](state::result<fetch_answer> const& answer)
           {
+              core_.traffic.add_received(message_kind::configuration,
+                                         answer ? answer.value().body.size() : 0);
               bool const is_success = answer && answer.value().status == success;
               auto const offer = is_success ? protocol::decode_configuration_offer(
                                                   answer.value().body, core_.settings.fleet_key)
@@ -233,6 +235,7 @@
         answered_base_ = base;
         answer_ = protocol::encode(offer_for(base), core_.settings.fleet_key);
     }
+    core_.traffic.add_sent(message_kind::configuration, answer_.size());
     return answer_;
 }
 
--- a/src/transport/directory_exchange.cpp
+++ b/src/transport/directory_exchange.cpp
@@ -50,9 +50,12 @@
     request.target = target;
     request.body = protocol::encode(core_.directory.digests_by_bucket());
     request.timeout = peer_timeout;
+    core_.traffic.add_sent(message_kind::directory, request.body.size());
     fetch(core_.context, std::move(request),
           [this, peer](state::result<fetch_answer> const& answer)
           {
+              core_.traffic.add_received(message_kind::directory,
+                                         answer ? answer.value().body.size() : 0);
               auto const copy = answer && answer.value().status == success
                                     ? protocol::decode_directory_copy(answer.value().body)
                                     : state::result<directory_copy>{state::failure{}};
@@ -93,7 +96,7 @@
 
 // A peer that sends its digests gets rows that differ; one that sends none, of an earlier version,
 // gets the whole list.
-std::string directory_exchange::answer_to(std::string_view request_body)
+directory_copy directory_exchange::copy_for(std::string_view request_body)
 {
     directory_copy copy;
     copy.evacuations = core_.directory.evacuations().known();
@@ -103,14 +106,22 @@
             core_.directory.rows_differing_from(digests.value(), max_rows, core_.random());
         copy.members = std::move(rows.members);
         copy.is_rest = rows.is_rest && core_.coverage == list_coverage::whole;
-        return protocol::encode(copy);
+        return copy;
     }
     copy.revision = core_.list_revision;
     for (auto const& [key, entry] : core_.directory.entries())
     {
         copy.members.push_back(entry.info);
     }
-    return protocol::encode(copy);
+    return copy;
+}
+
+std::string directory_exchange::answer_to(std::string_view request_body)
+{
+    std::string answer = protocol::encode(copy_for(request_body));
+    core_.traffic.add_received(message_kind::directory, request_body.size());
+    core_.traffic.add_sent(message_kind::directory, answer.size());
+    return answer;
 }
 
 } // namespace plumdale::transport
--- a/src/transport/directory_exchange.hpp
+++ b/src/transport/directory_exchange.hpp
@@ -32,6 +32,7 @@
 
 private:
     void request_rows(state::endpoint peer);
+    [[nodiscard]] coordination::directory_copy copy_for(std::string_view request_body);
     /// \brief Applies a peer's answer; returns whether it brought anything new.
     bool apply(coordination::directory_copy const& copy);
 
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -27,6 +27,8 @@
 constexpr state::duration probe_interval = std::chrono::seconds{1};
 // Time between two log lines on the number of live peers.
 constexpr state::duration live_count_log_interval = std::chrono::seconds{1};
+// Time between two log lines on what was exchanged with peers.
+constexpr state::duration traffic_log_interval = std::chrono::seconds{10};
 
 // Grows with each start unless the wall clock steps back; peers allow for that.
 state::incarnation new_incarnation()
@@ -68,7 +70,7 @@
       configurations_{core,
                       {[this] { return broadcast_peers(); },
                        [this](std::string datagram, state::endpoint to)
-                       { send(std::move(datagram), to); },
+                       { send(message_kind::configuration, std::move(datagram), to); },
                        std::move(read_store)}},
       directories_{core}
 {
@@ -109,10 +111,12 @@
     std::span<char const> const text{received_.data() + 1, bytes - 1};
     if (received_[0] == membership_tag)
     {
+        core_.traffic.add_received(message_kind::membership, bytes);
         return receive_peer_message(text, from);
     }
     if (received_[0] == configuration_exchange::datagram_tag)
     {
+        core_.traffic.add_received(message_kind::configuration, bytes);
         return configurations_.receive_offer(text, {from.address, settings_.self.streams.port});
     }
     auto const update = protocol::decode_fleet_update(text, settings_.fleet_key);
@@ -122,6 +126,7 @@
         return;
     }
     core_.metrics.add(forward_count::news_received);
+    core_.traffic.add_received(kind_of(update.value()), bytes);
     process_update(update.value(), from);
 }
 
@@ -211,6 +216,15 @@
     }
 }
 
+void fleet_exchange::log_traffic(state::time_point now)
+{
+    if (traffic_logged_at_ + traffic_log_interval <= now)
+    {
+        traffic_logged_at_ = now;
+        core_.log.write(part, "traffic", {}, {{"bytes_sent_received", core_.traffic.summary()}});
+    }
+}
+
 void fleet_exchange::advance()
 {
     state::time_point const now = boot_now();
@@ -218,6 +232,7 @@
     core_.ledger.forget_silent(now, core_.fleet.silence_timeout() + fleet_view::max_interval);
     core_.fleet.forget_silent(now);
     log_live_peers(now);
+    log_traffic(now);
     directories_.advance(now);
     configurations_.advance();
     bool const store_lost = !last_read_();
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -82,10 +82,11 @@
     void forward_update(coordination::fleet_update const& from);
     [[nodiscard]] coordination::fleet_update make_update();
     [[nodiscard]] coordination::fleet_update make_update_with_orders();
-    void send(std::string datagram, state::endpoint to);
+    void send(message_kind kind, std::string datagram, state::endpoint to);
     /// \brief Assigns a sequence number to a message and sends it to all of `peers`.
     void send(coordination::fleet_update& update, std::span<state::endpoint const> peers);
     void log_live_peers(state::time_point now);
+    void log_traffic(state::time_point now);
     [[nodiscard]] std::vector<state::endpoint> recipients() const;
     [[nodiscard]] std::vector<broadcast_peer> broadcast_peers() const;
 
@@ -104,6 +105,7 @@
     bool announced_is_reader_ = false;
     std::size_t logged_live_count_ = 1;
     state::time_point live_count_logged_at_{};
+    state::time_point traffic_logged_at_{};
     coordination::evidence_exchange evidence_;
     directory_exchange directories_;
 };
--- a/src/transport/fleet_exchange_sending.cpp
+++ b/src/transport/fleet_exchange_sending.cpp
@@ -269,14 +269,16 @@
     update.sequence = ++sequence_;
     std::string const datagram =
         std::string(1, update_tag) + protocol::encode(update, settings_.fleet_key);
+    message_kind const kind = kind_of(update);
     for (state::endpoint const& peer : peers)
     {
-        send(datagram, peer);
+        send(kind, datagram, peer);
     }
 }
 
-void fleet_exchange::send(std::string datagram, state::endpoint to)
+void fleet_exchange::send(message_kind kind, std::string datagram, state::endpoint to)
 {
+    core_.traffic.add_sent(kind, datagram.size());
     core_.metrics.add(forward_count::news_sent);
     core_.metrics.add(forward_count::news_bytes, datagram.size());
     error_code ignored;
@@ -291,7 +293,8 @@
     {
         if (auto const* const message = std::get_if<send_datagram>(&action))
         {
-            send(std::string(1, membership_tag) +
+            send(message_kind::membership,
+                 std::string(1, membership_tag) +
                      protocol::encode(message->message, settings_.fleet_key),
                  message->to);
         }
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -3,6 +3,7 @@
 #include "decision_log.hpp"
 #include "departure_tracker.hpp"
 #include "directory_change_log.hpp"
+#include "fleet_traffic.hpp"
 #include "forward_metrics.hpp"
 #include "http_fetch.hpp"
 #include "limit_tracker.hpp"
@@ -113,6 +114,7 @@
     protocol::dialect const& dialect;
     decision_log& log;
     forward_metrics metrics;
+    fleet_traffic traffic;
     /// \brief This VM's identifier among its peers.
     state::node_id const self;
     /// \brief This VM is a seed, through which the others find the fleet.
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -207,7 +207,7 @@
         else if (call.head.target == "/metrics")
         {
             channel.answer(ok, "OK", {{"Content-Type", "text/plain; version=0.0.4"}},
-                           core_.metrics.text(log_.dropped()));
+                           core_.metrics.text(log_.dropped()) + core_.traffic.text());
         }
         else
         {
