--- a/src/transport/configuration_exchange.cpp
+++ b/src/transport/configuration_exchange.cpp
@@ -80,7 +80,8 @@
     bool const is_large = offer.patch.size() > configuration_offer::max_datagram_patch;
     std::vector<broadcast_peer> const peers = callbacks_.peers();
     std::size_t const fan_out = is_large ? tree_fan_out : fan_out_for(peers.size());
-    for (broadcast_target const& each : targets_of(offer.range, offer.broadcast_id(), peers, fan_out))
+    for (broadcast_target const& each :
+         targets_of(offer.range, offer.broadcast_id(), peers, fan_out))
     {
         configuration_offer next = offer;
         next.range = each.subrange;
@@ -138,10 +139,9 @@
 void configuration_exchange::request_and_forward(configuration_offer const& offer,
                                                  state::endpoint streams)
 {
-    bool const is_requested =
-        std::any_of(unforwarded_.begin(), unforwarded_.end(),
-                    [&offer](configuration_offer const& each)
-                    { return each.version == offer.version; });
+    bool const is_requested = std::any_of(unforwarded_.begin(), unforwarded_.end(),
+                                          [&offer](configuration_offer const& each)
+                                          { return each.version == offer.version; });
     unforwarded_.push_back(offer);
     if (is_requested)
     {
--- a/src/transport/directory_exchange.cpp
+++ b/src/transport/directory_exchange.cpp
@@ -102,8 +102,7 @@
     copy.evacuations = core_.directory.evacuations().known();
     if (auto const digests = protocol::decode_bucket_digests(request_body))
     {
-        auto rows =
-            core_.directory.rows_differing_from(digests.value(), max_rows, core_.random());
+        auto rows = core_.directory.rows_differing_from(digests.value(), max_rows, core_.random());
         copy.members = std::move(rows.members);
         copy.is_rest = rows.is_rest && core_.coverage == list_coverage::whole;
         return copy;
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -58,15 +58,17 @@
 fleet_exchange::fleet_exchange(forward_core& core, udp::socket socket, state::endpoint streams,
                                std::function<std::optional<state::time_point>()> last_read,
                                std::function<void(std::function<void()>)> read_store)
-    : core_{core}, socket_{std::move(socket)},
-      last_read_{std::move(last_read)}, settings_{make_node_settings(core.settings, streams)},
-      members_{settings_, core.random()},
+    : core_{core}, socket_{std::move(socket)}, last_read_{std::move(last_read)},
+      settings_{make_node_settings(core.settings, streams)}, members_{settings_, core.random()},
       loads_{core,
              members_.table(),
              {[this] { return make_update(); },
               [this](fleet_update& update, std::span<state::endpoint const> peers)
               { send(update, peers); },
-              [this] { return recipients(); }}},
+              [this]
+              {
+                  return recipients();
+              }}},
       configurations_{core,
                       {[this] { return broadcast_peers(); },
                        [this](std::string datagram, state::endpoint to)
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -111,7 +111,6 @@
     coordination::directory_entry const* const entry = directory.find(*latest);
     change_log_.add(change, entry->info, source);
     unreported.push_back(entry->info);
-    fleet.directory_changed(directory.digest(), now);
     if (change == directory_change::removed || change == directory_change::leaving)
     {
         if (departures.record_departure(*latest))
@@ -153,12 +152,15 @@
     later.started = started;
     later.leaving = false;
     later.listed = true;
+    std::uint64_t const before = directory.digest();
     apply_member(later, "report");
+    note_directory_change(before);
 }
 
 void forward_core::apply_unusable_entries(std::span<protocol::unusable_entry const> entries,
                                           std::string_view source)
 {
+    std::uint64_t const before = directory.digest();
     for (protocol::unusable_entry const& each : entries)
     {
         log.write(part, "entry unreadable", {},
@@ -175,15 +177,27 @@
             apply_member(member, source);
         }
     }
+    note_directory_change(before);
 }
 
 void forward_core::apply_members(std::span<state::service_member const> members,
                                  std::string_view source)
 {
+    std::uint64_t const before = directory.digest();
     for (state::service_member const& member : members)
     {
         apply_member(member, source);
     }
+    note_directory_change(before);
+}
+
+// Once for all rows of a message or list: peers are looked through, and a list has thousands.
+void forward_core::note_directory_change(std::uint64_t former_digest)
+{
+    if (directory.digest() != former_digest)
+    {
+        fleet.directory_changed(directory.digest(), boot_now());
+    }
 }
 
 void forward_core::apply_list_part(std::span<state::service_member const> members,
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -169,6 +169,7 @@
 
 private:
     void apply_member(state::service_member const& member, std::string_view source);
+    void note_directory_change(std::uint64_t former_digest);
     void on_member_restarted(state::member_key former, state::member_key latest,
                              std::string_view source);
     void apply_reported_start(state::member_key member, state::incarnation started);
