A VM with a part of the list may become a reader of the store

Cause: a VM that starts could not read the store's changes before it had read the whole list. On the whole fleet, after the loss of power at 32.2 s, the first VM read the store at 39.8 s: what operators changed meanwhile would have been missed by all.

Change: the role comes first; a reader reads the current list in its own right. Test: red before (no reader while the later pages fail).

--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -82,7 +82,7 @@
 
 void store_reader::step()
 {
-    if (core_.version() == 0 || core_.coverage != list_coverage::whole)
+    if (!core_.can_route())
     {
         return bootstrap();
     }
@@ -93,9 +93,13 @@
         // This VM's view of the store becomes outdated; it starts over when it is a reader again.
         synced_ = false;
         has_configuration_ = false;
+        core_.is_active_reader = false;
+        if (core_.coverage != list_coverage::whole)
+        {
+            return bootstrap();
+        }
         last_call_failed_ = false;
         list_ = {};
-        core_.is_active_reader = false;
         return schedule_step(role_check_interval);
     }
     if (boot_now() >= reread_at_)
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -336,6 +336,38 @@
     CHECK(vm.core.directory.entries().size() == 1);
 }
 
+// After a loss of power no VM has a whole list for seconds. Guards against a fleet without readers,
+// which would miss what operators change meanwhile.
+TEST_CASE("a VM with a part of the list becomes a reader", "[store_reader]")
+{
+    starting_vm vm{true};
+    vm.reply = [](std::string_view request)
+    {
+        if (contains(request, "prefix=op"))
+        {
+            return operator_entries_page({}, 3);
+        }
+        if (!contains(request, "prefix=servers"))
+        {
+            return ok_answer(R"({"events":[],"atRev":4})");
+        }
+        bool const is_later_page = contains(request, "afterRev=");
+        bool const is_rejected = is_later_page && contains(request, allow_stale);
+        return is_rejected ? std::string{service_unavailable}
+                           : list_page(is_later_page ? "i-2" : "i-1", !is_later_page);
+    };
+    for (int round = 0; round < 200 && !vm.core.is_active_reader; ++round)
+    {
+        vm.run(20ms);
+    }
+    CHECK(vm.core.is_active_reader);
+    for (int round = 0; round < 200 && vm.core.coverage != transport::list_coverage::whole; ++round)
+    {
+        vm.run(20ms);
+    }
+    CHECK(vm.core.coverage == transport::list_coverage::whole);
+}
+
 // Load pattern: as above. A page that took over 0.7 s made its reader begin the list again, so that
 // most of what the store's link carried was for nothing.
 TEST_CASE("a page that fails is read again, and not the list", "[store_reader][load]")
