A list of several pages that lag removes nothing

Pages of a read that may lag are of different moments, and a VM reads them over seconds while peers report changes. Its end took every upstream that it lacked for gone, as of the first page's revision: an upstream that had started in between would have been lost to that VM for good.

Change: only a list of one page, or one that is current, says what is gone; the readers report the rest.

--- a/src/transport/load_exchange.cpp
+++ b/src/transport/load_exchange.cpp
@@ -81,6 +81,7 @@
         }
         callbacks_.send(update, peers);
     }
+    // Each row has receivers of its own, about `min_vms` of them.
     for (auto row = rows_for_sharers_.take_due(now, upstream_subset::min_vms); !row.empty();
          row = rows_for_sharers_.take_due(now, upstream_subset::min_vms))
     {
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -90,17 +90,7 @@
     log_role_change(has_reader_role);
     if (!has_reader_role)
     {
-        // This VM's view of the store becomes outdated; it starts over when it is a reader again.
-        synced_ = false;
-        has_configuration_ = false;
-        core_.is_active_reader = false;
-        if (core_.coverage != list_coverage::whole)
-        {
-            return bootstrap();
-        }
-        last_call_failed_ = false;
-        list_ = {};
-        return schedule_step(role_check_interval);
+        return step_without_role();
     }
     if (boot_now() >= reread_at_)
     {
@@ -115,6 +105,21 @@
     synced_ ? watch() : read_list(protocol::read_consistency::current);
 }
 
+void store_reader::step_without_role()
+{
+    // This VM's view of the store becomes outdated; it starts over when it is a reader again.
+    synced_ = false;
+    has_configuration_ = false;
+    core_.is_active_reader = false;
+    if (core_.coverage != list_coverage::whole)
+    {
+        return bootstrap();
+    }
+    last_call_failed_ = false;
+    list_ = {};
+    schedule_step(role_check_interval);
+}
+
 // After a power loss the whole fleet starts at once. A read that may lag is enough to serve calls
 // and costs a tenth; the readers send what changed since.
 void store_reader::bootstrap()
@@ -425,6 +430,7 @@
     list_.members.insert(list_.members.end(), page.members.begin(), page.members.end());
     list_.unusable.insert(list_.unusable.end(), page.unusable.begin(), page.unusable.end());
     list_.next_page = page.next_page;
+    ++list_.page_count;
     bool const is_last = list_.next_page.empty();
     if (list_.consistency == protocol::read_consistency::allow_stale && !is_last)
     {
@@ -447,8 +453,11 @@
     list_progress const list = std::exchange(list_, {});
     std::size_t const unreported = core_.unreported.size();
     // What a store restored from a copy lacks may be written again; what it still lacks when it is
-    // read once more is gone.
-    bool const is_complete = reread_at_ == state::never;
+    // read once more is gone. Pages that lag are of different moments, and a peer may have reported
+    // an upstream that started between them: it would be taken for gone.
+    bool const is_of_one_moment =
+        list.consistency == protocol::read_consistency::current || list.page_count == 1;
+    bool const is_complete = reread_at_ == state::never && is_of_one_moment;
     core_.apply_list(list.members, list.unusable, is_complete ? list.revision : 0, part);
     if (list.consistency == protocol::read_consistency::allow_stale)
     {
--- a/src/transport/store_reader.hpp
+++ b/src/transport/store_reader.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -75,6 +76,8 @@
 
 private:
     void step();
+    /// \brief Reads what is missing of the list, or waits until this VM has to be a reader.
+    void step_without_role();
     void schedule_step(state::duration time);
     void bootstrap();
     void retry_unpublished();
@@ -112,6 +115,7 @@
         std::vector<protocol::unusable_entry> unusable;
         /// \brief Revision of the first page: the watch reports changes since.
         std::uint64_t revision = 0;
+        std::size_t page_count = 0;
         /// \brief Page to read next; empty for the first.
         std::string next_page;
     };
--- a/tests/platform/test_store_reader.cpp
+++ b/tests/platform/test_store_reader.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 
 using namespace plumdale;
@@ -368,6 +369,36 @@
     CHECK(vm.core.coverage == transport::list_coverage::whole);
 }
 
+// Guards against losing an upstream that started while a VM read its first pages: peers report it,
+// and the later pages lag behind its start.
+TEST_CASE("a list of several pages that lag removes nothing", "[store_reader]")
+{
+    starting_vm vm{false};
+    vm.reply = [](std::string_view request)
+    {
+        if (contains(request, "prefix=op"))
+        {
+            return operator_entries_page({}, 3);
+        }
+        bool const is_later_page = contains(request, "afterRev=");
+        return list_page(is_later_page ? "i-2" : "i-1", !is_later_page);
+    };
+    state::service_member reported;
+    reported.name = "i-3";
+    reported.service = "s";
+    reported.zone = "a";
+    reported.revision = 2;
+    vm.core.apply_members(std::span{&reported, 1}, "fleet");
+    for (int round = 0; round < 100 && vm.core.coverage != transport::list_coverage::whole; ++round)
+    {
+        vm.run(20ms);
+    }
+    REQUIRE(vm.core.coverage == transport::list_coverage::whole);
+    auto const known = vm.core.directory.latest("i-3");
+    REQUIRE(known);
+    CHECK(vm.core.directory.find(*known)->info.listed);
+}
+
 // Load pattern: as above. A page that took over 0.7 s made its reader begin the list again, so that
 // most of what the store's link carried was for nothing.
 TEST_CASE("a page that fails is read again, and not the list", "[store_reader][load]")
