--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -150,7 +150,7 @@
     static constexpr state::duration max_succession_delay = std::chrono::milliseconds{120};
     /// \brief Additional wait of each pair of candidates once two pairs before it failed to read.
     static constexpr state::duration failed_pair_delay = std::chrono::milliseconds{100};
-    /// \brief Requesters that one peer can answer within their timeout, over a link of 10 Mbit/s.
+    /// \brief Requesters that one peer can answer within their timeout, over a link of 20 Mbit/s.
     static constexpr std::size_t max_requesters_per_peer = 32;
     /// \brief A change reaches all VMs within this time; a longer difference means a lost message.
     static constexpr state::duration propagation_time = std::chrono::milliseconds{600};
