--- a/src/transport/configuration_exchange.cpp
+++ b/src/transport/configuration_exchange.cpp
@@ -64,9 +64,10 @@
     // A datagram lost in one tree cuts off a part of the fleet, which would miss the configuration
     // until a reader's next message and a request.
     bool const is_direct = callbacks_.peers().size() <= max_direct_peers;
-    for (std::uint8_t tree = 0; tree < (is_direct ? 1 : trees_per_message); ++tree)
+    std::size_t const trees = is_direct ? 1 : trees_per_message;
+    for (std::size_t tree = 0; tree < trees; ++tree)
     {
-        offer.tree = tree;
+        offer.tree = static_cast<std::uint8_t>(tree);
         forward_offer(offer);
     }
 }
