--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -68,6 +68,15 @@
     std::optional<state::endpoint> backup;
 };
 
+/// \brief What an upstream's answer, of any kind, states about the upstream.
+struct upstream_statement
+{
+    /// \brief It leaves: this start takes no more work.
+    bool leaves = false;
+    /// \brief It refused the request, and wants no further one of this VM for this time.
+    std::optional<state::duration> retry_after;
+};
+
 /// \brief Headers of an upstream's answer that the system evaluates.
 struct answer_headers
 {
@@ -88,6 +97,7 @@
     /// \brief Requests per second that the upstream accepts from all entry VMs together, if it
     /// states a limit.
     std::optional<double> request_limit;
+    upstream_statement statement;
     bool is_event_stream = false;
 };
 
@@ -171,6 +181,9 @@
                                                      system_headers const& headers,
                                                      std::size_t body_bytes) const = 0;
     [[nodiscard]] virtual answer_headers read_answer(message_head const& head) const = 0;
+    /// \brief Reads what the answer to any request states about its upstream.
+    [[nodiscard]] virtual upstream_statement
+    read_statement(unsigned status, std::span<header_field const> fields) const = 0;
     /// \brief Request to copy the memory of generation `id` to another upstream; `is_last` also
     /// stops the generation.
     [[nodiscard]] virtual upstream_request copy_request(std::string_view id, state::endpoint to,
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -138,6 +138,7 @@
     core_.ledger.add(member, load_);
     announce_load(member);
     has_head_ = false;
+    answer_ = {};
     ++tries_;
     upstream_exchange::options options;
     options.member = member;
--- a/tests/platform/test_dialect.cpp
+++ b/tests/platform/test_dialect.cpp
@@ -135,6 +135,31 @@
     }
 }
 
+TEST_CASE("an upstream's statements are read from the fields of any answer", "[dialect]")
+{
+    auto const statement = [](unsigned status, std::string const& name, std::string const& value)
+    {
+        std::vector<protocol::header_field> const fields{{"Host", "x"}, {name, value}};
+        return platform_dialect{}.read_statement(status, fields);
+    };
+    for (unsigned const status : {100U, 200U, 404U, 421U, 500U, 503U})
+    {
+        CAPTURE(status);
+        CHECK(statement(status, "server-leaving", "1").leaves);
+        CHECK_FALSE(statement(status, "Server-Leaving", "0").leaves);
+        bool const counts = status == 503;
+        CHECK(statement(status, "retry-after", "1.5").retry_after.has_value() == counts);
+    }
+    CHECK(statement(503, "Retry-After", "1.5").retry_after == 1'500ms);
+    CHECK(statement(503, "Retry-After", "0").retry_after == 0s);
+    CHECK(statement(503, "Retry-After", "1e300").retry_after == 24h);
+    for (std::string const damaged : {"", "soon", "-1", "nan", "inf"})
+    {
+        CAPTURE(damaged);
+        CHECK_FALSE(statement(503, "Retry-After", damaged).retry_after);
+    }
+}
+
 TEST_CASE("an upstream's head is decoded once", "[dialect]")
 {
     protocol::message_head head;
