--- a/tests/platform/forward_fixture.cpp
+++ b/tests/platform/forward_fixture.cpp
@@ -135,6 +135,21 @@
     return found;
 }
 
+std::size_t scripted_upstream::call_count() const
+{
+    constexpr std::string_view mark = "Plumdale-Request-Id: ";
+    std::size_t count = 0;
+    for (auto const& each : connections)
+    {
+        for (std::size_t at = each->received.find(mark); at != std::string::npos;
+             at = each->received.find(mark, at + 1))
+        {
+            ++count;
+        }
+    }
+    return count;
+}
+
 // -- forward_fixture ------------------------------------------------------------------------------
 
 forward_fixture::forward_fixture(int engines)
--- a/tests/platform/forward_fixture.hpp
+++ b/tests/platform/forward_fixture.hpp
@@ -51,6 +51,8 @@
     /// \brief Connections whose requests hold `text`.
     [[nodiscard]] std::vector<std::shared_ptr<scripted_connection>>
     connections_with(std::string_view text) const;
+    /// \brief Returns the number of calls that arrived, on all connections.
+    [[nodiscard]] std::size_t call_count() const;
 
     std::vector<std::shared_ptr<scripted_connection>> connections;
 
--- a/tests/platform/test_stated_limits.cpp
+++ b/tests/platform/test_stated_limits.cpp
@@ -26,22 +26,6 @@
     }
 }
 
-/// \brief Returns the number of calls that arrived at an upstream, on all its connections.
-std::size_t received_count(scripted_upstream const& upstream)
-{
-    constexpr std::string_view mark = "Plumdale-Request-Id: ";
-    std::size_t count = 0;
-    for (auto const& each : upstream.connections)
-    {
-        for (std::size_t at = each->received.find(mark); at != std::string::npos;
-             at = each->received.find(mark, at + 1))
-        {
-            ++count;
-        }
-    }
-    return count;
-}
-
 } // namespace
 
 // Guards against an upstream that gets as many requests as without its limit: of the requests for
@@ -61,6 +45,6 @@
     }
     // Calls sent before the limit was stated, one at once, and one for each second of the test.
     std::chrono::duration<double> const took = std::chrono::steady_clock::now() - began;
-    CHECK(static_cast<double>(received_count(*fixture.upstreams[0])) <= 3.0 + took.count());
-    CHECK(received_count(*fixture.upstreams[0]) + received_count(*fixture.upstreams[1]) == calls);
+    CHECK(static_cast<double>(fixture.upstreams[0]->call_count()) <= 3.0 + took.count());
+    CHECK(fixture.upstreams[0]->call_count() + fixture.upstreams[1]->call_count() == calls);
 }
