One gate decides whether a request may go to an upstream

Cause: the conditions stood in upstream_selector, in forward_call::may_send and in forward_call::request, so a new one had to be added to each way by which a call leaves a VM.

Change: send_gate has them, for calls and for resumptions, and counts what is sent. Behaviour is unchanged: tests of selection, cold limits and subsets pass, test_platform has its three known red ones only.

--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -64,6 +64,7 @@
 class retry_budget;
 class round_robin;
 class safeguard_set;
+class send_gate;
 class store_position_tracker;
 class duration_estimator;
 class two_choices;
--- a/include/plumdale/coordination/upstream_selector.hpp
+++ b/include/plumdale/coordination/upstream_selector.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
-#include <plumdale/coordination/cold_upstream_limiter.hpp>
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/outlier_detector.hpp>
+#include <plumdale/coordination/send_gate.hpp>
 #include <plumdale/coordination/service_directory.hpp>
-#include <plumdale/coordination/upstream_limits.hpp>
 #include <plumdale/coordination/upstream_subset.hpp>
 #include <plumdale/state/routing_configuration.hpp>
 
@@ -65,15 +64,15 @@
 
 /// \brief Selects the upstream that will be least full; prefers its own zone and healthy ones.
 ///
-/// Example: `upstream_selector selector{directory, ledger, health, share, limits, subset,
-/// "heredia-a", random};`
+/// Example: `upstream_selector selector{directory, ledger, health, gate, subset, "heredia-a",
+/// random};`
 class upstream_selector
 {
 public:
     upstream_selector(service_directory const& directory, load_ledger const& ledger,
-                      outlier_detector const& health, cold_upstream_limiter const& share,
-                      upstream_limits const& limits, upstream_subset const& subset,
-                      std::string_view own_zone, std::minstd_rand& random);
+                      outlier_detector const& health, send_gate const& gate,
+                      upstream_subset const& subset, std::string_view own_zone,
+                      std::minstd_rand& random);
 
     /// \brief Returns the best upstream of a service; none when no upstream may take work, or none
     /// of those that were sampled.
@@ -81,13 +80,6 @@
                                                           call_demand const& demand,
                                                           selection_options const& options,
                                                           state::time_point now) const;
-    /// \brief Returns whether an upstream is considered cold.
-    [[nodiscard]] bool is_cold(directory_entry const& entry, state::service const& service,
-                               state::time_point now) const;
-    /// \brief Returns whether a request may be sent to an upstream now: it takes work, and this VM
-    /// has not used up its shares of the upstream's stated limit and of its limit while cold.
-    [[nodiscard]] bool may_send(directory_entry const& entry, state::service const& service,
-                                state::time_point now) const;
     /// \brief Returns how full an upstream would be with this call.
     [[nodiscard]] double fullness(directory_entry const& entry, state::service const& service,
                                   call_demand const& demand) const;
@@ -135,8 +127,7 @@
     service_directory const& directory_;
     load_ledger const& ledger_;
     outlier_detector const& health_;
-    cold_upstream_limiter const& share_;
-    upstream_limits const& limits_;
+    send_gate const& gate_;
     upstream_subset const& subset_;
     std::string_view own_zone_;
     std::minstd_rand& random_;
--- a/src/coordination/upstream_selector.cpp
+++ b/src/coordination/upstream_selector.cpp
@@ -23,43 +23,14 @@
 } // namespace
 
 upstream_selector::upstream_selector(service_directory const& directory, load_ledger const& ledger,
-                                     outlier_detector const& health,
-                                     cold_upstream_limiter const& share,
-                                     upstream_limits const& limits, upstream_subset const& subset,
-                                     std::string_view own_zone, std::minstd_rand& random)
-    : directory_{directory}, ledger_{ledger}, health_{health}, share_{share}, limits_{limits},
-      subset_{subset}, own_zone_{own_zone}, random_{random}
+                                     outlier_detector const& health, send_gate const& gate,
+                                     upstream_subset const& subset, std::string_view own_zone,
+                                     std::minstd_rand& random)
+    : directory_{directory}, ledger_{ledger}, health_{health}, gate_{gate}, subset_{subset},
+      own_zone_{own_zone}, random_{random}
 {
 }
 
-// An upstream that was unreachable for a while may have become cold, and all entry VMs find it
-// empty at the same moment.
-bool upstream_selector::is_cold(directory_entry const& entry, state::service const& service,
-                                state::time_point now) const
-{
-    if (!service.cold)
-    {
-        return false;
-    }
-    state::time_point const ejection_end = health_.ejected_until(state::key_of(entry.info));
-    bool const was_ejected =
-        ejection_end != state::time_point{} && now < ejection_end + service.cold->time;
-    return was_ejected || now < directory_.cold_until(entry, *service.cold);
-}
-
-bool upstream_selector::may_send(directory_entry const& entry, state::service const& service,
-                                 state::time_point now) const
-{
-    bool const is_open =
-        directory_.may_take_work(entry, now) && limits_.may_send(state::key_of(entry.info), now);
-    if (!is_open)
-    {
-        return false;
-    }
-    return !is_cold(entry, service, now) ||
-           share_.may_send(state::key_of(entry.info), *service.cold, now);
-}
-
 double upstream_selector::fullness(directory_entry const& entry, state::service const& service,
                                    call_demand const& demand) const
 {
@@ -145,7 +116,7 @@
     {
         // Sampling precedes the lookup, since only a few of thousands of upstreams are compared.
         directory_entry const* const entry = is_sampled() ? directory_.find(key) : nullptr;
-        bool const fits = entry != nullptr && may_send(*entry, service, now) &&
+        bool const fits = entry != nullptr && gate_.may_send(*entry, service, now) &&
                           std::find(options.excluded.begin(), options.excluded.end(), key) ==
                               options.excluded.end();
         if (!fits)
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -167,35 +167,28 @@
     return headers;
 }
 
-// A generation is lost if its resumption can't be sent, and an upstream gets no more resumptions
-// than it has memory for. They may exceed this VM's share of what a cold upstream may get or of a
-// stated limit, and they count towards both.
-bool forward_call::may_send(state::time_point now) const
+bool forward_call::may_send(coordination::directory_entry const& entry, state::time_point now) const
 {
-    coordination::directory_entry const* const entry = core_.directory.find(member_);
-    if (entry == nullptr || now >= admitted_.deadline || is_quarantined())
+    if (now >= admitted_.deadline || is_quarantined())
     {
         return false;
     }
-    return is_resumption() ? core_.directory.may_take_work(*entry, now)
-                           : core_.selector.may_send(*entry, *admitted_.service, now);
+    return is_resumption() ? core_.gate.may_resume(entry, now)
+                           : core_.gate.may_send(entry, *admitted_.service, now);
 }
 
 std::optional<std::string> forward_call::request()
 {
     state::time_point const now = boot_now();
+    coordination::directory_entry const* const entry = core_.directory.find(member_);
     // Connecting took time, and the process may have been paused meanwhile: the conditions under
     // which the upstream was chosen are checked again before anything is sent.
-    if (!may_send(now))
+    if (entry == nullptr || !may_send(*entry, now))
     {
         return std::nullopt;
     }
-    is_cold_ = core_.selector.is_cold(*core_.directory.find(member_), *admitted_.service, now);
-    if (is_cold_)
-    {
-        core_.cold_limiter.note_sent(member_, now);
-    }
-    core_.limits.known().note_sent(member_, now);
+    is_cold_ = core_.gate.is_cold(*entry, *admitted_.service, now);
+    core_.gate.note_sent(*entry, *admitted_.service, now);
     sent_at_ = now;
     first_sent_at_ = sends_ == 0 ? now : first_sent_at_;
     ++sends_;
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -132,7 +132,8 @@
     /// there.
     [[nodiscard]] std::optional<state::member_key> select_upstream(std::size_t candidates,
                                                                    state::time_point now);
-    [[nodiscard]] bool may_send(state::time_point now) const;
+    [[nodiscard]] bool may_send(coordination::directory_entry const& entry,
+                                state::time_point now) const;
     void wait_or_refuse(bool at_capacity, state::time_point now);
     void open_exchange(state::member_key member);
     void redispatch(std::string_view why);
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -47,18 +47,18 @@
       is_seed{is_listed_as_seed(process_settings)}, random{random_seed()},
       fleet{self, boot_now() + (is_seed ? seed_eligibility_delay : start_eligibility_delay)},
       cold_limiter{fleet, self, boot_now()}, limits{fleet, self, directory, logger},
-      subset{directory, self}, selector{directory,      ledger, health,        cold_limiter,
-                                        limits.known(), subset, settings.zone, random},
-      quarantine{logger, metrics}, order_fetcher{loop},
-      departures{loop,
-                 platform_dialect,
-                 directory,
-                 ledger,
-                 logger,
-                 [this](state::member_key member, state::incarnation started)
-                 {
-                     apply_reported_start(member, started);
-                 }},
+      gate{directory, health, cold_limiter, limits.known()}, subset{directory, self},
+      selector{directory, ledger, health, gate, subset, settings.zone, random}, quarantine{logger,
+                                                                                           metrics},
+      order_fetcher{loop}, departures{loop,
+                                      platform_dialect,
+                                      directory,
+                                      ledger,
+                                      logger,
+                                      [this](state::member_key member, state::incarnation started)
+                                      {
+                                          apply_reported_start(member, started);
+                                      }},
       change_log_{logger}
 {
 }
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -20,6 +20,7 @@
 #include <plumdale/coordination/retry_detector.hpp>
 #include <plumdale/coordination/route_outcomes.hpp>
 #include <plumdale/coordination/routing_table.hpp>
+#include <plumdale/coordination/send_gate.hpp>
 #include <plumdale/coordination/service_directory.hpp>
 #include <plumdale/coordination/upstream_selector.hpp>
 #include <plumdale/protocol/dialect.hpp>
@@ -127,6 +128,7 @@
     coordination::fleet_view fleet;
     coordination::cold_upstream_limiter cold_limiter;
     limit_tracker limits;
+    coordination::send_gate gate;
     coordination::upstream_subset subset;
     coordination::upstream_selector selector;
     quarantine_tracker quarantine;
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -106,8 +106,8 @@
     if (service != nullptr)
     {
         row["fullness"] = core.selector.fullness(entry, *service, {});
-        row["cold"] = core.selector.is_cold(entry, *service, now);
-        row["takes_own_request"] = core.selector.may_send(entry, *service, now);
+        row["cold"] = core.gate.is_cold(entry, *service, now);
+        row["takes_own_request"] = core.gate.may_send(entry, *service, now);
     }
     return row;
 }
--- a/tests/coordination/test_cold_upstream_limiter.cpp
+++ b/tests/coordination/test_cold_upstream_limiter.cpp
@@ -43,10 +43,9 @@
     entry_vm(std::size_t index, std::size_t vms)
         : random{static_cast<unsigned>(index + 1)}, fleet{node(index)}, limiter{fleet, node(index),
                                                                                 start_time - 20s},
-          limits{fleet, node(index)}, subset{directory, node(index)}, selector{directory, ledger,
-                                                                               health,    limiter,
-                                                                               limits,    subset,
-                                                                               "a",       random}
+          limits{fleet, node(index)}, gate{directory, health, limiter, limits},
+          subset{directory, node(index)}, selector{directory, ledger, health, gate,
+                                                   subset,    "a",    random}
     {
         for (std::size_t i = 0; i < vms; ++i)
         {
@@ -78,6 +77,7 @@
     fleet_view fleet;
     cold_upstream_limiter limiter;
     upstream_limits limits;
+    send_gate gate;
     upstream_subset subset;
     upstream_selector selector;
 };
@@ -120,7 +120,7 @@
             continue;
         }
         directory_entry const& entry = *vm.directory.find(chosen->member);
-        if (vm.selector.is_cold(entry, service, now))
+        if (vm.gate.is_cold(entry, service, now))
         {
             vm.limiter.note_sent(chosen->member, now);
         }
@@ -223,7 +223,7 @@
     auto const key = *vm.directory.latest("i-1");
     auto const is_cold = [&](state::time_point now)
     {
-        return vm.selector.is_cold(*vm.directory.find(key), service, now);
+        return vm.gate.is_cold(*vm.directory.find(key), service, now);
     };
     CHECK_FALSE(is_cold(start_time));
     state::service_member again = vm.directory.find(key)->info;
@@ -244,7 +244,7 @@
     CHECK_FALSE(is_cold(start_time + service_directory::max_cold_time));
     state::service plain = lists();
     plain.cold.reset();
-    CHECK_FALSE(vm.selector.is_cold(*vm.directory.find(key), plain, start_time));
+    CHECK_FALSE(vm.gate.is_cold(*vm.directory.find(key), plain, start_time));
 }
 
 TEST_CASE("a VM may send several a second in a small fleet, and to some upstreams in a large one",
