An upstream that says in an answer that it leaves gets no further calls

Cause: nobody read the statement; an upstream counted as leaving only by the platform's list, which was silent for 12 s. Class: what an upstream states of itself in its answers is not applied.

Change: the statement of each answer, whatever its status, marks its upstream as leaving in the directory. That is monotone for a start, goes to peers with the changes of upstreams, notifies generations that run there, and is looked at by the gate at each send. Answers of another incarnation don't count.

--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -78,6 +78,8 @@
 public:
     /// \brief Merges one update; `member.listed` says whether it is listed or removed.
     directory_change merge(state::service_member const& member, state::time_point now);
+    /// \brief Records that an upstream said itself that it leaves; a later listing doesn't undo it.
+    directory_change mark_leaving(state::member_key key, state::time_point now);
     /// \brief Marks an upstream as gone, as another one answered at its address.
     void mark_replaced(state::member_key key, state::time_point now);
     /// \brief Records that the platform is reachable again after an outage. Removals of entries
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -271,6 +271,22 @@
     std::erase(services_by_zone_[key_of_zone(entry.info.service, entry.info.zone)], key);
 }
 
+directory_change service_directory::mark_leaving(member_key key, state::time_point now)
+{
+    auto const found = entries_.find(key);
+    bool const is_news = found != entries_.end() && !found->second.info.leaving;
+    if (!is_news || found->second.superseded)
+    {
+        return directory_change::none;
+    }
+    directory_entry& entry = found->second;
+    toggle_digest(entry.info);
+    entry.info.leaving = true;
+    toggle_digest(entry.info);
+    entry.leaving_since = std::min(entry.leaving_since, now);
+    return directory_change::leaving;
+}
+
 void service_directory::mark_replaced(member_key key, state::time_point now)
 {
     if (auto const found = entries_.find(key); found != entries_.end())
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -253,6 +253,10 @@
     {
         core_.limits.answered(member_, answer_.request_limit);
     }
+    if (!answer_.misdirected)
+    {
+        core_.apply_statement(member_, answer_.statement);
+    }
     exchange_->keep_alive(answer_.keep_alive, answer_.closes);
 }
 
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -104,19 +104,22 @@
     {
         on_member_restarted(*former, *latest, source);
     }
-    if (change == directory_change::none || !latest)
+    if (change != directory_change::none && latest)
     {
-        return;
+        on_member_changed(change, *latest, source);
     }
-    coordination::directory_entry const* const entry = directory.find(*latest);
+}
+
+void forward_core::on_member_changed(directory_change change, state::member_key member,
+                                     std::string_view source)
+{
+    coordination::directory_entry const* const entry = directory.find(member);
     change_log_.add(change, entry->info, source);
     unreported.push_back(entry->info);
-    if (change == directory_change::removed || change == directory_change::leaving)
+    bool const departs = change == directory_change::removed || change == directory_change::leaving;
+    if (departs && departures.record_departure(member))
     {
-        if (departures.record_departure(*latest))
-        {
-            pool.drop(*latest);
-        }
+        pool.drop(member);
     }
 }
 
@@ -248,6 +251,21 @@
     mark_list_whole();
 }
 
+// The platform's list lags, and may be out of reach for longer than a leaving upstream runs.
+void forward_core::apply_statement(state::member_key member,
+                                   protocol::upstream_statement const& statement)
+{
+    std::uint64_t const before = directory.digest();
+    bool const is_news =
+        statement.leaves && directory.mark_leaving(member, boot_now()) != directory_change::none;
+    if (is_news)
+    {
+        metrics.add(forward_count::left_by_answer);
+        on_member_changed(directory_change::leaving, member, "answer");
+        note_directory_change(before);
+    }
+}
+
 void forward_core::on_member_replaced(state::member_key member)
 {
     directory.mark_replaced(member, boot_now());
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -87,6 +87,8 @@
     /// \brief Applies changes of orders that the watch of the store reports up to revision `as_of`.
     void apply_evacuation_changes(std::span<protocol::evacuation_order const> received_orders,
                                   std::uint64_t as_of, std::string_view source);
+    /// \brief Applies what an answer of any kind states about the upstream that sent it.
+    void apply_statement(state::member_key member, protocol::upstream_statement const& statement);
     /// \brief Drops what is known of an upstream after another incarnation answered at its address.
     void on_member_replaced(state::member_key member);
     /// \brief Writes the log lines of changes that are due.
@@ -171,6 +173,9 @@
 
 private:
     void apply_member(state::service_member const& member, std::string_view source);
+    /// \brief Logs a change of an upstream, queues it for peers, and notifies calls of a departure.
+    void on_member_changed(coordination::directory_change change, state::member_key member,
+                           std::string_view source);
     void note_directory_change(std::uint64_t former_digest);
     void on_member_restarted(state::member_key former, state::member_key latest,
                              std::string_view source);
--- a/src/transport/forward_metrics.hpp
+++ b/src/transport/forward_metrics.hpp
@@ -28,6 +28,7 @@
     connections_opened,
     connections_reused,
     answers_discarded,
+    left_by_answer,
     copies_first,
     copies_last,
     copies_refused,
--- a/tests/coordination/test_service_directory.cpp
+++ b/tests/coordination/test_service_directory.cpp
@@ -63,6 +63,44 @@
     CHECK_FALSE(may_take_work(directory, "i-1", now));
 }
 
+// Guards against calls to an upstream that said itself that it leaves, while the store lists it as
+// staying, or lists it again after its entry lapsed in an outage.
+TEST_CASE("what an upstream says of its leaving is never undone by a listing", "[directory]")
+{
+    service_directory directory;
+    state::time_point const now{10s};
+    directory.merge(member_at("i-1", 5), now);
+    auto const key = state::id_from_name<state::member_key>("i-1");
+    std::uint64_t const before = directory.digest();
+
+    CHECK(directory.mark_leaving(key, now) == directory_change::leaving);
+    CHECK(directory.mark_leaving(key, now) == directory_change::none);
+    CHECK(directory.digest() != before);
+    directory.merge(member_at("i-1", 9), now);
+    directory.merge(removed(member_at("i-1", 9), 10), now);
+    directory.merge(member_at("i-1", 11), now);
+    CHECK_FALSE(may_take_work(directory, "i-1", now));
+    CHECK(directory.mark_leaving(state::id_from_name<state::member_key>("i-2"), now) ==
+          directory_change::none);
+}
+
+// Guards against an upstream that restarted and stays idle, as a late answer of its former start
+// said that it leaves.
+TEST_CASE("what a former start says of its leaving doesn't concern the latest", "[directory]")
+{
+    service_directory directory;
+    state::time_point const now{10s};
+    state::service_member former = member_at("i-1", 5);
+    former.started = state::incarnation{1};
+    state::service_member latest = member_at("i-1", 6);
+    latest.started = state::incarnation{2};
+    directory.merge(former, now);
+    directory.merge(latest, now);
+
+    CHECK(directory.mark_leaving(state::key_of(former), now) == directory_change::none);
+    CHECK(directory.may_take_work(*directory.find(state::key_of(latest)), now));
+}
+
 // The store is unreachable for seconds, and the entries of live upstreams expire meanwhile. If the
 // removals counted at once, every entry VM would have no upstream left and refuse all callers.
 TEST_CASE("entries that lapsed in an outage stay usable until they can be listed again",
--- a/tests/platform/test_leaving_answers.cpp
+++ b/tests/platform/test_leaving_answers.cpp
@@ -101,3 +101,23 @@
         fixture.run_until([&] { return caller->received.find("data: e1") != std::string::npos; });
     }
 }
+
+TEST_CASE("peers are informed of an upstream whose answer says that it leaves", "[leaving]")
+{
+    forward_fixture fixture;
+    fixture.core.unreported.clear();
+    call_until_answered(fixture, leaving_answers[0]);
+    REQUIRE(fixture.core.unreported.size() == 1);
+    CHECK(fixture.core.unreported.front().name == "i-0");
+    CHECK(fixture.core.unreported.front().leaving);
+}
+
+// Guards against an upstream that is taken out of use by the answer of another one, which has its
+// address now.
+TEST_CASE("the answer of another incarnation does not mark an upstream as leaving", "[leaving]")
+{
+    forward_fixture fixture;
+    call_until_answered(fixture, {421, "Plumdale-Not-Executed: 1\r\nServer-Leaving: 1\r\n"});
+    auto const key = state::id_from_name<state::member_key>("i-0");
+    CHECK_FALSE(fixture.core.directory.find(key)->info.leaving);
+}
