Soak: upstreams that leave by their answers alone, and that ask for back-offs

The upstream checks both from what arrives: no call that its caller sent later than 2 s after a VM passed on that it leaves, and no more than two requests of a VM in a back-off, copies included. Restarts and pauses of the VM excuse both, cuts the second. Callers keep their connections; settings are reloaded and configurations change times while other faults go on.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -25,6 +25,11 @@
 # An upstream that announces a limit in requests per second may receive at most LIMIT_FACTOR times as many, plus
 # LIMIT_SLACK requests, in a window of LIMIT_WINDOW_S seconds.
 LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
+# A call that its caller sent later than MAX_DRAIN_S after a VM passed on an answer in which an upstream said that it
+# leaves may not reach that upstream from that VM.
+MAX_DRAIN_S = 2.0
+# From BACKOFF_DELAY_S after a refusal with Retry-After to the end of that time, a VM may send MAX_BACKOFF_REQUESTS.
+BACKOFF_DELAY_S, MAX_BACKOFF_REQUESTS = 0.5, 2
 CONFIGURATION = {
     "routes": [
         {"name": "fetch", "host": "soak", "prefix": "/fetch/", "routeType": "idempotent", "timeoutMs": 4000,
@@ -149,6 +154,9 @@
         # Arrival times of the ending request, number of arrivals later than is allowed, and the time when the last fault
         # of a VM ends.
         self.end_times, self.late_sends, self.vm_fault_until = [], 0, 0.0
+        # VM and time of sending of each call, upstreams that answered calls while they said that they leave, and the
+        # time of each VM's last restart or pause.
+        self.vm_calls, self.leaving_answers, self.vm_disturbed_at = {}, {}, {}
 
     def note_ending_request(self):
         """Records that another upstream received the ending request, and checks the bound on late arrivals."""
@@ -161,6 +169,45 @@
         self.end_times.append(now)
 
 
+class StatementCheck:
+    """Checks, for one upstream, that each VM does what the upstream stated in its answers to that VM.
+
+    Requests are told apart by their calls: `vm_calls` has the VM and the time of sending of each call.
+    """
+
+    def __init__(self, record):
+        self.record = record
+        # Time at which each VM first passed on that the upstream leaves, and back-offs of each VM:
+        # (refused at, end, requests since).
+        self.leaving_known_at, self.backoffs = {}, {}
+
+    def passed_on_leaving(self, vm):
+        self.leaving_known_at.setdefault(vm, asyncio.get_running_loop().time())
+
+    def refused(self, call, retry_after):
+        now = asyncio.get_running_loop().time()
+        vm, _ = self.record.vm_calls[call]
+        self.backoffs.setdefault(vm, []).append([now, now + retry_after, 0])
+
+    def arrived(self, call, name, unreachable_until):
+        """Returns the violations that the arrival of a request of a call means."""
+        if call not in self.record.vm_calls:
+            return []
+        vm, sent_at = self.record.vm_calls[call]
+        now, disturbed_at = asyncio.get_running_loop().time(), self.record.vm_disturbed_at.get(vm, 0.0)
+        violations = []
+        known_at = self.leaving_known_at.get(vm)
+        if known_at is not None and disturbed_at < known_at and sent_at > known_at + MAX_DRAIN_S:
+            violations.append(f"{call}: VM {vm} sent it to {name}, {sent_at - known_at:.1f} s after it passed on that {name} leaves")
+        for backoff in self.backoffs.get(vm, []):
+            refused_at, end, _ = backoff
+            if refused_at + BACKOFF_DELAY_S < now < end and max(disturbed_at, unreachable_until) < refused_at:
+                backoff[2] += 1
+                if backoff[2] == MAX_BACKOFF_REQUESTS + 1:
+                    violations.append(f"{call}: VM {vm} sent {backoff[2]} requests to {name} in a back-off of {end - refused_at:.1f} s")
+        return violations
+
+
 class Upstream:
     """Runs calls and records them. The soak announces that it leaves; `crash` cuts all its streams, `restart` starts a
     new incarnation under the same name."""
@@ -171,6 +218,9 @@
         self.name, self.record, self.random = name, record, random.Random(seed)
         self.writers, self.alive, self.unreachable_until, self.leaves_at = set(), True, 0.0, None
         self.on_end = self.crash
+        # The upstream says in its answers that it leaves; until when it refuses calls, and for how long VMs shall back off.
+        self.says_leaving, self.refuses_until, self.retry_after = False, 0.0, 0.0
+        self.statements = StatementCheck(record)
         # Announced limit in requests per second, time of the announcement, and arrival times since then.
         self.limit, self.limited_since, self.arrivals = None, 0.0, collections.deque()
 
@@ -210,7 +260,8 @@
     def restart(self, silent):
         """Starts a new incarnation without the former state. Connections are reset, or silent as after a power loss."""
         self.born += 1000
-        self.leaves_at = None
+        self.leaves_at, self.says_leaving, self.refuses_until = None, False, 0.0
+        self.statements = StatementCheck(self.record)
         self.record.upstream_starts[self.address] = self.born
         for writer in list(self.writers):
             self.stale_writers.add(writer)
@@ -222,20 +273,27 @@
             return
         start, headers, body = message
         method, target, _ = start.split(" ")
+        leaving_fields = [("Server-Leaving", "1")] if self.says_leaving else []
         if target.startswith("/v1/kv-move"):
-            return await self.move(json.loads(body), writer)
+            return await self.move(json.loads(body), writer, leaving_fields)
         if target.startswith("/v1/report"):
-            return writer.write(http_response(200, json.dumps(self.report()).encode()))
+            return writer.write(http_response(200, json.dumps(self.report()).encode(), leaving_fields))
         if target.startswith("/v1/"):
-            return writer.write(http_response(200, b"{}"))
+            return writer.write(http_response(200, b"{}", leaving_fields))
         call, expected = headers.get("plumdale-request-id", ""), headers.get("plumdale-expect-instance")
-        fields = [("Plumdale-Request-Id", call)]
+        fields = [("Plumdale-Request-Id", call), *leaving_fields]
         self.check_request_rate(call)
+        self.record.violations += self.statements.arrived(call, self.name, self.unreachable_until)
         if self.limit is not None:
             fields.append(("Server-Limit", f"{self.limit:.1f}"))
         if expected != self.name:
             return writer.write(http_response(421, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
         self.check_evacuation(call)
+        if self.says_leaving:
+            self.record.leaving_answers[call] = self
+        if self.is_refusing():
+            self.statements.refused(call, self.retry_after)
+            return writer.write(http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1"), ("Retry-After", f"{self.retry_after:g}")]))
         if "plumdale-key" in headers or headers.get("plumdale-tenant") != "customer":
             self.record.violations.append(f"{call}: the API key was forwarded, or the customer is wrong")
         if body == ENDING_BODY:
@@ -267,6 +325,9 @@
             await asyncio.sleep(0.02)
         self.on_end()
 
+    def is_refusing(self):
+        return asyncio.get_running_loop().time() < self.refuses_until
+
     def check_evacuation(self, call):
         now, ordered = asyncio.get_running_loop().time(), self.record.evacuated_at.get(self.zone)
         if self.record.active_delivery_faults == 0 and ordered is not None and now - max(ordered, self.record.last_delivery_fault_end) > MAX_EVACUATION_DELAY_S:
@@ -279,16 +340,20 @@
         left = int(1000 * (self.leaves_at - asyncio.get_running_loop().time())) + 500
         return {"born": self.born, "leaves_ms": left}
 
-    async def move(self, order, writer):
+    async def move(self, order, writer, fields):
+        self.record.violations += self.statements.arrived(order["id"], self.name, self.unreachable_until)
+        if self.is_refusing() and order["id"] in self.record.vm_calls:
+            self.statements.refused(order["id"], self.retry_after)
+            return writer.write(http_response(503, b"", [*fields, ("Retry-After", f"{self.retry_after:g}")]))
         run = self.record.runs.get(order["id"])
         if run is None or self not in run.active_upstreams.values():
-            return writer.write(http_response(404))
+            return writer.write(http_response(404, b"", fields))
         await asyncio.sleep(0.02)
         handle = f"h{next(self.record.handles)}"
         self.record.copies[handle] = order["id"]
         if order["isLast"]:
             run.stopped = self
-        writer.write(http_response(200, json.dumps({"handleId": handle, "createdRev": run.generated}).encode()))
+        writer.write(http_response(200, json.dumps({"handleId": handle, "createdRev": run.generated}).encode(), fields))
 
     async def generate(self, call, headers, writer, fields):
         runs = self.record.runs
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,9 +4,10 @@
 
 Each seed starts three entry VMs and five upstreams on loopback addresses of its own, sends calls for some seconds and
 injects overlapping faults: connections delayed, reset or silenced by a proxy; entry VMs paused, killed, stopped and
-restarted; a request that ends each upstream that runs it; an upstream that announces a limit; upstreams that leave,
-crash or restart under the same name; entries of other writers; zones that are evacuated; a store that is down or
-restored from a snapshot. Only processes that a seed started are signalled, by their ids. The last line is
+restarted; a request that ends each upstream that runs it; an upstream that announces a limit; upstreams that leave, some of
+which say so in their answers alone, that ask for back-offs, crash or restart under the same name; entries of other
+writers; zones that are evacuated; configurations and settings that change; a store that is down or restored from a
+snapshot. Callers keep their connections until the VM closes them. Only processes that a seed started are signalled, by their ids. The last line is
 `N passed, N failed`; failed seeds print their violations and the folder of their logs.
 """
 
@@ -70,6 +71,8 @@
         self.record, self.store, self.upstreams, self.proxies = Record(), Store(), {}, []
         self.vms, self.calls, self.next_name, self.servers, self.stopping = {}, {}, 0, [], False
         self.started, self.starting = [], set()
+        # Open connections of callers to each VM.
+        self.kept_connections = {}
         # Spans of time in which the orders in the store cover all zones: no call can be served.
         self.fully_evacuated = []
 
@@ -89,16 +92,20 @@
         self.record.upstream_starts[upstream.address] = upstream.born
         upstream.on_end = lambda: asyncio.create_task(self.replace(upstream))
         upstream.entry = {"service": service, "address": upstream.address, "zone": zone, "version": "v1", "slots": 24,
-                          "state": "ready", "coldLeftMs": 0 if self.next_name <= 5 else 1000, "sequence": 1, "born": upstream.born}
+                          "state": "ready", "coldLeftMs": 0 if self.next_name <= len(self.first_services()) else 1000, "sequence": 1, "born": upstream.born}
         self.upstreams[upstream.name] = upstream
         self.store.put(f"servers/{upstream.name}", upstream.entry)
 
+    def first_services(self):
+        plain = ("plain", "plain") if self.seed in REGRESSION_SEEDS else ("plain", "plain", "plain")
+        return (*plain, "engine", "engine", "engine")
+
     async def start(self):
         self.store.put("op/config", {"version": 3, **CONFIGURATION})
         proxy = Proxy(await self.listen(self.store.serve))
         self.proxies.append(proxy)
         self.platform = await self.listen(proxy.serve)
-        for service in ("plain", "plain", "engine", "engine", "engine"):
+        for service in self.first_services():
             await self.add_upstream(service)
         for number in (1, 2, 3):
             await self.start_vm(number)
@@ -149,19 +156,35 @@
             fields |= {"Plumdale-Token-Usage": "3000,900", "Plumdale-Length-Hint": "300"}
         text = f"POST {path or f'/{kind}/{call}'} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n"
         try:
-            vm = f"{self.host}.{self.random.randint(1, 3)}"
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(vm, 18080), 1)
+            vm = self.random.randint(1, 3)
+            reader, writer = await self.connect(vm)
+            self.record.vm_calls[call] = (vm, asyncio.get_running_loop().time())
             writer.write(text.encode() + body)
             disconnects = self.random.random() < 0.05
-            await asyncio.wait_for(self.read_answer(reader, observed), self.random.uniform(0, 1) if disconnects else 20)
+            await asyncio.wait_for(self.read_answer(reader, call), self.random.uniform(0, 1) if disconnects else 20)
+            if "connection: close" not in observed["head"]:
+                return self.kept_connections.setdefault(vm, []).append((reader, writer))
             writer.close()
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
 
-    async def read_answer(self, reader, observed):
+    async def connect(self, vm):
+        """Returns an idle connection to a VM, or a new one."""
+        kept = self.kept_connections.get(vm, [])
+        while kept:
+            reader, writer = kept.pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer
+            writer.close()
+        return await asyncio.wait_for(asyncio.open_connection(f"{self.host}.{vm}", 18080), 1)
+
+    async def read_answer(self, reader, call):
+        observed = self.calls[call]
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
         observed["status"], observed["head"] = int(head.split(" ")[1]), head
         observed["answered_at"] = asyncio.get_running_loop().time()
+        if "server-leaving: 1" in head and call in self.record.leaving_answers:
+            self.record.leaving_answers[call].statements.passed_on_leaving(self.record.vm_calls[call][0])
         if "transfer-encoding: chunked" not in head:
             length = int(head.split("content-length:")[1].split("\r\n")[0])
             observed["body"] = await reader.readexactly(length)
@@ -179,11 +202,15 @@
         if self.seed not in REGRESSION_SEEDS:
             # Every third seed injects no faults into VMs, so that no VM fault excuses a missed update.
             faults = faults[3:] if self.seed % 3 == 2 else faults
-            faults += (self.restore_store, self.restart_upstream, self.restart_while_leaving, self.damage_entry, self.evacuate)
+            faults += (self.restore_store, self.restart_upstream, self.restart_while_leaving, self.damage_entry, self.evacuate,
+                       self.change_configuration, self.reload_vm)
         fault = self.random.choice(faults)
         if fault not in (self.pause_vm, self.kill_vm, self.stop_vm, self.store_down, self.disturb_links, self.restore_store):
             return await fault()
-        # These faults keep VMs from receiving an evacuation order.
+        await self.delay_orders(fault)
+
+    async def delay_orders(self, fault):
+        """Runs a fault that keeps VMs from receiving an evacuation order."""
         self.record.active_delivery_faults += 1
         await fault()
         self.record.active_delivery_faults -= 1
@@ -207,11 +234,13 @@
             await asyncio.sleep(self.random.uniform(0.0, 0.2))
 
     async def pause_vm(self):
-        process = self.vms[self.random.randint(1, 3)]
+        number = self.random.randint(1, 3)
+        process = self.vms[number]
         self.record.vm_fault_until = asyncio.get_running_loop().time() + 1.5
         if process.returncode is None:
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            self.record.vm_disturbed_at[number] = asyncio.get_running_loop().time()
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
 
@@ -223,6 +252,7 @@
             process.send_signal(how)
             process.send_signal(signal.SIGCONT)
             await process.wait()
+            self.record.vm_disturbed_at[number] = asyncio.get_running_loop().time()
             # When two faults ended the same process, only one of them restarts it.
             if number not in self.starting:
                 self.starting.add(number)
@@ -249,6 +279,41 @@
         await asyncio.sleep(duration)
         await self.replace(upstream)
 
+    async def weaken_upstreams(self, until):
+        """Lets one upstream after the other leave or refuse calls, which only its answers say."""
+        while asyncio.get_running_loop().time() < until:
+            await self.random.choice((self.leave_by_answers, self.refuse_with_backoff))(self.pick_upstream())
+            await asyncio.sleep(self.random.uniform(0.0, 0.5))
+
+    async def leave_by_answers(self, upstream):
+        """Half of the times the store is down meanwhile."""
+        upstream.says_leaving = True
+        if self.random.random() < 0.5:
+            await self.delay_orders(self.store_down)
+        await asyncio.sleep(self.random.uniform(2.5, 4.0))
+        await self.replace(upstream)
+
+    async def refuse_with_backoff(self, upstream):
+        """The upstream refuses all calls and asks each VM to back off."""
+        duration = self.random.uniform(1.0, 4.0)
+        upstream.retry_after = self.random.choice((0.7, 1.5, 3.0))
+        upstream.refuses_until = asyncio.get_running_loop().time() + duration
+        await asyncio.sleep(duration)
+
+    async def change_configuration(self):
+        """Publishes configurations in quick succession that change times only."""
+        for _ in range(self.random.randint(1, 3)):
+            published = self.store.values["op/config"]
+            routes = [{**route, "targetLatencyMs": route["targetLatencyMs"] + 1} for route in published["routes"]]
+            version = published["version"] + self.random.randint(1, 3)
+            self.store.put("op/config", {**published, "version": version, "routes": routes})
+            await asyncio.sleep(self.random.uniform(0.0, 0.3))
+
+    async def reload_vm(self):
+        process = self.vms[self.random.randint(1, 3)]
+        if process.returncode is None:
+            process.send_signal(signal.SIGHUP)
+
     async def crash_upstream(self):
         await self.replace(self.pick_upstream())
 
@@ -371,6 +436,7 @@
         tasks, end, number = [], loop.time() + seconds, 0
         if seed not in REGRESSION_SEEDS:
             tasks.append(asyncio.create_task(fleet.send_ending_calls(end)))
+            tasks.append(asyncio.create_task(fleet.weaken_upstreams(end)))
             fleet.upstreams["i-1"].announce_limit(fleet.random.uniform(0.5, 3.0))
         while loop.time() < end:
             number += 1
