Observability: when a VM hears of a newer configuration, and whom it asks

Cause: the lines could not tell a VM that heard nothing from one whose requests brought nothing. Change: lines behind and asks. Decisions are unchanged.

--- a/include/plumdale/coordination/configuration_catch_up.hpp
+++ b/include/plumdale/coordination/configuration_catch_up.hpp
@@ -34,8 +34,8 @@
     explicit configuration_catch_up(std::minstd_rand& random) noexcept : random_{random} {}
 
     /// \brief Records that a peer follows `version`; `interval` is the time between two messages of
-    /// a reader.
-    void note_peer_version(std::uint64_t version, std::uint64_t own_version,
+    /// a reader. Returns whether this VM begins to wait for a newer configuration.
+    bool note_peer_version(std::uint64_t version, std::uint64_t own_version,
                            state::duration interval, state::time_point now);
     /// \brief Returns the source to ask now, if any; the request is outstanding until `failed()` or
     /// `answer_timeout`.
@@ -43,6 +43,11 @@
                                                    state::time_point now);
     /// \brief Records that the source did not deliver the configuration.
     void failed(state::time_point now);
+    /// \brief Returns the newest version that a peer follows, as far as known; zero if none is.
+    [[nodiscard]] std::uint64_t wanted_version() const noexcept
+    {
+        return wanted_version_;
+    }
 
     /// \brief Requests to peers before the store is asked.
     static constexpr std::uint32_t max_peer_attempts = 2;
--- a/src/coordination/configuration_catch_up.cpp
+++ b/src/coordination/configuration_catch_up.cpp
@@ -5,22 +5,23 @@
 namespace plumdale::coordination
 {
 
-void configuration_catch_up::note_peer_version(std::uint64_t version, std::uint64_t own_version,
+bool configuration_catch_up::note_peer_version(std::uint64_t version, std::uint64_t own_version,
                                                state::duration interval, state::time_point now)
 {
     if (version <= own_version)
     {
-        return;
+        return false;
     }
     bool const is_waiting = wanted_version_ > own_version;
     wanted_version_ = std::max(wanted_version_, version);
     if (is_waiting)
     {
-        return;
+        return false;
     }
     failures_ = 0;
     outstanding_ = false;
     due_ = now + with_jitter(interval);
+    return true;
 }
 
 configuration_source configuration_catch_up::next_source(std::uint64_t own_version,
--- a/src/transport/configuration_exchange.cpp
+++ b/src/transport/configuration_exchange.cpp
@@ -170,8 +170,20 @@
 
 void configuration_exchange::note_peer_version(std::uint64_t version)
 {
-    catch_up_.note_peer_version(version, core_.version(), core_.fleet.reader_interval(),
-                                boot_now());
+    if (catch_up_.note_peer_version(version, core_.version(), core_.fleet.reader_interval(),
+                                    boot_now()))
+    {
+        log_progress("behind", version, {});
+    }
+}
+
+void configuration_exchange::log_progress(std::string_view decision, std::uint64_t wanted,
+                                          std::string_view asked)
+{
+    core_.log.write(part, decision, {},
+                    {{"version", static_cast<std::int64_t>(core_.version())},
+                     {"wanted", static_cast<std::int64_t>(wanted)},
+                     {"asked", asked}});
 }
 
 void configuration_exchange::advance()
@@ -185,6 +197,7 @@
         if (auto const peer =
                 core_.fleet.peer_with_newer_configuration(core_.version(), core_.random(), now))
         {
+            log_progress("asks", catch_up_.wanted_version(), "peer");
             return request_offer(*peer,
                                  [this](bool applied)
                                  {
@@ -196,6 +209,7 @@
         }
         return catch_up_.failed(now);
     case configuration_source::store:
+        log_progress("asks", catch_up_.wanted_version(), "store");
         return callbacks_.read_store([this] { catch_up_.failed(boot_now()); });
     }
 }
--- a/src/transport/configuration_exchange.hpp
+++ b/src/transport/configuration_exchange.hpp
@@ -54,6 +54,7 @@
 private:
     [[nodiscard]] coordination::configuration_offer offer_for(std::uint64_t base) const;
     [[nodiscard]] bool apply(coordination::configuration_offer const& offer);
+    void log_progress(std::string_view decision, std::uint64_t wanted, std::string_view asked);
     void request_offer(state::endpoint peer, std::function<void(bool)> done);
     void forward_offer(coordination::configuration_offer const& offer);
     /// \brief Requests an offer's configuration from `streams`, then forwards the offer.
