Test, known red: waits for silent peers add up before the store is asked

What is seen: a VM that missed a configuration asks the store 2.5 to 2.7 s after it heard of it, when two peers don't answer. With the time until it hears and the store's answer that is later than a configuration may be in force.

--- a/tests/platform/test_configuration_exchange.cpp
+++ b/tests/platform/test_configuration_exchange.cpp
@@ -1,5 +1,7 @@
 #include "forward_fixture.hpp"
+#include "transport/boot_clock.hpp"
 #include "transport/configuration_exchange.hpp"
+#include "transport/store_reader.hpp"
 
 #include <plumdale/protocol/fleet_codec.hpp>
 #include <plumdale/protocol/text_patch.hpp>
@@ -22,6 +24,7 @@
 
 using namespace plumdale;
 using namespace plumdale::test;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -68,6 +71,48 @@
     }
 }
 
+// Guards against waits that add up: two peers that don't answer kept a VM from asking the store
+// until its configuration was late, and callers of an added route got 404.
+TEST_CASE("the store is asked in time though two peers are silent", "[configuration_exchange]")
+{
+    // Time until a configuration is in force everywhere, less the time to receive a message of some
+    // peer and to read the store.
+    constexpr auto max_time = 3'000ms - 100ms - transport::store_reader::read_once_jitter -
+                              transport::store_reader::answer_timeout;
+    forward_fixture fixture;
+    bool is_store_asked = false;
+    transport::configuration_exchange exchange{
+        fixture.core,
+        {[] { return std::vector<transport::broadcast_peer>{}; },
+         [](std::string const& /*datagram*/, state::endpoint /*to*/) {},
+         [&is_store_asked](std::function<void()> const& /*otherwise*/)
+         {
+             is_store_asked = true;
+         }}};
+    scripted_upstream const silent_peer{fixture.context, "peer", "a"};
+    constexpr std::uint64_t peers = 150;
+    for (std::uint64_t peer = 1; peer <= peers; ++peer)
+    {
+        coordination::fleet_update update;
+        update.sender = state::node_id{peer};
+        update.incarnation_number = state::incarnation{1};
+        update.sequence = 1;
+        update.configuration = 4;
+        fixture.core.fleet.apply_update(update, silent_peer.make_member("", 1).address, 0,
+                                        transport::boot_now());
+    }
+    auto const began = transport::boot_now();
+    exchange.note_peer_version(4);
+    fixture.run_until(
+        [&]
+        {
+            exchange.advance();
+            return is_store_asked;
+        });
+    CHECK(transport::boot_now() - began <= max_time);
+    CHECK(silent_peer.connections.size() == 2);
+}
+
 namespace
 {
 
