A peer that is silent is given up before the store's turn comes too late

What callers saw: a VM that had missed a configuration could answer 404 on an added route for longer than a configuration may take to be in force.

Cause: the wait for the broadcast (up to 1 s), two requests to peers of 0.9 s each and the pauses between add up to 3 s before the store is asked. Class: waits in series whose sum nobody bounds.

Change: a peer is given up after 400 ms without a byte; an answer that keeps arriving is not.

--- a/src/transport/configuration_exchange.cpp
+++ b/src/transport/configuration_exchange.cpp
@@ -21,7 +21,9 @@
 constexpr std::string_view part = "configuration";
 constexpr std::string_view source = "fleet";
 constexpr unsigned success = 200;
-constexpr std::chrono::milliseconds peer_timeout{900};
+// A peer sends its first bytes within some milliseconds. The waits for two silent ones and the wait
+// before add up until the store is asked.
+constexpr std::chrono::milliseconds peer_timeout{400};
 
 std::uint64_t parse_version(std::string_view text)
 {
@@ -220,6 +222,7 @@
     request.address = peer;
     request.target = std::string{target} + std::to_string(core_.version());
     request.timeout = peer_timeout;
+    request.extends_on_progress = true;
     fetch(core_.context, std::move(request),
           [this, done = std::move(done)](state::result<fetch_answer> const& answer)
           {
