All statements of an answer are applied in one place

Cause: what an upstream states of itself came one by one, each read and decided where calls get their answers; the cold time was taken from answers of another incarnation too, and none from the answers of orders.

Change: upstream_statement has leaving, back-off, cold time and limit; forward_core::apply_statement applies them. That an answer without a limit ends one stays with calls, as only their own answers mean it.

--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -75,6 +75,10 @@
     bool leaves = false;
     /// \brief It refused the request, and wants no further one of this VM for this time.
     std::optional<state::duration> retry_after;
+    /// \brief How long it stays cold.
+    std::optional<state::duration> cold_for;
+    /// \brief Requests per second that it accepts from all entry VMs together.
+    std::optional<double> request_limit;
 };
 
 /// \brief Headers of an upstream's answer that the system evaluates.
@@ -92,11 +96,6 @@
     bool closes = false;
     /// \brief How long the upstream keeps the idle connection, if it states it.
     std::optional<state::duration> keep_alive;
-    /// \brief How long the upstream stays cold, if it states it.
-    std::optional<state::duration> cold_for;
-    /// \brief Requests per second that the upstream accepts from all entry VMs together, if it
-    /// states a limit.
-    std::optional<double> request_limit;
     upstream_statement statement;
     bool is_event_stream = false;
 };
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -249,21 +249,18 @@
     framing_ = framing;
     answer_ = core_.dialect.read_answer(head);
     has_head_ = true;
-    if (answer_.cold_for)
-    {
-        core_.directory.note_cold(member_, *answer_.cold_for, boot_now());
-    }
-    // A refusal that states no limit doesn't mean that there is none, and an answer of another
-    // incarnation says nothing of this one's limit.
-    bool const is_statement = answer_.request_limit || !answer_.not_run;
-    if (is_statement && !answer_.misdirected && !has_mismatched_id())
-    {
-        core_.limits.answered(member_, answer_.request_limit);
-    }
+    // An answer of another incarnation states nothing about this one.
     if (!answer_.misdirected)
     {
         core_.apply_statement(member_, answer_.statement);
     }
+    // A refusal that states no limit doesn't mean that there is none, nor does a late answer.
+    bool const ends_limit = !answer_.statement.request_limit && !answer_.not_run &&
+                            !answer_.misdirected && !has_mismatched_id();
+    if (ends_limit)
+    {
+        core_.limits.answered(member_, std::nullopt);
+    }
     exchange_->keep_alive(answer_.keep_alive, answer_.closes);
 }
 
--- a/src/transport/forward_call_log.cpp
+++ b/src/transport/forward_call_log.cpp
@@ -51,7 +51,7 @@
          {"may_have_run", possible_runs_},
          {"upstreams_ended", static_cast<std::int64_t>(
                                  core_.quarantine.known().ended_upstream_count(admitted_.request))},
-         {"stated_limit_per_minute", per_minute(answer_.request_limit)},
+         {"stated_limit_per_minute", per_minute(answer_.statement.request_limit)},
          {"known_limit_per_minute", per_minute(core_.limits.known().limit_of(member_))},
          {"stated_leaving", answer_.statement.leaves ? 1 : 0},
          {"known_leaving", entry != nullptr && entry->info.leaving ? 1 : 0},
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -257,23 +257,37 @@
     mark_list_whole();
 }
 
-// The platform's list lags, and may be out of reach for longer than a leaving upstream runs.
 void forward_core::apply_statement(state::member_key member,
                                    protocol::upstream_statement const& statement)
 {
-    std::uint64_t const before = directory.digest();
-    bool const is_news =
-        statement.leaves && directory.mark_leaving(member, boot_now()) != directory_change::none;
-    if (is_news)
+    if (statement.leaves)
     {
-        metrics.add(forward_count::left_by_answer);
-        on_member_changed(directory_change::leaving, member, "answer");
-        note_directory_change(before);
+        mark_leaving(member);
     }
     if (statement.retry_after)
     {
         begin_backoff(member, *statement.retry_after);
     }
+    if (statement.cold_for)
+    {
+        directory.note_cold(member, *statement.cold_for, boot_now());
+    }
+    if (statement.request_limit)
+    {
+        limits.answered(member, statement.request_limit);
+    }
+}
+
+// The platform's list lags, and may be out of reach for longer than a leaving upstream runs.
+void forward_core::mark_leaving(state::member_key member)
+{
+    std::uint64_t const before = directory.digest();
+    if (directory.mark_leaving(member, boot_now()) != directory_change::none)
+    {
+        metrics.add(forward_count::left_by_answer);
+        on_member_changed(directory_change::leaving, member, "answer");
+        note_directory_change(before);
+    }
 }
 
 void forward_core::begin_backoff(state::member_key member, state::duration time)
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -174,6 +174,7 @@
 
 private:
     void apply_member(state::service_member const& member, std::string_view source);
+    void mark_leaving(state::member_key member);
     void begin_backoff(state::member_key member, state::duration time);
     /// \brief Logs a change of an upstream, queues it for peers, and notifies calls of a departure.
     void on_member_changed(coordination::directory_change change, state::member_key member,
--- a/tests/platform/test_dialect.cpp
+++ b/tests/platform/test_dialect.cpp
@@ -124,7 +124,7 @@
     {
         protocol::message_head head;
         head.fields = {{"Server-Limit", text}};
-        return platform_dialect{}.read_answer(head).request_limit;
+        return platform_dialect{}.read_answer(head).statement.request_limit;
     };
     CHECK(limit_in("3.1") == 3.1);
     CHECK(limit_in("0") == 0.0);
@@ -174,8 +174,8 @@
     CHECK(headers.encoded);
     CHECK(headers.closes);
     CHECK(headers.keep_alive == 5s);
-    CHECK(headers.cold_for == 700ms);
-    CHECK_FALSE(headers.request_limit);
+    CHECK(headers.statement.cold_for == 700ms);
+    CHECK_FALSE(headers.statement.request_limit);
     CHECK_FALSE(headers.not_run);
 }
 
--- a/tests/platform/test_evacuations.cpp
+++ b/tests/platform/test_evacuations.cpp
@@ -91,7 +91,7 @@
         protocol::message_head head;
         head.status = 200;
         head.fields = {{"Plumdale-Cold-Ms", mutate("700", seed)}};
-        CHECK(dialect.read_answer(head).cold_for.value_or(0s) >= 0s);
+        CHECK(dialect.read_answer(head).statement.cold_for.value_or(0s) >= 0s);
     }
 }
 
