--- /dev/null
+++ b/src/transport/forward_call_answers.cpp
@@ -0,0 +1,169 @@
+#include "boot_clock.hpp"
+#include "forward_call.hpp"
+
+#include <plumdale/coordination/retry_delay.hpp>
+
+#include <utility>
+
+// Answers of upstreams and refusals of callers; forward_call.cpp sends calls and ends them.
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using coordination::call_result;
+
+constexpr state::duration min_retry_after = std::chrono::milliseconds{250};
+// Retries of callers that were refused together are spread over this time.
+constexpr state::duration retry_after_jitter = std::chrono::milliseconds{500};
+
+} // namespace
+
+// -- answers --------------------------------------------------------------------------------------
+
+void forward_call::on_head(protocol::message_head const& head, protocol::body_framing framing)
+{
+    head_ = head;
+    framing_ = framing;
+    answer_ = core_.dialect.read_answer(head);
+    has_head_ = true;
+    // An answer of another incarnation states nothing about this one.
+    if (!answer_.misdirected)
+    {
+        core_.apply_statement(member_, answer_.statement);
+    }
+    // A refusal that states no limit doesn't mean that there is none, nor does a late answer.
+    bool const ends_limit = !answer_.statement.request_limit && !answer_.not_run &&
+                            !answer_.misdirected && !has_mismatched_id();
+    if (ends_limit)
+    {
+        core_.limits.answered(member_, std::nullopt);
+    }
+    exchange_->keep_alive(answer_.keep_alive, answer_.closes);
+}
+
+void forward_call::on_end(exchange_end end)
+{
+    note_evidence(end);
+    exchange_ended(end);
+}
+
+bool forward_call::has_mismatched_id() const
+{
+    return has_head_ && !answer_.id.empty() && answer_.id != admitted_.headers.id;
+}
+
+bool forward_call::is_refused_by_upstream(exchange_end end) const
+{
+    return has_head_ && end == exchange_end::complete && (answer_.not_run || answer_.misdirected);
+}
+
+// Leaving upstreams end their connections too, which is no evidence against their requests.
+void forward_call::note_evidence(exchange_end end)
+{
+    request_attempt const attempt{admitted_.request, admitted_.headers.id};
+    bool const is_own_answer = has_head_ && !has_mismatched_id() && !is_refused_by_upstream(end);
+    if (end == exchange_end::complete && is_own_answer)
+    {
+        return core_.quarantine.answered(attempt);
+    }
+    auto const running_since = runs_since();
+    bool const is_suspect = !running_since || boot_now() - *running_since <= suspected_for;
+    bool const is_leaving = core_.departures.find(member_) != nullptr;
+    if (end == exchange_end::broken && is_suspect && !is_leaving)
+    {
+        core_.quarantine.upstream_ended(attempt, member_, member_name());
+    }
+}
+
+void forward_call::exchange_ended(exchange_end end)
+{
+    if (end == exchange_end::unreachable)
+    {
+        core_.health.note(member_, call_result::unreachable, boot_now());
+        return redispatch("unreachable");
+    }
+    if (end == exchange_end::not_sent)
+    {
+        return redispatch("not sent after all");
+    }
+    if (has_mismatched_id())
+    {
+        // The answer to an earlier call came late, on a connection that was considered idle.
+        core_.metrics.add(forward_count::answers_discarded);
+        return retry_or_refuse("answer to another call");
+    }
+    if (is_refused_by_upstream(end))
+    {
+        if (answer_.misdirected)
+        {
+            core_.on_member_replaced(member_);
+        }
+        core_.health.note(member_, call_result::busy, boot_now());
+        return redispatch(answer_.misdirected ? "another incarnation" : "refused by the upstream");
+    }
+    answer_ended(end);
+}
+
+std::vector<protocol::header_field> forward_call::answer_fields() const
+{
+    std::vector<protocol::header_field> fields;
+    for (protocol::header_field const& field : head_.fields)
+    {
+        if (!protocol::is_hop_by_hop(head_, field.name))
+        {
+            fields.push_back(field);
+        }
+    }
+    return fields;
+}
+
+// -- refusals -------------------------------------------------------------------------------------
+
+state::duration forward_call::retry_after()
+{
+    std::uniform_int_distribution<std::int64_t> spread{0, retry_after_jitter.count()};
+    return min_retry_after + state::duration{spread(core_.random)};
+}
+
+bool forward_call::is_quarantined() const
+{
+    return core_.quarantine.refuses(admitted_.request);
+}
+
+void forward_call::refuse_quarantined()
+{
+    core_.metrics.add(forward_count::quarantine_refused);
+    refuse(may_have_run() ? state::error_kind::may_have_run : state::error_kind::quarantined,
+           "upstreams ended under this request",
+           core_.quarantine.known().refused_for(admitted_.request, boot_now()));
+}
+
+// Another VM may not have been refused yet: callers that can't wait for the end retry as usual.
+void forward_call::refuse_backed_off(state::time_point end, state::time_point now)
+{
+    std::uniform_real_distribution<double> draw{0.0, 1.0};
+    auto const delay = coordination::draw_retry_after_backoff(end - now, admitted_.deadline - now,
+                                                              draw(core_.random));
+    refuse(may_have_run() ? state::error_kind::may_have_run : state::error_kind::overloaded,
+           "all upstreams back off", delay ? *delay : retry_after());
+}
+
+void forward_call::refuse(state::error_kind kind, std::string_view why)
+{
+    refuse(kind, why, retry_after());
+}
+
+void forward_call::refuse(state::error_kind kind, std::string_view why, state::duration retry_after)
+{
+    log("refused", why);
+    core_.metrics.add(forward_count::refused);
+    note_outcome(kind == state::error_kind::may_have_run ? coordination::call_outcome::failed
+                                                         : coordination::call_outcome::refused);
+    auto const channel = channel_;
+    finish();
+    channel->refuse(kind, retry_after);
+}
+
+} // namespace plumdale::transport
