--- a/tests/platform/test_retry_after.cpp
+++ b/tests/platform/test_retry_after.cpp
@@ -59,27 +59,38 @@
     CHECK(refusing.call_count() == 2);
 }
 
-// Guards against a call that is held, or refused with a time at which it would be refused again,
-// although it is known that no upstream takes it before.
-TEST_CASE("a call is refused at once while all upstreams back off", "[retry-after]")
+// Guards against a draft that is held for most of its objective, or refused with a time at which it
+// would be refused again, although no engine takes it before.
+TEST_CASE("a draft is refused at once while all engines back off", "[retry-after]")
 {
-    forward_fixture fixture;
-    auto const caller = fixture.call("/event/1", "first");
-    std::size_t const first = &fixture.upstream_of("first") == fixture.upstreams[0].get() ? 0 : 1;
-    for (std::size_t const asked : {first, 1 - first})
+    constexpr std::string_view fields =
+        "Plumdale-Token-Usage: 3000,1800\r\nPlumdale-Length-Hint: 900\r\n"
+        "Plumdale-Request-Deadline-Ms: 39000\r\n";
+    constexpr std::string_view refusal = "Plumdale-Not-Executed: 1\r\nRetry-After: 5\r\n";
+    constexpr std::chrono::milliseconds at_once{200};
+    forward_fixture fixture{2};
+    auto const first = fixture.call("/draft/1", "first", fields);
+    std::size_t const asked =
+        &fixture.upstream_of("Plumdale-Request-Id: first") == fixture.upstreams[2].get() ? 2 : 3;
+    for (std::size_t const each : {asked, 5 - asked})
     {
-        scripted_upstream const& upstream = *fixture.upstreams[asked];
-        fixture.run_until([&] { return upstream.call_count() == 1; });
-        upstream.connections.front()->send(answer_text(503, "first", "", refusal_fields));
+        scripted_upstream const& engine = *fixture.upstreams[each];
+        fixture.run_until([&] { return engine.call_count() == 1; });
+        engine.connections.front()->send(answer_text(503, "first", "", refusal));
     }
-    fixture.run_until([&] { return !caller->received.empty(); });
-    CHECK(caller->received.starts_with("HTTP/1.1 503"));
-
     auto const refused_at = steady::now();
-    auto const second = fixture.call("/event/2", "second");
+    fixture.run_until([&] { return !first->received.empty(); });
+    auto const second = fixture.call("/draft/2", "second", fields);
     fixture.run_until([&] { return !second->received.empty(); });
-    CHECK(steady::now() - refused_at < pause_time / 2);
-    CHECK(second->received.starts_with("HTTP/1.1 503"));
-    CHECK(second->received.find("Retry-After: 0.") != std::string::npos);
+    CHECK(steady::now() - refused_at < at_once);
     CHECK(fixture.request_count("second") == 0);
+    for (auto const& caller : {first, second})
+    {
+        CHECK(caller->received.starts_with("HTTP/1.1 503"));
+        std::size_t const at = caller->received.find("Retry-After: ");
+        REQUIRE(at != std::string::npos);
+        double const delay = std::stod(caller->received.substr(at + 13));
+        CHECK(delay >= 4.8);
+        CHECK(delay <= 5.6);
+    }
 }
