Test, known red: a VM behind a store that turns it away asks no peer again

What is seen: after two peers that didn't deliver a configuration, the store is asked again and again, although all peers may have it by then. Evidence: fails on the current code, peer, peer, store, store, store. Found by reading what else could delay one VM of 300.

--- a/tests/coordination/test_configuration_catch_up.cpp
+++ b/tests/coordination/test_configuration_catch_up.cpp
@@ -82,6 +82,30 @@
     CHECK(catch_up.next_source(1, now) == configuration_source::store);
 }
 
+// Guards against a VM that keeps asking a store which turns it away, while all its peers have the
+// configuration: it was late until the next one was broadcast.
+TEST_CASE("peers are asked again when the store did not deliver the configuration",
+          "[configuration_catch_up]")
+{
+    std::minstd_rand random{7};
+    configuration_catch_up catch_up{random};
+    state::time_point now = start;
+    catch_up.note_peer_version(2, 1, interval, now);
+    std::vector<configuration_source> asked;
+    for (int request = 0; request < 5; ++request)
+    {
+        auto source = configuration_source::none;
+        for (; source == configuration_source::none; now += 10ms)
+        {
+            source = catch_up.next_source(1, now);
+        }
+        asked.push_back(source);
+        catch_up.failed(now);
+    }
+    using enum configuration_source;
+    CHECK(asked == std::vector{peer, peer, store, peer, peer});
+}
+
 TEST_CASE("a request that is never answered counts as failed", "[configuration_catch_up]")
 {
     std::minstd_rand random{7};
