Peers and the store are asked in turn for a missed configuration

What callers could see: a VM that missed a configuration and two peers' answers, and that the store turns away, followed the older one until the next was broadcast, though all its peers had it: 404 on added routes.

Cause: after two failures of peers only the store was asked. Class: a last resort that is never left again. Evidence: the test before, peer, peer, store, store, store. Change: peer, peer, store, and so on.

--- a/include/plumdale/coordination/configuration_catch_up.hpp
+++ b/include/plumdale/coordination/configuration_catch_up.hpp
@@ -20,8 +20,8 @@
     store
 };
 
-/// \brief Waits for the configuration to arrive by broadcast, then requests it from peers, and
-/// last from the store.
+/// \brief Waits for the configuration to arrive by broadcast, then requests it from peers and from
+/// the store in turn.
 ///
 /// Example:
 /// \code
@@ -49,7 +49,7 @@
         return wanted_version_;
     }
 
-    /// \brief Requests to peers before the store is asked.
+    /// \brief Requests to peers before each one to the store.
     static constexpr std::uint32_t max_peer_attempts = 2;
     /// \brief A request without an answer counts as failed after this time.
     static constexpr state::duration answer_timeout = std::chrono::seconds{1};
--- a/src/coordination/configuration_catch_up.cpp
+++ b/src/coordination/configuration_catch_up.cpp
@@ -37,7 +37,9 @@
     }
     outstanding_ = true;
     due_ = now + answer_timeout;
-    return failures_ < max_peer_attempts ? configuration_source::peer : configuration_source::store;
+    // The store may turn this VM away while its peers have the configuration.
+    bool const is_stores_turn = failures_ % (max_peer_attempts + 1) == max_peer_attempts;
+    return is_stores_turn ? configuration_source::store : configuration_source::peer;
 }
 
 void configuration_catch_up::failed(state::time_point now)
