--- a/tests/platform/test_leaving_answers.cpp
+++ b/tests/platform/test_leaving_answers.cpp
@@ -114,10 +114,13 @@
 
 // Guards against an upstream that is taken out of use by the answer of another one, which has its
 // address now.
-TEST_CASE("the answer of another incarnation does not mark an upstream as leaving", "[leaving]")
+TEST_CASE("the answer of another incarnation states nothing about an upstream", "[leaving]")
 {
     forward_fixture fixture;
-    call_until_answered(fixture, {421, "Plumdale-Not-Executed: 1\r\nServer-Leaving: 1\r\n"});
+    call_until_answered(fixture, {421, "Plumdale-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+                                       "Server-Limit: 1\r\nPlumdale-Cold-Ms: 700\r\n"});
     auto const key = state::id_from_name<state::member_key>("i-0");
     CHECK_FALSE(fixture.core.directory.find(key)->info.leaving);
+    CHECK(fixture.core.directory.find(key)->cold_until == state::time_point{});
+    CHECK_FALSE(fixture.core.limits.known().limit_of(key));
 }
