Soak: the check of leaving begins anew after a restart; releases count

A VM that restarted or paused was excused for good, so the check could not fail any more for it; now it counts from the next answer that the VM passes on. Releases of copies count as requests in a back-off.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -182,7 +182,10 @@
         self.leaving_known_at, self.backoffs = {}, {}
 
     def passed_on_leaving(self, vm):
-        self.leaving_known_at.setdefault(vm, asyncio.get_running_loop().time())
+        """A VM that has been disturbed since may have forgotten it, and knows it again from now on."""
+        known_at, disturbed_at = self.leaving_known_at.get(vm), self.record.vm_disturbed_at.get(vm, 0.0)
+        if known_at is None or known_at <= disturbed_at:
+            self.leaving_known_at[vm] = asyncio.get_running_loop().time()
 
     def refused(self, call, retry_after):
         now = asyncio.get_running_loop().time()
@@ -279,6 +282,8 @@
         if target.startswith("/v1/report"):
             return writer.write(http_response(200, json.dumps(self.report()).encode(), leaving_fields))
         if target.startswith("/v1/"):
+            released_call = self.record.copies.get(target.rsplit("/", 1)[1])
+            self.record.violations += self.statements.arrived(released_call, self.name, self.unreachable_until)
             return writer.write(http_response(200, b"{}", leaving_fields))
         call, expected = headers.get("plumdale-request-id", ""), headers.get("plumdale-expect-instance")
         fields = [("Plumdale-Request-Id", call), *leaving_fields]
