Retry delays of refused calls are drawn in one module

The least delay and the spread of 500 ms stood twice, in coordination and in transport, which drew by itself. Values are unchanged. Tests of retry delays, back-offs, limits, streams and leaving pass; the linter passes on the files.

--- a/include/plumdale/coordination/retry_delay.hpp
+++ b/include/plumdale/coordination/retry_delay.hpp
@@ -10,6 +10,9 @@
 namespace plumdale::coordination
 {
 
+/// \brief Returns the retry delay of a refused call, for a random `draw` in [0, 1).
+[[nodiscard]] state::duration draw_retry_after(double draw) noexcept;
+
 /// \brief Returns the retry delay of a generation that found no capacity, for a random `draw` in
 /// [0, 1).
 [[nodiscard]] state::duration draw_retry_after(state::duration time_left, double draw) noexcept;
--- a/src/coordination/retry_delay.cpp
+++ b/src/coordination/retry_delay.cpp
@@ -13,8 +13,9 @@
 // delay is long enough for retry_detector to recognize the retry by its time left.
 constexpr double retry_after_from = 0.45;
 constexpr double retry_after_to = 0.95;
-// Retries after one back-off are spread over this time.
-constexpr state::duration max_backoff_spread = std::chrono::milliseconds{500};
+constexpr state::duration min_retry_after = std::chrono::milliseconds{250};
+// Retries of callers that were refused together are spread over this time.
+constexpr state::duration max_spread = std::chrono::milliseconds{500};
 
 state::duration fraction_of(double part, state::duration whole) noexcept
 {
@@ -23,6 +24,11 @@
 
 } // namespace
 
+state::duration draw_retry_after(double draw) noexcept
+{
+    return min_retry_after + fraction_of(draw, max_spread);
+}
+
 state::duration draw_retry_after(state::duration time_left, double draw) noexcept
 {
     double const part = retry_after_from + (retry_after_to - retry_after_from) * draw;
@@ -38,7 +44,7 @@
     {
         return std::nullopt;
     }
-    return backoff_left + fraction_of(draw, std::min(max_backoff_spread, honored - backoff_left));
+    return backoff_left + fraction_of(draw, std::min(max_spread, honored - backoff_left));
 }
 
 } // namespace plumdale::coordination
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -14,10 +14,6 @@
 
 using coordination::call_result;
 
-constexpr state::duration min_retry_after = std::chrono::milliseconds{250};
-// Retries of callers that were refused together are spread over this time.
-constexpr state::duration retry_after_jitter = std::chrono::milliseconds{500};
-
 } // namespace
 
 // -- answers --------------------------------------------------------------------------------------
@@ -123,8 +119,8 @@
 
 state::duration forward_call::retry_after()
 {
-    std::uniform_int_distribution<std::int64_t> spread{0, retry_after_jitter.count()};
-    return min_retry_after + state::duration{spread(core_.random)};
+    std::uniform_real_distribution<double> draw{0.0, 1.0};
+    return coordination::draw_retry_after(draw(core_.random));
 }
 
 bool forward_call::is_quarantined() const
