--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -140,6 +140,7 @@
     announce_load(member);
     has_head_ = false;
     answer_ = {};
+    connection_failure_ = connection_failure::none;
     ++tries_;
     upstream_exchange::options options;
     options.member = member;
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -181,6 +181,8 @@
     coordination::admission_limit blocking_limit_ = coordination::admission_limit::none;
     state::time_point wait_until_{};
     state::time_point retry_at_ = state::never;
+    /// \brief Why the last connection could not be opened.
+    connection_failure connection_failure_ = connection_failure::none;
     std::uint32_t tries_ = 0;
     std::uint32_t sends_ = 0;
     /// \brief Sends that may have run.
@@ -199,6 +201,7 @@
     void refuse_backed_off(state::time_point end, state::time_point now);
     /// \brief Records the evidence on the request that the end of its exchange gives.
     void note_evidence(exchange_end end);
+    void note_unreachable();
     [[nodiscard]] bool has_mismatched_id() const;
     [[nodiscard]] bool is_refused_by_upstream(exchange_end end) const;
 };
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -45,6 +45,13 @@
     exchange_ended(end);
 }
 
+void forward_call::note_unreachable()
+{
+    connection_failure_ = exchange_->failure();
+    core_.metrics.add_failed_connection(connection_failure_);
+    core_.health.note(member_, call_result::unreachable, boot_now());
+}
+
 bool forward_call::has_mismatched_id() const
 {
     return has_head_ && !answer_.id.empty() && answer_.id != admitted_.headers.id;
@@ -77,7 +84,7 @@
 {
     if (end == exchange_end::unreachable)
     {
-        core_.health.note(member_, call_result::unreachable, boot_now());
+        note_unreachable();
         return redispatch("unreachable");
     }
     if (end == exchange_end::not_sent)
--- a/src/transport/forward_call_log.cpp
+++ b/src/transport/forward_call_log.cpp
@@ -58,6 +58,7 @@
          {"stated_backoff_ms",
           whole_milliseconds(answer_.statement.retry_after.value_or(state::duration{}))},
          {"known_backoff_ms", whole_milliseconds(core_.backoffs.left(member_, now))},
+         {"connection_failure", to_text(connection_failure_)},
          {"status", has_head_ ? static_cast<std::int64_t>(head_.status) : 0},
          {"age_ms", whole_milliseconds(now - admitted_.call.read_at)},
          {"left_ms", whole_milliseconds(admitted_.deadline - now)}});
--- a/src/transport/forward_metrics.cpp
+++ b/src/transport/forward_metrics.cpp
@@ -25,6 +25,13 @@
     {"plumdale_forward_repeats_denied_total", "Repeats that the allowance did not cover."},
     {"plumdale_forward_connections_opened_total", "Connections opened to upstreams."},
     {"plumdale_forward_connections_reused_total", "Sends on kept connections."},
+    {"plumdale_forward_connections_refused_total", "Connections to upstreams that were refused."},
+    {"plumdale_forward_connections_reset_total", "Connections to upstreams reset before use."},
+    {"plumdale_forward_connections_timed_out_total", "Connections to upstreams without an answer."},
+    {"plumdale_forward_connections_without_path_total",
+     "Connections to upstreams to which the network knows no path."},
+    {"plumdale_forward_connections_failed_locally_total",
+     "Connections to upstreams that this VM could not open itself."},
     {"plumdale_forward_answers_discarded_total", "Late, extra or spoiled answers."},
     {"plumdale_forward_left_by_answer_total",
      "Upstreams whose own answer was the first to say that they leave."},
@@ -80,6 +87,15 @@
     out.append(name).append("_count ").append(std::to_string(sum)).append("\n");
 }
 
+void forward_metrics::add_failed_connection(connection_failure failure) noexcept
+{
+    static constexpr std::array<forward_count, 6> counts{
+        forward_count::connections_failed_locally, forward_count::connections_refused,
+        forward_count::connections_reset,          forward_count::connections_timed_out,
+        forward_count::connections_without_path,   forward_count::connections_failed_locally};
+    add(counts[static_cast<std::size_t>(failure)]);
+}
+
 void forward_metrics::record_answer_time(state::duration time)
 {
     answer_times_.add(time);
--- a/src/transport/forward_metrics.hpp
+++ b/src/transport/forward_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_failure.hpp"
 #include "metrics.hpp"
 
 #include <array>
@@ -27,6 +28,11 @@
     repeats_denied,
     connections_opened,
     connections_reused,
+    connections_refused,
+    connections_reset,
+    connections_timed_out,
+    connections_without_path,
+    connections_failed_locally,
     answers_discarded,
     left_by_answer,
     backoffs,
@@ -59,6 +65,8 @@
     {
         counts_[static_cast<std::size_t>(which)] += by;
     }
+    /// \brief Counts a connection to an upstream that could not be opened, by its reason.
+    void add_failed_connection(connection_failure failure) noexcept;
     [[nodiscard]] std::uint64_t value(forward_count which) const noexcept
     {
         return counts_[static_cast<std::size_t>(which)];
--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -53,7 +53,7 @@
         {
             if (!error && !self->sent_)
             {
-                self->finish(exchange_end::unreachable);
+                self->fail_to_connect(connection_failure::timed_out);
             }
         });
     socket_->async_connect(to_tcp(options_.address),
@@ -64,10 +64,17 @@
                                {
                                    return;
                                }
-                               error ? self->finish(exchange_end::unreachable) : self->send();
+                               error ? self->fail_to_connect(connection_failure_of(error))
+                                     : self->send();
                            });
 }
 
+void upstream_exchange::fail_to_connect(connection_failure failure)
+{
+    failure_ = failure;
+    finish(exchange_end::unreachable);
+}
+
 void upstream_exchange::send()
 {
     std::optional<std::string> request = sink_->request();
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_failure.hpp"
 #include "net.hpp"
 #include "upstream_pool.hpp"
 
@@ -82,6 +83,11 @@
     {
         return reused_;
     }
+    /// \brief Returns why there is no connection, after `exchange_end::unreachable`.
+    [[nodiscard]] connection_failure failure() const noexcept
+    {
+        return failure_;
+    }
 
     /// \brief An upstream in another zone answers within 3 ms; one whose accept queue is full drops
     /// the first packet, which is retransmitted after a second: too late to wait for.
@@ -94,6 +100,7 @@
 
 private:
     void connect();
+    void fail_to_connect(connection_failure failure);
     void send();
     void read();
     void on_read(boost::system::error_code error, std::size_t bytes);
@@ -111,6 +118,7 @@
     std::string request_;
     std::array<char, 4096> buffer_{};
     std::optional<state::duration> keep_alive_;
+    connection_failure failure_ = connection_failure::none;
     bool closes_ = false;
     bool sent_ = false;
     bool written_ = false;
