--- a/tests/platform/forward_fixture.cpp
+++ b/tests/platform/forward_fixture.cpp
@@ -158,7 +158,7 @@
       caller_acceptor_{context, tcp::endpoint{net::ip::address_v4::loopback(), 0}}
 {
     std::vector<state::service_member> members;
-    constexpr int plain = 2;
+    constexpr int plain = plain_upstreams;
     for (int i = 0; i < plain + engines; ++i)
     {
         upstreams.push_back(
--- a/tests/platform/forward_fixture.hpp
+++ b/tests/platform/forward_fixture.hpp
@@ -71,6 +71,9 @@
 class forward_fixture
 {
 public:
+    /// \brief Upstreams of the plain service; the others are engines.
+    static constexpr std::size_t plain_upstreams = 2;
+
     explicit forward_fixture(int engines = 3);
     ~forward_fixture();
 
