A VM that reaches no upstream has its peers send its calls

Cause: a call knew only the connections of its own VM. Class: a VM decides from what it reaches itself, where its peers reach more.

upstream_reach concludes from connections that the paths are lost, and probes until they are back; call_through_peer then sends the call as it arrived to a peer, which runs it like its own. A peer that declines has sent nothing; once one may have taken the call no other is asked. A dead or crowded service is no lost path: an upstream of another service answers the probes. Upstreams that this VM could not reach are no longer ejected, or taken for cold, for that.

--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -105,6 +105,8 @@
     // -- the fleet ------------------------------------------------------------------------
     /// \brief Returns the number of live entry VMs, including this one.
     [[nodiscard]] std::size_t live_count(state::time_point now) const;
+    /// \brief Returns whether a peer was heard from recently enough to count as live.
+    [[nodiscard]] bool is_live(peer_state const& peer, state::time_point now) const noexcept;
     /// \brief Returns the time between two periodic messages of a reader in a fleet of this size.
     [[nodiscard]] state::duration reader_interval() const noexcept;
     /// \brief Returns the same for other VMs, whose messages only show that they are live.
@@ -164,7 +166,6 @@
     [[nodiscard]] bool is_fresh(reader_state const& reader, state::time_point now) const noexcept;
     [[nodiscard]] bool has_failed(state::node_id node) const;
     [[nodiscard]] bool is_reading(state::node_id node, state::time_point now) const;
-    [[nodiscard]] bool is_live(peer_state const& peer, state::time_point now) const noexcept;
     [[nodiscard]] bool is_candidate(state::node_id node, peer_state const& peer,
                                     state::time_point now) const;
     [[nodiscard]] bool differs(peer_state const& peer) const noexcept;
--- /dev/null
+++ b/include/plumdale/coordination/peer_selector.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <plumdale/coordination/fleet_view.hpp>
+#include <plumdale/state/endpoint.hpp>
+#include <plumdale/state/identifier.hpp>
+#include <plumdale/state/time.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <unordered_map>
+
+/// \file
+/// \brief Selects the peer that sends a call to an upstream for this VM.
+
+namespace plumdale::coordination
+{
+
+/// \brief A peer, and where it takes calls.
+struct selected_peer
+{
+    state::node_id node;
+    state::endpoint streams;
+};
+
+/// \brief Why a peer took no call.
+enum class peer_refusal : std::uint8_t
+{
+    unreachable, ///< No connection to it.
+    declined,    ///< It reaches no upstream itself, is busy, or leaves.
+    out_of_step, ///< It follows another configuration; one of the two catches up.
+};
+
+/// \brief Selects live peers at random, so that calls spread evenly over all that can help, and
+/// passes over those that took none a moment ago.
+class peer_selector
+{
+public:
+    peer_selector(fleet_view const& fleet, std::minstd_rand& random) noexcept
+        : fleet_{fleet}, random_{random}
+    {
+    }
+
+    /// \brief Returns a live peer that is not in `excluded`; none if there is none.
+    [[nodiscard]] std::optional<selected_peer> choose(std::span<state::node_id const> excluded,
+                                                      state::time_point now);
+    /// \brief Passes over a peer for a while.
+    void refused(state::node_id node, peer_refusal why, state::time_point now);
+    void sweep(state::time_point now);
+
+    /// \brief A peer that has lost its own paths tells so at once, and for seconds.
+    static constexpr state::duration declined_time = std::chrono::milliseconds{500};
+    /// \brief A peer that ended counts as live for longer than a call takes to fail there.
+    static constexpr state::duration unreachable_time = std::chrono::seconds{2};
+    /// \brief A configuration reaches all VMs within some tens of milliseconds.
+    static constexpr state::duration out_of_step_time = std::chrono::milliseconds{50};
+
+private:
+    fleet_view const& fleet_;
+    std::minstd_rand& random_;
+    std::unordered_map<state::node_id, state::time_point> passed_over_until_;
+};
+
+} // namespace plumdale::coordination
--- a/include/plumdale/state/error_kind.hpp
+++ b/include/plumdale/state/error_kind.hpp
@@ -26,6 +26,8 @@
     quarantined,
     draining,
     not_ready,
+    peer_declined,
+    peer_out_of_step,
     key_in_doubt,
     key_in_use,
     owner_unreachable,
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -95,3 +95,19 @@
   evacuations @3 :List(Evacuation);
   isRest @4 :Bool;
 }
+
+struct HeaderField {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct PeerCall {
+  configuration @0 :UInt64;
+  ageMs @1 :UInt32;
+  possibleRuns @2 :UInt32;
+  isCounted @3 :Bool;
+  method @4 :Text;
+  target @5 :Text;
+  fields @6 :List(HeaderField);
+  body @7 :Data;
+}
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -1,13 +1,9 @@
 #include "datagram_mac.hpp"
 #include "fleet.capnp.h"
+#include "packed_message.hpp"
 
 #include <plumdale/protocol/fleet_codec.hpp>
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
-
 #include <algorithm>
 #include <bit>
 
@@ -18,17 +14,9 @@
 
 using coordination::fleet_update;
 
-// Ten times the directory of the largest fleet, 11,000 upstreams at some 100 bytes.
-constexpr std::uint64_t max_words = 11'000ULL * 100 * 10 / sizeof(capnp::word);
-
 constexpr unsigned digest_bits = 64;
 constexpr unsigned bits_per_byte = 8;
 
-state::failure malformed(char const* detail)
-{
-    return {state::error_kind::invalid_request, detail};
-}
-
 void write(wire::MemberLoad::Builder to, coordination::member_load const& from)
 {
     to.setMember(from.member.value);
@@ -216,37 +204,6 @@
     return offer;
 }
 
-template <class Root, class Write>
-std::string packed(Write const& write_root)
-{
-    capnp::MallocMessageBuilder builder;
-    write_root(builder.initRoot<Root>());
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, builder);
-    auto const bytes = out.getArray().asChars();
-    return {bytes.begin(), bytes.size()};
-}
-
-// Cap'n Proto checks a peer's bytes only here; it reports malformed ones by an exception.
-template <class Root, class Value, class Read>
-state::result<Value> unpacked(std::string_view bytes, Read const& read_root)
-{
-    try
-    {
-        kj::ArrayPtr<kj::byte const> const data{reinterpret_cast<kj::byte const*>(bytes.data()),
-                                                bytes.size()};
-        kj::ArrayInputStream in{data};
-        capnp::ReaderOptions options;
-        options.traversalLimitInWords = max_words;
-        capnp::PackedMessageReader reader{in, options};
-        return read_root(reader.getRoot<Root>());
-    }
-    catch (kj::Exception const& /*malformed*/)
-    {
-        return malformed("malformed news of a peer");
-    }
-}
-
 } // namespace
 
 std::string encode(fleet_update const& update, std::string_view fleet_key)
--- a/src/transport/call_admission.cpp
+++ b/src/transport/call_admission.cpp
@@ -115,12 +115,14 @@
 
 } // namespace
 
-std::shared_ptr<call_handler>
-start_call(forward_core& core, std::shared_ptr<caller_channel> const& channel, received_call call)
+std::shared_ptr<call_handler> start_call(forward_core& core,
+                                         std::shared_ptr<caller_channel> const& channel,
+                                         received_call call, call_origin const& origin)
 {
     core.metrics.add(forward_count::calls);
     admitted_call admitted;
     admitted.call = std::move(call);
+    admitted.origin = origin;
     admitted.headers = core.dialect.read_call(admitted.call.head);
     if (auto const rejected = resolve_call(core, admitted))
     {
--- a/src/transport/caller_channel.cpp
+++ b/src/transport/caller_channel.cpp
@@ -2,6 +2,8 @@
 
 #include "boot_clock.hpp"
 
+#include <plumdale/protocol/peer_call.hpp>
+
 #include <boost/asio/write.hpp>
 
 #include <cstdio>
@@ -131,7 +133,16 @@
     // make_handler_ may answer the call before it returns, and the next call may begin.
     std::uint64_t const serial = ++call_count_;
     std::shared_ptr<call_handler> handler = make_handler_(shared_from_this(), std::move(call));
-    if (stage_ == stage::in_call && serial == call_count_)
+    bool const is_handed_over = handler_ != nullptr;
+    if (stage_ == stage::in_call && serial == call_count_ && !is_handed_over)
+    {
+        handler_ = std::move(handler);
+    }
+}
+
+void caller_channel::hand_over(std::shared_ptr<call_handler> handler)
+{
+    if (stage_ == stage::in_call)
     {
         handler_ = std::move(handler);
     }
@@ -158,17 +169,23 @@
 
 // -- answers --------------------------------------------------------------------------------------
 
-void caller_channel::append_head(unsigned status, std::string_view reason,
-                                 std::vector<header_field> const& fields, bool closes)
+void caller_channel::append_head(std::string_view origin, unsigned status, std::string_view reason,
+                                 std::vector<header_field> const& fields)
 {
-    close_after_answer_ = closes;
+    channel_options const options = current_options_();
+    close_after_answer_ = close_requested_ || options.closing;
     pending_.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
     pending_.append(reason).append("\r\n");
+    // First, so that it can't be mistaken for a field of the upstream's.
+    if (options.is_peer)
+    {
+        pending_.append(protocol::peer_answer_field).append(": ").append(origin).append("\r\n");
+    }
     for (header_field const& field : fields)
     {
         pending_.append(field.name).append(": ").append(field.value).append("\r\n");
     }
-    if (closes)
+    if (close_after_answer_)
     {
         pending_.append("Connection: close\r\n");
     }
@@ -176,12 +193,18 @@
 
 void caller_channel::answer(unsigned status, std::string_view reason,
                             std::vector<header_field> const& fields, std::string_view body)
+{
+    answer_from(protocol::upstream_answer, status, reason, fields, body);
+}
+
+void caller_channel::answer_from(std::string_view origin, unsigned status, std::string_view reason,
+                                 std::vector<header_field> const& fields, std::string_view body)
 {
     if (stage_ != stage::in_call)
     {
         return;
     }
-    append_head(status, reason, fields, close_requested_ || current_options_().closing);
+    append_head(origin, status, reason, fields);
     pending_.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
     if (!is_head_request_)
     {
@@ -201,13 +224,13 @@
     std::string body{R"({"error":")"};
     body.append(row.name).append(R"(","claim":")").append(state::claim_name(row.claim));
     body.append(R"(","message":")").append(row.message).append("\"}");
-    answer(row.status, row.name, fields, body);
+    answer_from(row.name, row.status, row.name, fields, body);
 }
 
 void caller_channel::begin(unsigned status, std::string_view reason,
                            std::vector<header_field> const& fields)
 {
-    append_head(status, reason, fields, close_requested_ || current_options_().closing);
+    append_head(protocol::upstream_answer, status, reason, fields);
     pending_.append("Transfer-Encoding: chunked\r\n\r\n");
     write();
 }
--- a/src/transport/caller_channel.hpp
+++ b/src/transport/caller_channel.hpp
@@ -59,6 +59,8 @@
     state::caller_limits limits;
     /// \brief The entry VM is leaving: answers carry `Connection: close`.
     bool closing = false;
+    /// \brief The caller is a peer: answers state whose they are.
+    bool is_peer = false;
 };
 
 /// \brief Reads calls one at a time, detects that the caller disconnects, and writes answers in
@@ -70,6 +72,8 @@
                    call_handler_factory start, std::function<void(caller_channel&)> on_closed);
 
     void start();
+    /// \brief Has another handler take over the call in progress.
+    void hand_over(std::shared_ptr<call_handler> handler);
     /// \brief Closes the connection immediately, also during a call.
     void close_now();
 
@@ -124,8 +128,11 @@
     void on_timer();
     void close();
     void on_connection_lost();
-    void append_head(unsigned status, std::string_view reason,
-                     std::vector<protocol::header_field> const& fields, bool closes);
+    /// \brief `origin` is whose answer it is, which peers are told.
+    void append_head(std::string_view origin, unsigned status, std::string_view reason,
+                     std::vector<protocol::header_field> const& fields);
+    void answer_from(std::string_view origin, unsigned status, std::string_view reason,
+                     std::vector<protocol::header_field> const& fields, std::string_view body);
 
     tcp::socket socket_;
     std::function<channel_options()> current_options_;
--- a/src/transport/connection_failure.cpp
+++ b/src/transport/connection_failure.cpp
@@ -23,7 +23,8 @@
     {
         return connection_failure::reset;
     }
-    if (error == errors::timed_out)
+    // A connection is closed at its time limit.
+    if (error == errors::timed_out || error == errors::operation_aborted)
     {
         return connection_failure::timed_out;
     }
--- a/src/transport/connection_failure.hpp
+++ b/src/transport/connection_failure.hpp
@@ -17,7 +17,7 @@
     none,
     refused,   ///< Nothing listens at the address, or something on the path refuses.
     reset,     ///< Accepted and ended before a byte was sent.
-    timed_out, ///< No answer: the path or the upstream is silent.
+    timed_out, ///< No answer before its time limit: the path or the upstream is silent.
     no_path,   ///< This VM's network knows no way there.
     local      ///< This VM itself could not open it, as without a free descriptor or port.
 };
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -1,6 +1,7 @@
 #include "forward_call.hpp"
 
 #include "boot_clock.hpp"
+#include "call_through_peer.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -23,6 +24,8 @@
                                                                                      core.context}
 {
     ++core_.calls_in_progress;
+    core_.peer_calls_in_progress += admitted_.origin.is_peer ? 1 : 0;
+    possible_runs_ = admitted_.origin.possible_runs;
 }
 
 forward_call::~forward_call()
@@ -32,7 +35,11 @@
 
 void forward_call::start()
 {
-    core_.note_call(admitted_.service->name);
+    if (!admitted_.origin.is_counted)
+    {
+        core_.note_call(admitted_.service->name);
+        admitted_.origin.is_counted = true;
+    }
     wait_until_ = admitted_.call.read_at + longest_wait();
     dispatch();
 }
@@ -50,6 +57,10 @@
     {
         return refuse_quarantined();
     }
+    if (core_.reach.is_lost() && may_use_peer())
+    {
+        return hand_to_peer("no upstream reached");
+    }
     bool const is_recheck = is_waiting_ && admitted_.service->engine;
     auto chosen = select_upstream(
         is_recheck ? waiting_candidates : coordination::selection_options::sampled_candidates, now);
@@ -110,6 +121,10 @@
         retry_at_ = now + state::duration{step(core_.random)};
         return arm_timer();
     }
+    if (has_connected_to_none())
+    {
+        return give_to_other_vm("no upstream reached");
+    }
     if (may_have_run())
     {
         return refuse(state::error_kind::may_have_run, "no other upstream");
@@ -194,6 +209,10 @@
     sent_at_ = now;
     first_sent_at_ = sends_ == 0 ? now : first_sent_at_;
     ++sends_;
+    if (!exchange_->reused())
+    {
+        core_.note_connected();
+    }
     core_.metrics.add(forward_count::sends);
     core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
                                           : forward_count::connections_opened);
@@ -210,6 +229,11 @@
     close_exchange();
     log("upstream passed over", why);
     bool const is_repeat = sends_ > 0;
+    bool const is_last = tries_ >= try_limit || core_.reach.is_lost();
+    if (is_last && has_connected_to_none())
+    {
+        return give_to_other_vm(why);
+    }
     if (tries_ >= try_limit)
     {
         return may_have_run() ? refuse(state::error_kind::may_have_run, why)
@@ -223,6 +247,34 @@
     dispatch();
 }
 
+bool forward_call::has_connected_to_none() const noexcept
+{
+    return tries_ > 0 && failed_connections_ == tries_;
+}
+
+void forward_call::give_to_other_vm(std::string_view why)
+{
+    may_use_peer() ? hand_to_peer(why) : refuse(state::error_kind::peer_declined, why);
+}
+
+bool forward_call::may_use_peer() const
+{
+    return !admitted_.origin.is_peer && !is_resumption();
+}
+
+void forward_call::hand_to_peer(std::string_view why)
+{
+    log("handed to a peer", why);
+    admitted_call call = admitted_;
+    call.origin.possible_runs = possible_runs_;
+    auto const channel = channel_;
+    auto& core = core_;
+    finish();
+    auto const handler = std::make_shared<call_through_peer>(core, channel, std::move(call));
+    channel->hand_over(handler);
+    handler->start();
+}
+
 void forward_call::retry_or_refuse(std::string_view why)
 {
     ++possible_runs_;
@@ -280,6 +332,7 @@
     }
     finished_ = true;
     --core_.calls_in_progress;
+    core_.peer_calls_in_progress -= admitted_.origin.is_peer ? 1 : 0;
     timer_.cancel();
     close_exchange();
 }
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -20,6 +20,17 @@
 namespace plumdale::transport
 {
 
+/// \brief Where a call came from, and what was done with it before.
+struct call_origin
+{
+    /// \brief A peer sent it, as it has no path to an upstream; it is sent to no other peer.
+    bool is_peer = false;
+    /// \brief Sends that may have run.
+    std::uint32_t possible_runs = 0;
+    /// \brief It counts towards the retry budget already.
+    bool is_counted = false;
+};
+
 /// \brief A call, with the decisions made before it is sent to an upstream.
 struct admitted_call
 {
@@ -37,11 +48,13 @@
     state::time_point deadline{};
     /// \brief It has less time left than first attempts on its route, so it was refused before.
     bool is_retry = false;
+    call_origin origin;
 };
 
 /// \brief Admits a call and starts it, or refuses it through the channel and returns null.
 [[nodiscard]] std::shared_ptr<call_handler>
-start_call(forward_core& core, std::shared_ptr<caller_channel> const& channel, received_call call);
+start_call(forward_core& core, std::shared_ptr<caller_channel> const& channel, received_call call,
+           call_origin const& origin = {});
 
 /// \brief Sends a call to one upstream after another, as long as it may be retried.
 ///
@@ -137,6 +150,14 @@
     void wait_or_refuse(bool at_capacity, state::time_point now);
     void open_exchange(state::member_key member);
     void redispatch(std::string_view why);
+    /// \brief Returns whether a peer may take the call: it is a caller's own, and begins anew.
+    [[nodiscard]] bool may_use_peer() const;
+    /// \brief Returns whether the call was tried and no connection could be opened for it.
+    [[nodiscard]] bool has_connected_to_none() const noexcept;
+    /// \brief Has a peer take the call, or declines it if it is a peer's.
+    void give_to_other_vm(std::string_view why);
+    /// \brief Ends this call and has a peer take it; the last action on it.
+    void hand_to_peer(std::string_view why);
     /// \brief Retries or refuses the call after its upstream failed and may have run it.
     void retry_or_refuse(std::string_view why);
     void refuse(state::error_kind kind, std::string_view why);
@@ -184,6 +205,8 @@
     /// \brief Why the last connection could not be opened.
     connection_failure connection_failure_ = connection_failure::none;
     std::uint32_t tries_ = 0;
+    /// \brief Tries that ended without a connection.
+    std::uint32_t failed_connections_ = 0;
     std::uint32_t sends_ = 0;
     /// \brief Sends that may have run.
     std::uint32_t possible_runs_ = 0;
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -41,6 +41,8 @@
 
 void forward_call::on_end(exchange_end end)
 {
+    // The answer releases the channel's reference to this call.
+    auto const self = shared_from_this();
     note_evidence(end);
     exchange_ended(end);
 }
@@ -49,7 +51,9 @@
 {
     connection_failure_ = exchange_->failure();
     core_.metrics.add_failed_connection(connection_failure_);
+    ++failed_connections_;
     core_.health.note(member_, call_result::unreachable, boot_now());
+    core_.note_connection_failed(member_, connection_failure_);
 }
 
 bool forward_call::has_mismatched_id() const
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -1,6 +1,7 @@
 #include "forward_core.hpp"
 
 #include "boot_clock.hpp"
+#include "milliseconds.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
 
@@ -43,12 +44,12 @@
       cold_limiter{fleet, self, boot_now()}, limits{fleet, self, directory, logger},
       gate{directory, health, backoffs, cold_limiter, limits.known()}, subset{directory, self},
       selector{directory, ledger, health, gate, subset, settings.zone, random},
-      quarantine{logger, metrics}, orders{loop, platform_dialect, directory, gate,
-                                          [this](state::member_key member,
-                                                 protocol::upstream_statement const& statement)
-                                          {
-                                              apply_statement(member, statement);
-                                          }},
+      quarantine{logger, metrics}, prober{*this}, peers{fleet, random},
+      orders{loop, platform_dialect, directory, gate,
+             [this](state::member_key member, protocol::upstream_statement const& statement)
+             {
+                 apply_statement(member, statement);
+             }},
       departures{loop,
                  platform_dialect,
                  directory,
@@ -119,4 +120,57 @@
     return granted;
 }
 
+// -- paths to upstreams ---------------------------------------------------------------------------
+
+std::size_t forward_core::listed_upstreams() const
+{
+    std::size_t count = 0;
+    for (state::service const& each : routing->configuration().services)
+    {
+        count += directory.members_of(each.name).size();
+    }
+    return count;
+}
+
+void forward_core::note_connected()
+{
+    state::time_point const now = boot_now();
+    state::time_point const since = reach.lost_since();
+    if (reach.connected(now) == coordination::reach_change::restored)
+    {
+        log.write("reach", "upstreams reached again", {},
+                  {{"ms", whole_milliseconds(now - since)}});
+    }
+}
+
+void forward_core::note_connection_failed(state::member_key member, connection_failure failure)
+{
+    // A process that can't open a connection learns nothing of the path.
+    if (failure == connection_failure::local || routing == nullptr)
+    {
+        return;
+    }
+    state::time_point const now = boot_now();
+    if (reach.connection_failed(member, listed_upstreams(), now) ==
+        coordination::reach_change::lost)
+    {
+        metrics.add(forward_count::reach_losses);
+        log.write("reach", "no upstream reached", {},
+                  {{"last", to_text(failure)},
+                   {"failed", static_cast<std::int64_t>(reach.failed().size())},
+                   {"upstreams", static_cast<std::int64_t>(listed_upstreams())},
+                   {"peers", static_cast<std::int64_t>(fleet.live_count(now) - 1)}});
+    }
+    if (reach.is_lost())
+    {
+        // The path failed, not the upstream, which is neither ejected nor cold after it.
+        health.forget(member);
+        for (state::member_key const each : reach.failed())
+        {
+            health.forget(each);
+        }
+    }
+    prober.advance(now);
+}
+
 } // namespace plumdale::transport
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_failure.hpp"
 #include "decision_log.hpp"
 #include "departure_tracker.hpp"
 #include "directory_change_log.hpp"
@@ -8,6 +9,7 @@
 #include "limit_tracker.hpp"
 #include "net.hpp"
 #include "quarantine_tracker.hpp"
+#include "reach_prober.hpp"
 #include "upstream_orders.hpp"
 #include "upstream_pool.hpp"
 
@@ -17,12 +19,14 @@
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/load_update_queue.hpp>
 #include <plumdale/coordination/outlier_detector.hpp>
+#include <plumdale/coordination/peer_selector.hpp>
 #include <plumdale/coordination/retry_detector.hpp>
 #include <plumdale/coordination/route_outcomes.hpp>
 #include <plumdale/coordination/routing_table.hpp>
 #include <plumdale/coordination/send_gate.hpp>
 #include <plumdale/coordination/service_directory.hpp>
 #include <plumdale/coordination/upstream_backoffs.hpp>
+#include <plumdale/coordination/upstream_reach.hpp>
 #include <plumdale/coordination/upstream_selector.hpp>
 #include <plumdale/protocol/dialect.hpp>
 #include <plumdale/protocol/forward_settings.hpp>
@@ -113,6 +117,12 @@
     [[nodiscard]] bool take_retry(std::string const& service);
     void note_call(std::string const& service);
 
+    // -- paths to upstreams ------------------------------------------------------------
+    /// \brief Records that a connection to an upstream was opened.
+    void note_connected();
+    /// \brief Records that a connection to an upstream could not be opened.
+    void note_connection_failed(state::member_key member, connection_failure failure);
+
     net::io_context& context;
     protocol::forward_settings const& settings;
     protocol::dialect const& dialect;
@@ -137,6 +147,11 @@
     coordination::upstream_selector selector;
     quarantine_tracker quarantine;
     upstream_pool pool;
+    coordination::upstream_reach reach;
+    reach_prober prober;
+    coordination::peer_selector peers;
+    /// \brief Kept connections to peers that take this VM's calls.
+    upstream_pool peer_pool;
     upstream_orders orders;
     departure_tracker departures;
     std::shared_ptr<coordination::routing_table const> routing;
@@ -161,6 +176,10 @@
     /// \brief Those of the list that was read at the start: all other VMs read one too.
     std::vector<state::service_member> unreported_at_start;
     std::uint32_t calls_in_progress = 0;
+    /// \brief Those that peers sent.
+    std::uint32_t peer_calls_in_progress = 0;
+    /// \brief How late the last of the loop's periodic tasks ran.
+    state::duration loop_lag{};
     /// \brief Called when a generation began at an upstream, had its first event or ended there:
     /// peers select upstreams by that load.
     std::function<void(state::member_key)> on_load_changed = [](state::member_key /*member*/) {
@@ -185,6 +204,7 @@
     void apply_reported_start(state::member_key member, state::incarnation started);
     void report_evacuations(std::span<state::evacuation_change const> changes,
                             std::string_view source);
+    [[nodiscard]] std::size_t listed_upstreams() const;
     coordination::fleet_retry_budget& retry_budget_of(std::string const& service);
 
     directory_change_log change_log_;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -6,10 +6,12 @@
 #include "listener.hpp"
 #include "milliseconds.hpp"
 #include "operations_page.hpp"
+#include "peer_call_admission.hpp"
 #include "store_reader.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
 #include <plumdale/protocol/fleet_codec.hpp>
+#include <plumdale/protocol/peer_call.hpp>
 #include <plumdale/transport/forwarder.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -110,7 +112,7 @@
                [this](std::shared_ptr<caller_channel> const& channel, received_call const& call)
                { return answer_operations(*channel, call); });
         accept(streams_, [this](std::shared_ptr<caller_channel> const& channel,
-                                received_call const& call) { return answer_peer(*channel, call); });
+                                received_call const& call) { return answer_peer(channel, call); });
         wait_for_signal();
         store_.start();
         fleet_->start();
@@ -138,7 +140,7 @@
                 }
                 if (!error)
                 {
-                    open_channel(std::move(socket), start);
+                    open_channel(std::move(socket), &acceptor == &streams_, start);
                 }
                 else
                 {
@@ -148,22 +150,25 @@
             });
     }
 
-    void open_channel(tcp::socket socket, call_handler_factory const& start)
+    void open_channel(tcp::socket socket, bool is_peer, call_handler_factory const& start)
     {
         auto const channel = std::make_shared<caller_channel>(
-            std::move(socket), [this] { return options(); }, start,
+            std::move(socket), [this, is_peer] { return options(is_peer); }, start,
             [this](caller_channel& closed) { channels_.erase(&closed); });
         channels_.insert(channel.get());
         channel->start();
     }
 
-    [[nodiscard]] channel_options options() const
+    [[nodiscard]] channel_options options(bool is_peer) const
     {
         channel_options options;
+        options.is_peer = is_peer;
         if (core_.routing != nullptr)
         {
             options.limits = core_.routing->configuration().limits;
         }
+        // A peer's request has the head of its caller's in its body.
+        options.limits.body_bytes += is_peer ? 2 * options.limits.header_bytes : 0;
         options.closing = core_.closing_since != state::never;
         return options;
     }
@@ -216,8 +221,14 @@
         return nullptr;
     }
 
-    std::shared_ptr<call_handler> answer_peer(caller_channel& channel, received_call const& call)
+    std::shared_ptr<call_handler> answer_peer(std::shared_ptr<caller_channel> const& from,
+                                              received_call const& call)
     {
+        if (call.head.target == protocol::peer_call_target)
+        {
+            return start_peer_call(core_, from, call);
+        }
+        caller_channel& channel = *from;
         if (call.head.target.starts_with(configuration_exchange::target) && core_.version() != 0)
         {
             channel.answer(ok, "OK", {}, fleet_->configuration_for(call.head.target));
@@ -245,10 +256,15 @@
             log_.write(part, "did not run", {},
                        {{"ms", whole_milliseconds(now - last_maintenance_)}});
         }
+        core_.loop_lag =
+            std::max(state::duration::zero(), now - last_maintenance_ - maintenance_interval);
         last_maintenance_ = now;
         fleet_->advance();
         core_.flush_change_log(now);
         core_.pool.sweep(now);
+        core_.peer_pool.sweep(now);
+        core_.peers.sweep(now);
+        core_.prober.advance(now);
         core_.directory.forget(now);
         core_.cold_limiter.forget(now);
         core_.quarantine.sweep();
--- a/tests/platform/peer_vm.cpp
+++ b/tests/platform/peer_vm.cpp
@@ -1,9 +1,11 @@
 #include "peer_vm.hpp"
 
 #include "transport/boot_clock.hpp"
+#include "transport/peer_call_admission.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,7 +27,7 @@
 }
 
 void list_members(forward_fixture const& fixture, transport::forward_core& core,
-                  dead_address const* address)
+                  dead_address const* address, std::vector<std::size_t> const& which)
 {
     static std::uint64_t revision = 1'000;
     ++revision;
@@ -34,7 +36,12 @@
     {
         members.push_back(fixture.upstreams[i]->make_member(
             i < forward_fixture::plain_upstreams ? "plain" : "engine", revision));
-        members.back().address = address == nullptr ? members.back().address : address->endpoint();
+        bool const is_cut =
+            which.empty() || std::find(which.begin(), which.end(), i) != which.end();
+        if (address != nullptr && is_cut)
+        {
+            members.back().address = address->endpoint();
+        }
     }
     core.apply_members(members, "test");
 }
@@ -86,7 +93,7 @@
                                    tcp::endpoint{net::ip::address_v4::loopback(), 0}}
 {
     core.apply_configuration(fixture.core.configuration_text, "test");
-    list_members(fixture, core, nullptr);
+    list_members(fixture, core, nullptr, {});
     core.mark_list_whole();
     accept();
 }
@@ -94,10 +101,7 @@
 peer_vm::~peer_vm()
 {
     acceptor_.close();
-    for (auto const& channel : channels_)
-    {
-        channel->close_now();
-    }
+    drop_connections();
     fixture_.context.restart();
     fixture_.context.poll();
 }
@@ -112,19 +116,31 @@
                 return;
             }
             channels_.push_back(std::make_shared<transport::caller_channel>(
-                std::move(socket), [] { return transport::channel_options{}; },
-                [](std::shared_ptr<transport::caller_channel> const& channel,
-                   transport::received_call const& /*call*/)
+                std::move(socket),
+                []
                 {
-                    channel->answer(404, "Not Found", {}, {});
-                    return nullptr;
+                    transport::channel_options options;
+                    options.is_peer = true;
+                    return options;
                 },
+                [this](std::shared_ptr<transport::caller_channel> const& channel,
+                       transport::received_call const& call)
+                { return transport::start_peer_call(core, channel, call); },
                 [](transport::caller_channel&) {}));
             channels_.back()->start();
             accept();
         });
 }
 
+void peer_vm::drop_connections()
+{
+    for (auto const& channel : channels_)
+    {
+        channel->close_now();
+    }
+    channels_.clear();
+}
+
 void peer_vm::join()
 {
     coordination::fleet_update update;
@@ -140,14 +156,14 @@
 // -- paths ----------------------------------------------------------------------------------------
 
 void cut_paths(forward_fixture const& fixture, transport::forward_core& core,
-               dead_address const& address)
+               dead_address const& address, std::vector<std::size_t> const& which)
 {
-    list_members(fixture, core, &address);
+    list_members(fixture, core, &address, which);
 }
 
 void restore_paths(forward_fixture const& fixture, transport::forward_core& core)
 {
-    list_members(fixture, core, nullptr);
+    list_members(fixture, core, nullptr, {});
 }
 
 } // namespace plumdale::test
--- a/tests/platform/peer_vm.hpp
+++ b/tests/platform/peer_vm.hpp
@@ -48,6 +48,8 @@
 
     /// \brief Has the fixture's VM know this one as a live peer.
     void join();
+    /// \brief Closes all connections from other VMs, like a process that ends.
+    void drop_connections();
 
     protocol::forward_settings settings;
     transport::forward_core core;
@@ -62,8 +64,9 @@
 };
 
 /// \brief Takes away the paths of a VM to a fixture's upstreams; its open connections live on.
+/// `which` are the upstreams, by number; all if empty.
 void cut_paths(forward_fixture const& fixture, transport::forward_core& core,
-               dead_address const& address);
+               dead_address const& address, std::vector<std::size_t> const& which = {});
 /// \brief Gives a VM its paths to a fixture's upstreams back.
 void restore_paths(forward_fixture const& fixture, transport::forward_core& core);
 
