Brittle upstreams get no more requests that they might refuse than they bear

Class: a bound over all VMs that each has to keep by itself. refusal_bounds counts requests that are open together with the refusals of the last second, within a share for each VM; VMs without a share have a peer with one send their calls.

A setting, upstream_source, names the address from which connections to upstreams are opened, so that the soak can tell VMs apart at upstreams.

--- a/include/plumdale/coordination/fleet_update.hpp
+++ b/include/plumdale/coordination/fleet_update.hpp
@@ -62,6 +62,8 @@
     /// \brief The sender lacks evidence and requests the receiver's.
     bool requests_evidence = false;
     std::vector<state::stated_limit> limits;
+    /// \brief Refusals per second that upstreams bear, in place of requests.
+    std::vector<state::stated_limit> refusal_limits;
     /// \brief Number of the broadcast that the receiver forwards within `range`; zero for none.
     std::uint64_t broadcast_id = 0;
     broadcast_range range;
--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -9,6 +9,8 @@
 {
 
 enum class answer_outcome : std::uint8_t;
+enum class reach_change : std::uint8_t;
+enum class send_outcome : std::uint8_t;
 enum class share_status : std::uint8_t;
 enum class dispatch_verdict : std::uint8_t;
 enum class lifecycle_event : std::uint8_t;
@@ -70,7 +72,9 @@
 class store_position_tracker;
 class duration_estimator;
 class two_choices;
+class refusal_bounds;
 class upstream_limits;
+class upstream_reach;
 class upstream_list;
 struct answer_operator;
 struct event_counts;
--- a/include/plumdale/coordination/peer_selector.hpp
+++ b/include/plumdale/coordination/peer_selector.hpp
@@ -30,6 +30,7 @@
     unreachable, ///< No connection to it.
     declined,    ///< It reaches no upstream itself, is busy, or leaves.
     out_of_step, ///< It follows another configuration; one of the two catches up.
+    at_capacity, ///< Its shares of upstreams are in use.
 };
 
 /// \brief Selects live peers at random, so that calls spread evenly over all that can help, and
@@ -42,8 +43,10 @@
     {
     }
 
-    /// \brief Returns a live peer that is not in `excluded`; none if there is none.
-    [[nodiscard]] std::optional<selected_peer> choose(std::span<state::node_id const> excluded,
+    /// \brief Returns a live peer of `candidates`, of all if that is empty, that is not in
+    /// `excluded`; none if there is none.
+    [[nodiscard]] std::optional<selected_peer> choose(std::span<state::node_id const> candidates,
+                                                      std::span<state::node_id const> excluded,
                                                       state::time_point now);
     /// \brief Passes over a peer for a while.
     void refused(state::node_id node, peer_refusal why, state::time_point now);
@@ -52,9 +55,11 @@
     /// \brief A peer that has lost its own paths tells so at once, and for seconds.
     static constexpr state::duration declined_time = std::chrono::milliseconds{500};
     /// \brief A peer that ended counts as live for longer than a call takes to fail there.
-    static constexpr state::duration unreachable_time = std::chrono::seconds{2};
+    static constexpr state::duration unreachable_time = std::chrono::seconds{1};
     /// \brief A configuration reaches all VMs within some tens of milliseconds.
     static constexpr state::duration out_of_step_time = std::chrono::milliseconds{50};
+    /// \brief A share is free again with the next answer.
+    static constexpr state::duration at_capacity_time = std::chrono::milliseconds{10};
 
 private:
     fleet_view const& fleet_;
--- a/include/plumdale/coordination/send_gate.hpp
+++ b/include/plumdale/coordination/send_gate.hpp
@@ -2,6 +2,7 @@
 
 #include <plumdale/coordination/cold_upstream_limiter.hpp>
 #include <plumdale/coordination/outlier_detector.hpp>
+#include <plumdale/coordination/refusal_bounds.hpp>
 #include <plumdale/coordination/service_directory.hpp>
 #include <plumdale/coordination/upstream_backoffs.hpp>
 #include <plumdale/coordination/upstream_limits.hpp>
@@ -21,7 +22,7 @@
 /// Everything that leaves this VM for an upstream passes the gate when it is sent: what was chosen
 /// a moment ago may not be sent any more. Example:
 /// \code
-/// send_gate gate{directory, health, backoffs, cold_limiter, limits};
+/// send_gate gate{directory, health, backoffs, cold_limiter, limits, refusals};
 /// if (gate.may_send(entry, service, now)) { send(); gate.note_sent(entry, service, now); }
 /// \endcode
 class send_gate
@@ -29,14 +30,14 @@
 public:
     send_gate(service_directory const& directory, outlier_detector const& health,
               upstream_backoffs& backoffs, cold_upstream_limiter& cold_limiter,
-              upstream_limits& limits) noexcept
+              upstream_limits& limits, refusal_bounds& refusals) noexcept
         : directory_{directory}, health_{health}, backoffs_{backoffs},
-          cold_limiter_{cold_limiter}, limits_{limits}
+          cold_limiter_{cold_limiter}, limits_{limits}, refusals_{refusals}
     {
     }
 
     /// \brief Returns whether a call may be sent: the upstream takes work and asked for no
-    /// back-off, and this VM has not used up its shares of the upstream's stated limit and of its
+    /// back-off, and this VM has not used up its shares of the upstream's stated limits and of its
     /// limit while cold.
     [[nodiscard]] bool may_send(directory_entry const& entry, state::service const& service,
                                 state::time_point now) const;
@@ -49,6 +50,10 @@
     /// keep calls from all that take work; none otherwise.
     [[nodiscard]] std::optional<state::time_point> backoffs_end(std::string_view service,
                                                                 state::time_point now) const;
+    /// \brief Returns an upstream of a service that only this VM's share of the refusals it bears
+    /// keeps calls from, if there is no other way; `first` is where the search begins.
+    [[nodiscard]] std::optional<state::member_key>
+    kept_by_refusals(state::service const& service, std::size_t first, state::time_point now) const;
     /// \brief Returns whether an upstream is considered cold.
     [[nodiscard]] bool is_cold(directory_entry const& entry, state::service const& service,
                                state::time_point now) const;
@@ -64,6 +69,7 @@
     upstream_backoffs& backoffs_;
     cold_upstream_limiter& cold_limiter_;
     upstream_limits& limits_;
+    refusal_bounds& refusals_;
 };
 
 } // namespace plumdale::coordination
--- a/include/plumdale/coordination/upstream_limits.hpp
+++ b/include/plumdale/coordination/upstream_limits.hpp
@@ -26,6 +26,15 @@
     removed
 };
 
+/// \brief A limit for all entry VMs together, and this VM's place among them.
+struct shared_limit
+{
+    double per_second = 0.0;
+    /// \brief VMs with a lower rank for this upstream.
+    std::size_t rank = 0;
+    std::size_t vms = 1;
+};
+
 /// \brief Keeps a fleet within the limits that its upstreams state.
 ///
 /// A limit that one VM reads in an answer is sent to all. Some VMs, chosen by rank for each
@@ -58,6 +67,12 @@
 
     /// \brief Returns the limit in force for an upstream; none if there is none.
     [[nodiscard]] std::optional<double> limit_of(state::member_key member) const;
+    /// \brief Returns the limit in force for an upstream with this VM's rank; none if there is
+    /// none.
+    [[nodiscard]] std::optional<shared_limit> shared_limit_of(state::member_key member) const;
+    /// \brief Returns the peers among the `count` VMs of the lowest ranks for an upstream.
+    [[nodiscard]] std::vector<state::node_id> peers_of_lowest_ranks(state::member_key member,
+                                                                    std::size_t count) const;
     /// \brief Returns how many VMs send to an upstream with this limit.
     [[nodiscard]] static std::size_t sender_count(double per_second, std::size_t vms) noexcept;
     /// \brief Returns and removes the statements to be sent to all peers.
--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -79,6 +79,8 @@
     std::optional<state::duration> cold_for;
     /// \brief Requests per second that it accepts from all entry VMs together.
     std::optional<double> request_limit;
+    /// \brief Refusals per second, of requests of all entry VMs together, above which it ends.
+    std::optional<double> refusal_limit;
 };
 
 /// \brief Headers of an upstream's answer that the system evaluates.
--- a/include/plumdale/protocol/forward_settings.hpp
+++ b/include/plumdale/protocol/forward_settings.hpp
@@ -29,6 +29,8 @@
     /// \brief Initial peers; their port is replaced by this VM's datagram port.
     std::vector<state::endpoint> seeds;
     std::string fleet_key;
+    /// \brief Address and port from which connections to upstreams are opened; zeros for any.
+    state::endpoint upstream_source;
     /// \brief Time from SIGTERM until the platform kills the process.
     state::duration grace = std::chrono::seconds{8};
     /// \brief Longest delay of a stream's event in transit that the callers' objective allows.
--- a/include/plumdale/state/error_kind.hpp
+++ b/include/plumdale/state/error_kind.hpp
@@ -28,6 +28,7 @@
     not_ready,
     peer_declined,
     peer_out_of_step,
+    peer_at_capacity,
     key_in_doubt,
     key_in_use,
     owner_unreachable,
--- a/src/coordination/peer_selector.cpp
+++ b/src/coordination/peer_selector.cpp
@@ -5,8 +5,18 @@
 
 namespace plumdale::coordination
 {
+namespace
+{
+
+bool contains(std::span<state::node_id const> nodes, state::node_id node)
+{
+    return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+}
+
+} // namespace
 
-std::optional<selected_peer> peer_selector::choose(std::span<state::node_id const> excluded,
+std::optional<selected_peer> peer_selector::choose(std::span<state::node_id const> candidates,
+                                                   std::span<state::node_id const> excluded,
                                                    state::time_point now)
 {
     std::optional<selected_peer> chosen;
@@ -17,7 +27,7 @@
         bool const may_help =
             fleet_.is_live(peer, now) &&
             (passed_over == passed_over_until_.end() || now >= passed_over->second) &&
-            std::find(excluded.begin(), excluded.end(), node) == excluded.end();
+            (candidates.empty() || contains(candidates, node)) && !contains(excluded, node);
         if (!may_help)
         {
             continue;
@@ -34,8 +44,8 @@
 
 void peer_selector::refused(state::node_id node, peer_refusal why, state::time_point now)
 {
-    static constexpr std::array<state::duration, 3> times{unreachable_time, declined_time,
-                                                          out_of_step_time};
+    static constexpr std::array<state::duration, 4> times{unreachable_time, declined_time,
+                                                          out_of_step_time, at_capacity_time};
     passed_over_until_[node] = now + times[static_cast<std::size_t>(why)];
 }
 
--- a/src/coordination/send_gate.cpp
+++ b/src/coordination/send_gate.cpp
@@ -10,7 +10,8 @@
 {
     state::member_key const key = state::key_of(entry.info);
     bool const is_open = directory_.may_take_work(entry, now) &&
-                         !backoffs_.is_backing_off(key, now) && limits_.may_send(key, now);
+                         !backoffs_.is_backing_off(key, now) && limits_.may_send(key, now) &&
+                         refusals_.may_send(key, now);
     if (!is_open)
     {
         return false;
@@ -20,11 +21,13 @@
 
 // A generation is lost if its resumption can't be sent, and an upstream gets no more resumptions
 // than it has memory for. They may exceed this VM's share of what a cold upstream may get or of a
-// stated limit, and they count towards both.
+// stated limit, and they count towards both. An upstream that ends of one refusal too many loses
+// all its generations, so the bound on refusals holds for them too.
 bool send_gate::may_resume(directory_entry const& entry, state::time_point now) const
 {
     return directory_.may_take_work(entry, now) &&
-           backoffs_.may_send_exception(state::key_of(entry.info), now);
+           backoffs_.may_send_exception(state::key_of(entry.info), now) &&
+           refusals_.may_send(state::key_of(entry.info), now);
 }
 
 // Orders go to upstreams that leave as well: most of them fetch what is still there.
@@ -50,6 +53,26 @@
     return first == state::never ? std::nullopt : std::optional{first};
 }
 
+std::optional<state::member_key> send_gate::kept_by_refusals(state::service const& service,
+                                                             std::size_t first,
+                                                             state::time_point now) const
+{
+    auto const members = directory_.members_of(service.name);
+    for (std::size_t i = 0; i < members.size(); ++i)
+    {
+        state::member_key const key = members[(first + i) % members.size()];
+        directory_entry const* const entry = directory_.find(key);
+        bool const is_kept = entry != nullptr && directory_.may_take_work(*entry, now) &&
+                             !backoffs_.is_backing_off(key, now) && limits_.may_send(key, now) &&
+                             !refusals_.may_send(key, now);
+        if (is_kept)
+        {
+            return key;
+        }
+    }
+    return std::nullopt;
+}
+
 // An upstream that was unreachable for a while may have become cold, and all entry VMs find it
 // empty at the same moment.
 bool send_gate::is_cold(directory_entry const& entry, state::service const& service,
@@ -75,6 +98,7 @@
     }
     limits_.note_sent(key, now);
     backoffs_.note_sent(key, now);
+    refusals_.note_sent(key);
 }
 
 void send_gate::note_ordered(state::member_key member, state::time_point now)
--- a/src/coordination/upstream_limits.cpp
+++ b/src/coordination/upstream_limits.cpp
@@ -171,6 +171,39 @@
     return found == rows_.end() ? std::nullopt : found->second.per_second;
 }
 
+std::optional<shared_limit> upstream_limits::shared_limit_of(state::member_key member) const
+{
+    auto const found = rows_.find(member);
+    if (found == rows_.end() || !found->second.per_second)
+    {
+        return std::nullopt;
+    }
+    row const& limit = found->second;
+    return shared_limit{*limit.per_second, limit.rank, limit.vms};
+}
+
+std::vector<state::node_id> upstream_limits::peers_of_lowest_ranks(state::member_key member,
+                                                                   std::size_t count) const
+{
+    std::vector<std::pair<std::uint64_t, state::node_id>> ranks;
+    for (auto const& [node, peer] : fleet_.peers())
+    {
+        ranks.emplace_back(state::mix(node.value, member.value), node);
+    }
+    ranks.emplace_back(state::mix(self_.value, member.value), self_);
+    std::sort(ranks.begin(), ranks.end());
+    ranks.resize(std::min(count, ranks.size()));
+    std::vector<state::node_id> nodes;
+    for (auto const& [rank, node] : ranks)
+    {
+        if (node != self_)
+        {
+            nodes.push_back(node);
+        }
+    }
+    return nodes;
+}
+
 void upstream_limits::sweep(state::time_point now)
 {
     std::erase_if(rows_, [now](auto const& each) { return now >= each.second.as_of + lifetime; });
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -74,6 +74,7 @@
   evidence @19 :List(RequestEvidence);
   limits @20 :List(StatedLimit);
   asksEvidence @21 :Bool;
+  refusalLimits @22 :List(StatedLimit);
 }
 
 struct ConfigurationOffer {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -187,6 +187,10 @@
     {
         update.limits.push_back(read(each));
     }
+    for (auto const each : from.getRefusalLimits())
+    {
+        update.refusal_limits.push_back(read(each));
+    }
     return update;
 }
 
@@ -240,6 +244,9 @@
                        update.evidence);
             write_rows(to.initLimits(static_cast<unsigned int>(update.limits.size())),
                        update.limits);
+            write_rows(
+                to.initRefusalLimits(static_cast<unsigned int>(update.refusal_limits.size())),
+                update.refusal_limits);
         });
     return with_mac({text.data(), text.size()}, fleet_key);
 }
--- a/src/protocol/forward_settings.cpp
+++ b/src/protocol/forward_settings.cpp
@@ -70,6 +70,7 @@
     reader.endpoint("datagrams", settings.datagrams);
     reader.endpoint("streams", settings.streams);
     reader.endpoint("platform", settings.platform);
+    reader.endpoint("upstream_source", settings.upstream_source);
     reader.endpoints("seeds", settings.seeds);
     reader.seconds("grace_s", settings.grace, 0.0, hour_s);
     reader.milliseconds("event_delay_ms", settings.event_delay, 1, hour_ms);
--- a/src/state/error_kind.cpp
+++ b/src/state/error_kind.cpp
@@ -41,6 +41,8 @@
      "This entry VM takes no call of its peers now."},
     {error_kind::peer_out_of_step, "peer_out_of_step", 503, not_run, true, 6,
      "This entry VM follows another configuration than the peer that asks."},
+    {error_kind::peer_at_capacity, "peer_at_capacity", 503, not_run, true, 6,
+     "This entry VM has used up its shares of upstreams for a moment."},
     {error_kind::key_in_doubt, "key_in_doubt", 409, not_run, true, 7,
      "This attempt was not run; an earlier one under this key may have been."},
     {error_kind::key_in_use, "key_in_use", 409, not_run, false, 7,
--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -33,12 +33,28 @@
     return std::chrono::duration_cast<state::duration>(std::chrono::duration<double>{value});
 }
 
+/// \brief Returns why a peer took no call, if the error says so.
+std::optional<peer_refusal> decline_of(error_kind kind)
+{
+    switch (kind)
+    {
+    case error_kind::peer_declined:
+        return peer_refusal::declined;
+    case error_kind::peer_out_of_step:
+        return peer_refusal::out_of_step;
+    case error_kind::peer_at_capacity:
+        return peer_refusal::at_capacity;
+    default:
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 call_through_peer::call_through_peer(forward_core& core, std::shared_ptr<caller_channel> channel,
-                                     admitted_call admitted)
-    : core_{core}, channel_{std::move(channel)}, admitted_{std::move(admitted)}, timer_{
-                                                                                     core.context}
+                                     admitted_call admitted, std::vector<state::node_id> peers)
+    : core_{core}, channel_{std::move(channel)}, admitted_{std::move(admitted)},
+      timer_{core.context}, peers_{std::move(peers)}
 {
     ++core_.calls_in_progress;
 }
@@ -68,7 +84,8 @@
 void call_through_peer::ask_next()
 {
     state::time_point const now = boot_now();
-    auto const peer = asked_.size() < max_peers ? core_.peers.choose(asked_, now) : std::nullopt;
+    auto const peer =
+        asked_.size() < max_peers ? core_.peers.choose(peers_, asked_, now) : std::nullopt;
     if (!peer || now >= admitted_.deadline)
     {
         return refuse_unsent(peer ? "time is over" : "no peer takes it");
@@ -181,13 +198,9 @@
     {
         return forward_answer();
     }
-    if (*refusal_ == error_kind::peer_declined)
-    {
-        return peer_refused(peer_refusal::declined);
-    }
-    if (*refusal_ == error_kind::peer_out_of_step)
+    if (auto const declined = decline_of(*refusal_))
     {
-        return peer_refused(peer_refusal::out_of_step);
+        return peer_refused(*declined);
     }
     forward_refusal(*refusal_);
 }
--- a/src/transport/call_through_peer.hpp
+++ b/src/transport/call_through_peer.hpp
@@ -27,9 +27,10 @@
                                 public std::enable_shared_from_this<call_through_peer>
 {
 public:
-    /// \brief `admitted` has the sends that may have run before.
+    /// \brief `admitted` has the sends that may have run before; only `peers` are asked, or all if
+    /// there are none.
     call_through_peer(forward_core& core, std::shared_ptr<caller_channel> channel,
-                      admitted_call admitted);
+                      admitted_call admitted, std::vector<state::node_id> peers);
     ~call_through_peer() override;
 
     void start();
@@ -72,6 +73,7 @@
     net::steady_timer timer_;
     std::shared_ptr<upstream_exchange> exchange_;
     coordination::selected_peer peer_;
+    std::vector<state::node_id> peers_;
     std::vector<state::node_id> asked_;
     protocol::message_head head_;
     /// \brief The error with which the peer refused the call.
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -150,6 +150,7 @@
     core_.apply_evacuations(update.evacuations, part);
     core_.quarantine.apply_updates(update.evidence);
     core_.limits.apply_updates(update.limits);
+    core_.refusal_limits.apply_updates(update.refusal_limits);
     apply_members(update);
     state::time_point const now = boot_now();
     // All entry VMs use the same ports.
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -70,6 +70,8 @@
     void advance_members();
     void send_full_update();
     void send_status();
+    void broadcast_limits(limit_tracker& limits,
+                          std::vector<state::stated_limit> coordination::fleet_update::*rows);
     void send_confirmed_limits();
     void announce_members();
     void record_sent_status(coordination::fleet_update const& update);
--- a/src/transport/fleet_exchange_sending.cpp
+++ b/src/transport/fleet_exchange_sending.cpp
@@ -176,12 +176,19 @@
 
 void fleet_exchange::announce_limits()
 {
-    std::vector<state::stated_limit> const unreported = core_.limits.known().unreported(boot_now());
+    broadcast_limits(core_.limits, &fleet_update::limits);
+    broadcast_limits(core_.refusal_limits, &fleet_update::refusal_limits);
+}
+
+void fleet_exchange::broadcast_limits(limit_tracker& limits,
+                                      std::vector<state::stated_limit> fleet_update::*rows)
+{
+    std::vector<state::stated_limit> const unreported = limits.known().unreported(boot_now());
     for (auto const part :
          split_rows(std::span{std::as_const(unreported)}, fleet_update::max_limits))
     {
         fleet_update update;
-        update.limits.assign(part.begin(), part.end());
+        (update.*rows).assign(part.begin(), part.end());
         broadcast(update);
     }
 }
@@ -190,8 +197,12 @@
 void fleet_exchange::send_confirmed_limits()
 {
     fleet_update update = make_update();
-    update.limits = core_.limits.known().confirmed(fleet_update::max_limits, boot_now());
-    if (!update.limits.empty())
+    state::time_point const now = boot_now();
+    update.limits = core_.limits.known().confirmed(fleet_update::max_limits, now);
+    // Both kinds fit into one datagram.
+    update.refusal_limits = core_.refusal_limits.known().confirmed(
+        fleet_update::max_limits - update.limits.size(), now);
+    if (!update.limits.empty() || !update.refusal_limits.empty())
     {
         send(update, recipients());
     }
@@ -246,12 +257,13 @@
     for (broadcast_target const& target :
          targets_of(from.range, from.broadcast_id, peers, fan_out_for(peers.size())))
     {
-        bool const has_rows =
-            !from.members.empty() || !from.evidence.empty() || !from.limits.empty();
+        bool const has_rows = !from.members.empty() || !from.evidence.empty() ||
+                              !from.limits.empty() || !from.refusal_limits.empty();
         fleet_update update = has_rows ? make_update() : make_update_with_orders();
         update.members = from.members;
         update.evidence = from.evidence;
         update.limits = from.limits;
+        update.refusal_limits = from.refusal_limits;
         update.broadcast_id = from.broadcast_id;
         update.range = target.subrange;
         update.has_range = target.has_subrange;
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -40,7 +40,8 @@
         core_.note_call(admitted_.service->name);
         admitted_.origin.is_counted = true;
     }
-    wait_until_ = admitted_.call.read_at + longest_wait();
+    // A call of a peer has waited there, but not yet for this VM's shares of upstreams.
+    wait_until_ = boot_now() + longest_wait();
     dispatch();
 }
 
@@ -81,6 +82,10 @@
                                      : state::error_kind::no_upstream,
                       "all zones with upstreams are evacuated");
     }
+    if (give_way_to_refusals(now))
+    {
+        return;
+    }
     auto const backoffs_end = core_.gate.backoffs_end(admitted_.service->name, now);
     if (backoffs_end && *backoffs_end > wait_until_)
     {
@@ -123,7 +128,7 @@
     }
     if (has_connected_to_none())
     {
-        return give_to_other_vm("no upstream reached");
+        return give_to_other_vm("no upstream reached", state::error_kind::peer_declined);
     }
     if (may_have_run())
     {
@@ -160,6 +165,7 @@
     upstream_exchange::options options;
     options.member = member;
     options.address = entry->info.address;
+    options.source = core_.settings.upstream_source;
     options.without_body = admitted_.call.head.method == "HEAD";
     options.max_idle = admitted_.route->kind == state::call_kind::idempotent
                            ? idempotent_max_idle
@@ -206,6 +212,7 @@
     }
     is_cold_ = core_.gate.is_cold(*entry, *admitted_.service, now);
     core_.gate.note_sent(*entry, *admitted_.service, now);
+    is_open_ = true;
     sent_at_ = now;
     first_sent_at_ = sends_ == 0 ? now : first_sent_at_;
     ++sends_;
@@ -232,7 +239,7 @@
     bool const is_last = tries_ >= try_limit || core_.reach.is_lost();
     if (is_last && has_connected_to_none())
     {
-        return give_to_other_vm(why);
+        return give_to_other_vm(why, state::error_kind::peer_declined);
     }
     if (tries_ >= try_limit)
     {
@@ -252,9 +259,33 @@
     return tries_ > 0 && failed_connections_ == tries_;
 }
 
-void forward_call::give_to_other_vm(std::string_view why)
+void forward_call::give_to_other_vm(std::string_view why, state::error_kind decline,
+                                    std::vector<state::node_id> peers)
+{
+    if (may_use_peer())
+    {
+        return hand_to_peer(why, std::move(peers));
+    }
+    // Only a call that this VM has not run itself may be sent by another one.
+    bool const has_run_here = possible_runs_ > admitted_.origin.possible_runs;
+    refuse(has_run_here ? state::error_kind::may_have_run : decline, why);
+}
+
+bool forward_call::give_way_to_refusals(state::time_point now)
 {
-    may_use_peer() ? hand_to_peer(why) : refuse(state::error_kind::peer_declined, why);
+    bool const is_at_capacity = blocking_limit_ != coordination::admission_limit::none;
+    auto const kept = is_at_capacity || is_resumption()
+                          ? std::nullopt
+                          : core_.gate.kept_by_refusals(*admitted_.service, core_.random(), now);
+    // With a share that is in use, it is free again as soon as an answer begins.
+    bool const gives_way = kept && (now >= wait_until_ || core_.refusals.share_of(*kept) == 0);
+    if (gives_way)
+    {
+        give_to_other_vm("no share of the refusals that upstreams bear",
+                         state::error_kind::peer_at_capacity,
+                         core_.refusals.peers_with_share(*kept));
+    }
+    return gives_way;
 }
 
 bool forward_call::may_use_peer() const
@@ -262,7 +293,7 @@
     return !admitted_.origin.is_peer && !is_resumption();
 }
 
-void forward_call::hand_to_peer(std::string_view why)
+void forward_call::hand_to_peer(std::string_view why, std::vector<state::node_id> peers)
 {
     log("handed to a peer", why);
     admitted_call call = admitted_;
@@ -270,7 +301,8 @@
     auto const channel = channel_;
     auto& core = core_;
     finish();
-    auto const handler = std::make_shared<call_through_peer>(core, channel, std::move(call));
+    auto const handler =
+        std::make_shared<call_through_peer>(core, channel, std::move(call), std::move(peers));
     channel->hand_over(handler);
     handler->start();
 }
@@ -297,6 +329,7 @@
         exchange_->cancel();
         exchange_ = nullptr;
     }
+    settle(coordination::send_outcome::unknown);
     drop_load(load_);
 }
 
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -154,10 +154,15 @@
     [[nodiscard]] bool may_use_peer() const;
     /// \brief Returns whether the call was tried and no connection could be opened for it.
     [[nodiscard]] bool has_connected_to_none() const noexcept;
-    /// \brief Has a peer take the call, or declines it if it is a peer's.
-    void give_to_other_vm(std::string_view why);
+    /// \brief Has a peer take the call, one of `peers` unless that is empty, or refuses it with
+    /// `decline` if it is a peer's.
+    void give_to_other_vm(std::string_view why, state::error_kind decline,
+                          std::vector<state::node_id> peers = {});
+    /// \brief Gives the call to another VM if this VM's shares of what brittle upstreams bear keep
+    /// it from all; returns whether it did.
+    [[nodiscard]] bool give_way_to_refusals(state::time_point now);
     /// \brief Ends this call and has a peer take it; the last action on it.
-    void hand_to_peer(std::string_view why);
+    void hand_to_peer(std::string_view why, std::vector<state::node_id> peers = {});
     /// \brief Retries or refuses the call after its upstream failed and may have run it.
     void retry_or_refuse(std::string_view why);
     void refuse(state::error_kind kind, std::string_view why);
@@ -213,6 +218,8 @@
     bool is_waiting_ = false;
     /// \brief The upstream counted as cold when the call was sent.
     bool is_cold_ = false;
+    /// \brief The request that was sent last is neither accepted nor refused yet.
+    bool is_open_ = false;
     bool has_head_ = false;
     bool finished_ = false;
 
@@ -224,6 +231,8 @@
     void refuse_backed_off(state::time_point end, state::time_point now);
     /// \brief Records the evidence on the request that the end of its exchange gives.
     void note_evidence(exchange_end end);
+    /// \brief Records how the upstream took the request that was sent last, once.
+    void settle(coordination::send_outcome outcome);
     void note_unreachable();
     [[nodiscard]] bool has_mismatched_id() const;
     [[nodiscard]] bool is_refused_by_upstream(exchange_end end) const;
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -30,12 +30,20 @@
         core_.apply_statement(member_, answer_.statement);
     }
     // A refusal that states no limit doesn't mean that there is none, nor does a late answer.
-    bool const ends_limit = !answer_.statement.request_limit && !answer_.not_run &&
-                            !answer_.misdirected && !has_mismatched_id();
-    if (ends_limit)
+    bool const ends_limits = !answer_.not_run && !answer_.misdirected && !has_mismatched_id();
+    if (ends_limits && !answer_.statement.request_limit)
     {
         core_.limits.answered(member_, std::nullopt);
     }
+    if (ends_limits && !answer_.statement.refusal_limit)
+    {
+        core_.refusal_limits.answered(member_, std::nullopt);
+    }
+    if (!has_mismatched_id())
+    {
+        settle(answer_.not_run ? coordination::send_outcome::refused
+                               : coordination::send_outcome::accepted);
+    }
     exchange_->keep_alive(answer_.keep_alive, answer_.closes);
 }
 
@@ -47,6 +55,14 @@
     exchange_ended(end);
 }
 
+void forward_call::settle(coordination::send_outcome outcome)
+{
+    if (std::exchange(is_open_, false))
+    {
+        core_.refusals.note_settled(member_, outcome, boot_now());
+    }
+}
+
 void forward_call::note_unreachable()
 {
     connection_failure_ = exchange_->failure();
--- a/src/transport/forward_call_log.cpp
+++ b/src/transport/forward_call_log.cpp
@@ -53,6 +53,8 @@
                                  core_.quarantine.known().ended_upstream_count(admitted_.request))},
          {"stated_limit_per_minute", per_minute(answer_.statement.request_limit)},
          {"known_limit_per_minute", per_minute(core_.limits.known().limit_of(member_))},
+         {"stated_refusals_per_minute", per_minute(answer_.statement.refusal_limit)},
+         {"known_refusals_per_minute", per_minute(core_.refusal_limits.known().limit_of(member_))},
          {"stated_leaving", answer_.statement.leaves ? 1 : 0},
          {"known_leaving", entry != nullptr && entry->info.leaving ? 1 : 0},
          {"stated_backoff_ms",
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -20,6 +20,7 @@
 #include <plumdale/coordination/load_update_queue.hpp>
 #include <plumdale/coordination/outlier_detector.hpp>
 #include <plumdale/coordination/peer_selector.hpp>
+#include <plumdale/coordination/refusal_bounds.hpp>
 #include <plumdale/coordination/retry_detector.hpp>
 #include <plumdale/coordination/route_outcomes.hpp>
 #include <plumdale/coordination/routing_table.hpp>
@@ -140,7 +141,11 @@
     coordination::outlier_detector health;
     coordination::fleet_view fleet;
     coordination::cold_upstream_limiter cold_limiter;
+    /// \brief Requests per second that upstreams take.
     limit_tracker limits;
+    /// \brief Refusals per second that brittle upstreams bear.
+    limit_tracker refusal_limits;
+    coordination::refusal_bounds refusals;
     coordination::upstream_backoffs backoffs;
     coordination::send_gate gate;
     coordination::upstream_subset subset;
--- a/src/transport/forward_core_upstreams.cpp
+++ b/src/transport/forward_core_upstreams.cpp
@@ -193,6 +193,10 @@
     {
         directory.note_cold(member, *statement.cold_for, boot_now());
     }
+    if (statement.refusal_limit)
+    {
+        refusal_limits.answered(member, statement.refusal_limit);
+    }
     if (statement.request_limit)
     {
         limits.answered(member, statement.request_limit);
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -89,7 +89,7 @@
         {
             fleet_->announce_evidence();
         };
-        core_.limits.on_changed = [this]
+        core_.limits.on_changed = core_.refusal_limits.on_changed = [this]
         {
             fleet_->announce_limits();
         };
@@ -269,6 +269,8 @@
         core_.cold_limiter.forget(now);
         core_.quarantine.sweep();
         core_.limits.sweep();
+        core_.refusal_limits.sweep();
+        core_.refusals.sweep(now);
         core_.backoffs.sweep(now);
         core_.departures.sweep();
         log_readiness_change();
--- a/src/transport/limit_tracker.cpp
+++ b/src/transport/limit_tracker.cpp
@@ -13,7 +13,6 @@
 
 using coordination::limit_change;
 
-constexpr std::string_view part = "limit";
 constexpr std::string_view own = "own call";
 constexpr std::string_view peer = "fleet";
 constexpr std::array<std::string_view, 4> decisions{"", "stated", "another value", "ended"};
@@ -29,8 +28,9 @@
 }
 
 limit_tracker::limit_tracker(coordination::fleet_view const& fleet, state::node_id self,
-                             coordination::service_directory const& directory, decision_log& log)
-    : fleet_{fleet}, directory_{directory}, log_{log}, known_{fleet, self}
+                             coordination::service_directory const& directory, decision_log& log,
+                             std::string_view part)
+    : fleet_{fleet}, directory_{directory}, log_{log}, part_{part}, known_{fleet, self}
 {
 }
 
@@ -63,7 +63,7 @@
     coordination::directory_entry const* const entry = directory_.find(member);
     auto const limit = known_.limit_of(member);
     std::size_t const vms = fleet_.peers().size() + 1;
-    log_.write(part, decisions[static_cast<std::size_t>(change)], {},
+    log_.write(part_, decisions[static_cast<std::size_t>(change)], {},
                {{"upstream", entry == nullptr ? std::string_view{} : entry->info.name},
                 {"per_minute", per_minute(limit)},
                 {"senders", static_cast<std::int64_t>(coordination::upstream_limits::sender_count(
--- a/src/transport/limit_tracker.hpp
+++ b/src/transport/limit_tracker.hpp
@@ -20,8 +20,10 @@
 class limit_tracker
 {
 public:
+    /// \brief `part` names what is limited in log lines.
     limit_tracker(coordination::fleet_view const& fleet, state::node_id self,
-                  coordination::service_directory const& directory, decision_log& log);
+                  coordination::service_directory const& directory, decision_log& log,
+                  std::string_view part);
 
     /// \brief Records that an upstream answered this VM and stated this limit or none.
     void answered(state::member_key member, std::optional<double> per_second);
@@ -50,6 +52,7 @@
     coordination::fleet_view const& fleet_;
     coordination::service_directory const& directory_;
     decision_log& log_;
+    std::string_view part_;
     coordination::upstream_limits known_;
 };
 
--- a/src/transport/net.hpp
+++ b/src/transport/net.hpp
@@ -26,4 +26,16 @@
     return {where.address().to_v4().to_uint(), where.port()};
 }
 
+/// \brief Opens `socket` and binds it to `source`, unless that is zero.
+inline boost::system::error_code open_from(tcp::socket& socket, state::endpoint source)
+{
+    boost::system::error_code error;
+    socket.open(tcp::v4(), error);
+    if (!error && source.address != 0)
+    {
+        socket.bind(to_tcp(source), error);
+    }
+    return error;
+}
+
 } // namespace plumdale::transport
--- a/src/transport/reach_prober.cpp
+++ b/src/transport/reach_prober.cpp
@@ -88,6 +88,10 @@
 {
     core_.metrics.add(forward_count::reach_probes);
     auto const pending = std::make_shared<pending_probe>(core_.context);
+    if (open_from(pending->socket, core_.settings.upstream_source))
+    {
+        return;
+    }
     pending->timer.expires_after(upstream_exchange::connect_timeout);
     // A socket that is closed ends its connecting with an error.
     pending->timer.async_wait(
--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -56,6 +56,10 @@
                 self->fail_to_connect(connection_failure::timed_out);
             }
         });
+    if (error_code const error = open_from(*socket_, options_.source))
+    {
+        return fail_to_connect(connection_failure_of(error));
+    }
     socket_->async_connect(to_tcp(options_.address),
                            [self = shared_from_this()](error_code error)
                            {
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -57,6 +57,8 @@
     {
         state::member_key member;
         state::endpoint address;
+        /// \brief Where the connection is opened from; zeros for any address.
+        state::endpoint source{};
         bool without_body = false;
         /// \brief Longest idle time of a kept connection; zero to always open a new one.
         state::duration max_idle{};
--- a/tests/coordination/test_cold_upstream_limiter.cpp
+++ b/tests/coordination/test_cold_upstream_limiter.cpp
@@ -43,7 +43,8 @@
     entry_vm(std::size_t index, std::size_t vms)
         : random{static_cast<unsigned>(index + 1)}, fleet{node(index)}, limiter{fleet, node(index),
                                                                                 start_time - 20s},
-          limits{fleet, node(index)}, gate{directory, health, backoffs, limiter, limits},
+          limits{fleet, node(index)}, refusals{limits}, gate{directory, health, backoffs,
+                                                             limiter,   limits, refusals},
           subset{directory, node(index)}, selector{directory, ledger, health, gate,
                                                    subset,    "a",    random}
     {
@@ -77,6 +78,7 @@
     fleet_view fleet;
     cold_upstream_limiter limiter;
     upstream_limits limits;
+    refusal_bounds refusals;
     upstream_backoffs backoffs;
     send_gate gate;
     upstream_subset subset;
--- a/tests/coordination/test_peer_selector.cpp
+++ b/tests/coordination/test_peer_selector.cpp
@@ -46,7 +46,7 @@
         std::size_t const calls = 200 * peers;
         for (std::size_t i = 0; i < calls; ++i)
         {
-            ++counts[selector.choose({}, at(0s))->node.value];
+            ++counts[selector.choose({}, {}, at(0s))->node.value];
         }
         CHECK(counts.size() == peers);
         for (auto const& [peer, count] : counts)
@@ -65,11 +65,12 @@
     for (auto const& [why, time] :
          {std::pair{peer_refusal::unreachable, peer_selector::unreachable_time},
           std::pair{peer_refusal::declined, peer_selector::declined_time},
+          std::pair{peer_refusal::at_capacity, peer_selector::at_capacity_time},
           std::pair{peer_refusal::out_of_step, peer_selector::out_of_step_time}})
     {
         selector.refused(state::node_id{1}, why, at(0s));
-        CHECK_FALSE(selector.choose({}, at(time - 1ms)));
-        CHECK(selector.choose({}, at(time)));
+        CHECK_FALSE(selector.choose({}, {}, at(time - 1ms)));
+        CHECK(selector.choose({}, {}, at(time)));
     }
 }
 
@@ -79,6 +80,16 @@
     std::minstd_rand random{7};
     peer_selector selector{fleet, random};
     std::vector<state::node_id> const asked{state::node_id{1}};
-    CHECK(selector.choose(asked, at(0s))->node == state::node_id{2});
-    CHECK_FALSE(selector.choose({}, at(fleet.silence_timeout() + 1ms)));
+    CHECK(selector.choose({}, asked, at(0s))->node == state::node_id{2});
+    CHECK_FALSE(selector.choose({}, {}, at(fleet.silence_timeout() + 1ms)));
+}
+
+TEST_CASE("only the peers that were asked for are chosen", "[reach]")
+{
+    fleet_view const fleet = fleet_of(9);
+    std::minstd_rand random{7};
+    peer_selector selector{fleet, random};
+    std::vector<state::node_id> const wanted{state::node_id{3}, state::node_id{77}};
+    CHECK(selector.choose(wanted, {}, at(0s))->node == state::node_id{3});
+    CHECK_FALSE(selector.choose(wanted, wanted, at(0s)));
 }
--- a/tests/coordination/test_upstream_backoffs.cpp
+++ b/tests/coordination/test_upstream_backoffs.cpp
@@ -21,7 +21,8 @@
     fleet_view fleet{state::node_id{1}};
     cold_upstream_limiter cold_limiter{fleet, state::node_id{1}, {}};
     upstream_limits limits{fleet, state::node_id{1}};
-    send_gate gate{directory, health, backoffs, cold_limiter, limits};
+    refusal_bounds refusals{limits};
+    send_gate gate{directory, health, backoffs, cold_limiter, limits, refusals};
     state::service service;
 
     gate_fixture()
--- a/tests/coordination/test_upstream_selector.cpp
+++ b/tests/coordination/test_upstream_selector.cpp
@@ -38,7 +38,8 @@
     upstream_limits limits{fleet, {}};
     upstream_subset subset{directory, state::node_id{1}};
     upstream_backoffs backoffs;
-    send_gate gate{directory, health, backoffs, share, limits};
+    refusal_bounds refusals{limits};
+    send_gate gate{directory, health, backoffs, share, limits, refusals};
     upstream_selector selector{directory, ledger, health, gate, subset, "a", random};
 
     state::member_key add(std::string const& name, std::string const& zone)
--- a/tests/coordination/test_upstream_subset.cpp
+++ b/tests/coordination/test_upstream_subset.cpp
@@ -193,7 +193,8 @@
     cold_upstream_limiter share{fleet, vm_id(0), {}};
     upstream_limits limits{fleet, {}};
     upstream_backoffs backoffs;
-    send_gate gate{directory, health, backoffs, share, limits};
+    refusal_bounds refusals{limits};
+    send_gate gate{directory, health, backoffs, share, limits, refusals};
     upstream_selector selector{directory, ledger, health, gate, subset, "zone-0", random};
 };
 
