Soak: VMs cut from all upstreams, and brittle upstreams

Socket filters drop the packets of one or two VMs at the upstreams: open connections hang, are reset, or live on while new ones get no answer. Checked: first tries at these VMs are served like those at the others, by the users' rule. Brittle upstreams end of too many refusals; checked: how many end. Checks of back-offs and of leaving go by the VM that sent a request, no longer by the VM that its caller reached: calls may pass through a peer. The check of leaving counts both, which is stricter.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -154,6 +154,9 @@
         # Arrival times of the ending request, number of arrivals later than is allowed, and the time when the last fault
         # of a VM ends.
         self.end_times, self.late_sends, self.vm_fault_until = [], 0, 0.0
+        # VM at the other end of each connection to an upstream, the VMs that sent each call to one, and brittle upstreams
+        # that ended of too many refusals.
+        self.senders, self.call_senders, self.falls = {}, collections.defaultdict(set), 0
         # VM and time of sending of each call, upstreams that answered calls while they said that they leave, and the
         # time of each VM's last restart or pause.
         self.vm_calls, self.leaving_answers, self.vm_disturbed_at = {}, {}, {}
@@ -187,16 +190,15 @@
         if known_at is None or known_at <= disturbed_at:
             self.leaving_known_at[vm] = asyncio.get_running_loop().time()
 
-    def refused(self, call, retry_after):
+    def refused(self, vm, retry_after):
         now = asyncio.get_running_loop().time()
-        vm, _ = self.record.vm_calls[call]
         self.backoffs.setdefault(vm, []).append([now, now + retry_after, 0])
 
-    def arrived(self, call, name, unreachable_until):
-        """Returns the violations that the arrival of a request of a call means."""
+    def arrived(self, call, vm, name, unreachable_until):
+        """Returns the violations that the arrival of a request of a call from a VM means."""
         if call not in self.record.vm_calls:
             return []
-        vm, sent_at = self.record.vm_calls[call]
+        _, sent_at = self.record.vm_calls[call]
         now, disturbed_at = asyncio.get_running_loop().time(), self.record.vm_disturbed_at.get(vm, 0.0)
         violations = []
         known_at = self.leaving_known_at.get(vm)
@@ -226,6 +228,8 @@
         self.statements = StatementCheck(record)
         # Announced limit in requests per second, time of the announcement, and arrival times since then.
         self.limit, self.limited_since, self.arrivals = None, 0.0, collections.deque()
+        # Refusals per second that it bears while it is brittle, room for calls then, calls that run, and its refusals.
+        self.brittle, self.room, self.running, self.refusals = None, None, 0, collections.deque()
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -244,6 +248,16 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def refuse_for_room(self):
+        """Counts a refusal for want of room; a brittle upstream ends of too many within a second."""
+        now = asyncio.get_running_loop().time()
+        self.refusals.append(now)
+        while self.refusals[0] < now - 1.0:
+            self.refusals.popleft()
+        if self.brittle is not None and len(self.refusals) > self.brittle and self.alive:
+            self.record.falls += 1
+            self.on_end()
+
     def announce_limit(self, per_second):
         self.limit, self.limited_since = per_second, asyncio.get_running_loop().time()
 
@@ -276,19 +290,23 @@
             return
         start, headers, body = message
         method, target, _ = start.split(" ")
+        vm = self.record.senders.get(writer.get_extra_info("peername"))
         leaving_fields = [("Server-Leaving", "1")] if self.says_leaving else []
         if target.startswith("/v1/kv-move"):
-            return await self.move(json.loads(body), writer, leaving_fields)
+            return await self.move(json.loads(body), writer, leaving_fields, vm)
         if target.startswith("/v1/report"):
             return writer.write(http_response(200, json.dumps(self.report()).encode(), leaving_fields))
         if target.startswith("/v1/"):
             released_call = self.record.copies.get(target.rsplit("/", 1)[1])
-            self.record.violations += self.statements.arrived(released_call, self.name, self.unreachable_until)
+            self.record.violations += self.statements.arrived(released_call, vm, self.name, self.unreachable_until)
             return writer.write(http_response(200, b"{}", leaving_fields))
         call, expected = headers.get("plumdale-request-id", ""), headers.get("plumdale-expect-instance")
         fields = [("Plumdale-Request-Id", call), *leaving_fields]
+        if self.brittle is not None:
+            fields.append(("Server-Brittle", str(self.brittle)))
+        self.record.call_senders[call].add(vm)
         self.check_request_rate(call)
-        self.record.violations += self.statements.arrived(call, self.name, self.unreachable_until)
+        self.record.violations += self.statements.arrived(call, vm, self.name, self.unreachable_until)
         if self.limit is not None:
             fields.append(("Server-Limit", f"{self.limit:.1f}"))
         if expected != self.name:
@@ -297,7 +315,7 @@
         if self.says_leaving:
             self.record.leaving_answers[call] = self
         if self.is_refusing():
-            self.statements.refused(call, self.retry_after)
+            self.statements.refused(vm, self.retry_after)
             return writer.write(http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1"), ("Retry-After", f"{self.retry_after:g}")]))
         if "plumdale-key" in headers or headers.get("plumdale-tenant") != "customer":
             self.record.violations.append(f"{call}: the API key was forwarded, or the customer is wrong")
@@ -309,8 +327,13 @@
             return await self.generate(call, headers, writer, fields)
         if self.random.random() < 0.03:
             return writer.write(http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
+        if self.room is not None and self.running >= self.room:
+            self.refuse_for_room()
+            return writer.write(http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
         self.record.plain_runs[call] = self.record.plain_runs.get(call, 0) + 1
-        await asyncio.sleep(self.random.uniform(0.002, 0.03))
+        self.running += 1
+        await asyncio.sleep(self.random.uniform(0.002, 0.03) if self.room is None else 0.1)
+        self.running -= 1
         if self.random.random() < 0.02:
             return writer.transport.abort()
         failed = target.startswith("/fetch/") and self.random.random() < 0.1
@@ -345,10 +368,10 @@
         left = int(1000 * (self.leaves_at - asyncio.get_running_loop().time())) + 500
         return {"born": self.born, "leaves_ms": left}
 
-    async def move(self, order, writer, fields):
-        self.record.violations += self.statements.arrived(order["id"], self.name, self.unreachable_until)
+    async def move(self, order, writer, fields, vm):
+        self.record.violations += self.statements.arrived(order["id"], vm, self.name, self.unreachable_until)
         if self.is_refusing() and order["id"] in self.record.vm_calls:
-            self.statements.refused(order["id"], self.retry_after)
+            self.statements.refused(vm, self.retry_after)
             return writer.write(http_response(503, b"", [*fields, ("Retry-After", f"{self.retry_after:g}")]))
         run = self.record.runs.get(order["id"])
         if run is None or self not in run.active_upstreams.values():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,10 +2,11 @@
 
 usage: tests/soak/soak.py [--seeds N] [--first SEED] [--seconds S] [--kept] [--parallel P] [--binary FILE]
 
-Each seed starts three entry VMs and five upstreams on loopback addresses of its own, sends calls for some seconds and
+Each seed starts three entry VMs and six upstreams on loopback addresses of its own, sends calls for some seconds and
 injects overlapping faults: connections delayed, reset or silenced by a proxy; entry VMs paused, killed, stopped and
 restarted; a request that ends each upstream that runs it; an upstream that announces a limit; upstreams that leave, some of
-which say so in their answers alone, that ask for back-offs, crash or restart under the same name; entries of other
+which say so in their answers alone, that ask for back-offs, crash or restart under the same name; brittle upstreams that
+end when they refuse too much; VMs whose paths to all upstreams are cut (silent, reset, or new connections only); entries of other
 writers; zones that are evacuated; configurations and settings that change; a store that is down or restored from a
 snapshot. Callers keep their connections until the VM closes them. Only processes that a seed started are signalled, by their ids. The last line is
 `N passed, N failed`; failed seeds print their violations and the folder of their logs.
@@ -13,6 +14,7 @@
 
 import argparse
 import asyncio
+import itertools
 import json
 import pathlib
 import random
@@ -20,10 +22,19 @@
 import sys
 import tempfile
 
+from path_filter import PathFilter
 from platform_standin import CONFIGURATION, ENDING_BODY, Record, Store, Upstream
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 ZONES = ("a", "b")
+# A VM whose paths were cut, and VMs to which an upstream stated that it is brittle, know it after this time.
+CONTACT_S = 1.2
+# Calls sent so shortly before the end of a cut may be answered after it.
+MAX_ANSWER_S = 0.5
+# Of the first tries at VMs without a path, this many may fail, and one in fifty of all.
+MAX_FAILED_TRIES = 10
+# In one time in which upstreams are brittle, this many and a tenth of their number may end.
+MAX_FALLS = 2
 
 # Seeds that once failed, with the cause; --kept runs all of them.
 REGRESSION_SEEDS = {
@@ -38,11 +49,17 @@
 
     def __init__(self, target, upstream=None):
         self.target, self.upstream, self.connections, self.silent, self.delay = target, upstream, set(), False, 0.0
+        # Drops packets of VMs whose paths are cut; set for proxies of upstreams.
+        self.path_filter = None
 
     async def serve(self, reader, writer):
         far_reader, far_writer = await asyncio.open_connection(*self.target)
         connection = (writer, far_writer)
         self.connections.add(connection)
+        if self.upstream is not None:
+            vm = int(writer.get_extra_info("peername")[0].rsplit(".", 1)[1])
+            self.upstream.record.senders[far_writer.get_extra_info("sockname")] = vm
+            self.path_filter.accepted(writer)
         await asyncio.gather(self.pump(reader, far_writer), self.pump(far_reader, writer))
         self.connections.discard(connection)
 
@@ -71,6 +88,11 @@
         self.record, self.store, self.upstreams, self.proxies = Record(), Store(), {}, []
         self.vms, self.calls, self.next_name, self.servers, self.stopping = {}, {}, 0, [], False
         self.started, self.starting = [], set()
+        self.path_filter = PathFilter(self.host)
+        # Spans of time around faults of VMs.
+        self.vm_faults = []
+        # Cuts of VMs from all upstreams: (begin, end, numbers of the VMs).
+        self.cuts = []
         # Open connections of callers to each VM.
         self.kept_connections = {}
         # Spans of time in which the orders in the store cover all zones: no call can be served.
@@ -88,6 +110,8 @@
         proxy = Proxy(await self.listen(upstream.serve), upstream)
         self.proxies.append(proxy)
         host, port = await self.listen(proxy.serve)
+        proxy.path_filter = self.path_filter
+        self.path_filter.add_listener(self.servers[-1].sockets[0])
         upstream.address = f"{host}:{port}"
         self.record.upstream_starts[upstream.address] = upstream.born
         upstream.on_end = lambda: asyncio.create_task(self.replace(upstream))
@@ -116,7 +140,7 @@
         address = f"{self.host}.{number}"
         settings = {"mode": "forward", "name": f"vm-{number}", "zone": "a", "callers": f"{address}:18080",
                     "ready": f"{address}:18081", "datagrams": f"{address}:18082", "streams": f"{address}:18082",
-                    "seeds": [f"{self.host}.{n}:1" for n in (1, 2, 3)], "platform": "%s:%d" % self.platform,
+                    "seeds": [f"{self.host}.{n}:1" for n in (1, 2, 3)], "platform": "%s:%d" % self.platform, "upstream_source": f"{address}:0",
                     "fleet_key": "soak, sixteen letters", "grace_s": 4, "event_delay_ms": 120, "repeat_ratio": 0.2,
                     "repeat_slack": 50, "repeat_window_s": 10}
         file = self.folder / f"vm-{number}.json"
@@ -161,6 +185,7 @@
             self.record.vm_calls[call] = (vm, asyncio.get_running_loop().time())
             writer.write(text.encode() + body)
             disconnects = self.random.random() < 0.05
+            observed["left"] = disconnects
             await asyncio.wait_for(self.read_answer(reader, call), self.random.uniform(0, 1) if disconnects else 20)
             if "connection: close" not in observed["head"]:
                 return self.kept_connections.setdefault(vm, []).append((reader, writer))
@@ -184,7 +209,8 @@
         observed["status"], observed["head"] = int(head.split(" ")[1]), head
         observed["answered_at"] = asyncio.get_running_loop().time()
         if "server-leaving: 1" in head and call in self.record.leaving_answers:
-            self.record.leaving_answers[call].statements.passed_on_leaving(self.record.vm_calls[call][0])
+            for vm in {self.record.vm_calls[call][0], *self.record.call_senders.get(call, ())}:
+                self.record.leaving_answers[call].statements.passed_on_leaving(vm)
         if "transfer-encoding: chunked" not in head:
             length = int(head.split("content-length:")[1].split("\r\n")[0])
             observed["body"] = await reader.readexactly(length)
@@ -233,10 +259,15 @@
             self.store.put(f"op/evacuate/{zone}", None)
             await asyncio.sleep(self.random.uniform(0.0, 0.2))
 
+    def note_vm_fault(self, duration):
+        now = asyncio.get_running_loop().time()
+        self.record.vm_fault_until = now + duration
+        self.vm_faults.append((now, now + duration + CONTACT_S))
+
     async def pause_vm(self):
         number = self.random.randint(1, 3)
         process = self.vms[number]
-        self.record.vm_fault_until = asyncio.get_running_loop().time() + 1.5
+        self.note_vm_fault(1.5)
         if process.returncode is None:
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
@@ -247,7 +278,7 @@
     async def end_vm(self, how):
         number = self.random.randint(1, 3)
         process = self.vms[number]
-        self.record.vm_fault_until = asyncio.get_running_loop().time() + 4.0
+        self.note_vm_fault(4.0)
         if process.returncode is None:
             process.send_signal(how)
             process.send_signal(signal.SIGCONT)
@@ -300,6 +331,41 @@
         upstream.refuses_until = asyncio.get_running_loop().time() + duration
         await asyncio.sleep(duration)
 
+    async def cut_vms(self, until):
+        """Cuts one or two of the three VMs from all upstreams for some seconds, again and again, in each of the three ways."""
+        ways = ["silent", "reset", "new"]
+        self.random.shuffle(ways)
+        for number in itertools.count():
+            await asyncio.sleep(self.random.uniform(0.3, 1.2))
+            now = asyncio.get_running_loop().time()
+            if now >= until:
+                return
+            vms = self.random.sample((1, 2, 3), self.random.choice((1, 2)))
+            duration = self.random.uniform(2.5, 4.0)
+            self.cuts.append((now, now + duration, vms))
+            self.path_filter.cut(vms, ways[number % len(ways)])
+            await asyncio.sleep(duration)
+            self.path_filter.restore()
+
+    async def make_upstreams_brittle(self, until):
+        """The plain upstreams but the one with a limit become brittle, and then have less room."""
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+            brittle = [u for u in self.upstreams.values() if u.alive and u.limit is None and u.entry["service"] == "plain"]
+            self.record.falls, bound = 0, self.random.randint(4, 9)
+            for upstream in brittle:
+                upstream.brittle = bound
+            await asyncio.sleep(CONTACT_S)
+            for upstream in brittle:
+                upstream.room = self.random.choice((0, 1, 1))
+            await asyncio.sleep(self.random.uniform(1.5, 3.0))
+            for upstream in brittle:
+                upstream.room = None
+            if self.record.falls > MAX_FALLS + len(brittle) / 10:
+                self.record.violations.append(f"{self.record.falls} of {len(brittle)} brittle upstreams ended of more than {bound} refusals in a second")
+            for upstream in brittle:
+                upstream.brittle = None
+
     async def change_configuration(self):
         """Publishes configurations in quick succession that change times only."""
         for _ in range(self.random.randint(1, 3)):
@@ -392,10 +458,30 @@
             return []
         return [f"only {served} of {number} calls were served, {refused_by_order} refused with all zones evacuated"]
 
+    def cut_violations(self):
+        """Callers of VMs without a path to upstreams are served at their first try like the others, from CONTACT_S after the
+        cut began. Calls around a fault of a VM and calls that end upstreams don't count."""
+        served, failed = {True: 0, False: 0}, {True: 0, False: 0}
+        for call, observed in self.calls.items():
+            vm, sent_at = self.record.vm_calls.get(call, (None, 0.0))
+            cut = next((vms for begin, end, vms in self.cuts if begin + CONTACT_S < sent_at < end - MAX_ANSWER_S), None)
+            is_excused = any(begin <= sent_at <= end for begin, end in self.vm_faults) or observed.get("left") or "ends" in call
+            if cut is None or vm is None or is_excused:
+                continue
+            is_served = observed["status"] == 200 or observed["status"] == 500
+            (served if is_served else failed)[vm in cut] += 1
+        tries = {is_cut: served[is_cut] + failed[is_cut] for is_cut in (True, False)}
+        if not tries[True] or not tries[False]:
+            return []
+        is_worse = served[True] / tries[True] < 2 / 3 * served[False] / tries[False]
+        if is_worse and failed[True] > MAX_FAILED_TRIES + sum(tries.values()) / 50:
+            return [f"VMs without a path served {served[True]} of {tries[True]} first tries, the others {served[False]} of {tries[False]}"]
+        return []
+
     # -- promises ---------------------------------------------------------------------------------
 
     def violations(self):
-        found = list(self.record.violations)
+        found = list(self.record.violations) + self.cut_violations()
         for call, count in self.record.plain_runs.items():
             kind = self.calls.get(call, {}).get("kind")
             if kind is None:
@@ -437,6 +523,8 @@
         if seed not in REGRESSION_SEEDS:
             tasks.append(asyncio.create_task(fleet.send_ending_calls(end)))
             tasks.append(asyncio.create_task(fleet.weaken_upstreams(end)))
+            tasks.append(asyncio.create_task(fleet.cut_vms(end)))
+            tasks.append(asyncio.create_task(fleet.make_upstreams_brittle(end)))
             fleet.upstreams["i-1"].announce_limit(fleet.random.uniform(0.5, 3.0))
         while loop.time() < end:
             number += 1
