Names of calls that are handed over; outcomes of calls through peers

Reading the diff: names said what the code does in pictures (give way, kept by). Calls through peers that end at this VM count in its burn report, and a peer's decline no longer counts there. /status has reaches_upstreams and peer_calls_in_progress.

--- a/include/plumdale/coordination/peer_selector.hpp
+++ b/include/plumdale/coordination/peer_selector.hpp
@@ -52,9 +52,9 @@
     void refused(state::node_id node, peer_refusal why, state::time_point now);
     void sweep(state::time_point now);
 
-    /// \brief A peer that has lost its own paths tells so at once, and for seconds.
+    /// \brief A peer declines for as long as its own paths are lost, which takes seconds.
     static constexpr state::duration declined_time = std::chrono::milliseconds{500};
-    /// \brief A peer that ended counts as live for longer than a call takes to fail there.
+    /// \brief A peer that ended counts as live for some time; it starts again within a second.
     static constexpr state::duration unreachable_time = std::chrono::seconds{1};
     /// \brief A configuration reaches all VMs within some tens of milliseconds.
     static constexpr state::duration out_of_step_time = std::chrono::milliseconds{50};
--- a/include/plumdale/coordination/send_gate.hpp
+++ b/include/plumdale/coordination/send_gate.hpp
@@ -50,10 +50,12 @@
     /// keep calls from all that take work; none otherwise.
     [[nodiscard]] std::optional<state::time_point> backoffs_end(std::string_view service,
                                                                 state::time_point now) const;
-    /// \brief Returns an upstream of a service that only this VM's share of the refusals it bears
-    /// keeps calls from, if there is no other way; `first` is where the search begins.
+    /// \brief Returns an upstream of a service that this VM may not send to for the one reason that
+    /// its share of the refusals that the upstream bears is in use or nothing; none if there is
+    /// none. The search begins at number `first`.
     [[nodiscard]] std::optional<state::member_key>
-    kept_by_refusals(state::service const& service, std::size_t first, state::time_point now) const;
+    upstream_without_share(state::service const& service, std::size_t first,
+                           state::time_point now) const;
     /// \brief Returns whether an upstream is considered cold.
     [[nodiscard]] bool is_cold(directory_entry const& entry, state::service const& service,
                                state::time_point now) const;
--- a/src/coordination/send_gate.cpp
+++ b/src/coordination/send_gate.cpp
@@ -53,19 +53,19 @@
     return first == state::never ? std::nullopt : std::optional{first};
 }
 
-std::optional<state::member_key> send_gate::kept_by_refusals(state::service const& service,
-                                                             std::size_t first,
-                                                             state::time_point now) const
+std::optional<state::member_key> send_gate::upstream_without_share(state::service const& service,
+                                                                   std::size_t first,
+                                                                   state::time_point now) const
 {
     auto const members = directory_.members_of(service.name);
     for (std::size_t i = 0; i < members.size(); ++i)
     {
         state::member_key const key = members[(first + i) % members.size()];
         directory_entry const* const entry = directory_.find(key);
-        bool const is_kept = entry != nullptr && directory_.may_take_work(*entry, now) &&
-                             !backoffs_.is_backing_off(key, now) && limits_.may_send(key, now) &&
-                             !refusals_.may_send(key, now);
-        if (is_kept)
+        bool const lacks_share = entry != nullptr && directory_.may_take_work(*entry, now) &&
+                                 !backoffs_.is_backing_off(key, now) &&
+                                 limits_.may_send(key, now) && !refusals_.may_send(key, now);
+        if (lacks_share)
         {
             return key;
         }
--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -260,6 +260,7 @@
 
 void call_through_peer::refuse_unsent(std::string_view why)
 {
+    note_outcome(coordination::call_outcome::refused);
     refuse(admitted_.origin.possible_runs > 0 ? error_kind::may_have_run : error_kind::no_upstream,
            why, retry_after());
 }
@@ -275,6 +276,7 @@
 
 void call_through_peer::fail(std::string_view why)
 {
+    note_outcome(coordination::call_outcome::failed);
     if (!begun_)
     {
         return refuse(error_kind::may_have_run, why, retry_after());
@@ -286,6 +288,12 @@
     channel->abort_answer();
 }
 
+// Answers and refusals of the peer are counted there.
+void call_through_peer::note_outcome(coordination::call_outcome outcome)
+{
+    core_.outcomes.note(admitted_.route->name, outcome);
+}
+
 void call_through_peer::on_deadline()
 {
     has_been_sent() ? fail("time is over") : refuse_unsent("time is over");
@@ -295,6 +303,7 @@
 {
     core_.metrics.add(forward_count::callers_left);
     log("caller left", {});
+    note_outcome(coordination::call_outcome::caller_disconnected);
     finish();
 }
 
--- a/src/transport/call_through_peer.hpp
+++ b/src/transport/call_through_peer.hpp
@@ -61,6 +61,7 @@
     void refuse_unsent(std::string_view why);
     /// \brief Ends an answer that can't be completed.
     void fail(std::string_view why);
+    void note_outcome(coordination::call_outcome outcome);
     void finish();
     [[nodiscard]] bool has_been_sent() const noexcept;
     [[nodiscard]] state::duration retry_after();
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -82,7 +82,7 @@
                                      : state::error_kind::no_upstream,
                       "all zones with upstreams are evacuated");
     }
-    if (give_way_to_refusals(now))
+    if (hand_over_without_share(now))
     {
         return;
     }
@@ -128,7 +128,7 @@
     }
     if (has_connected_to_none())
     {
-        return give_to_other_vm("no upstream reached", state::error_kind::peer_declined);
+        return hand_over_or_refuse("no upstream reached", state::error_kind::peer_declined);
     }
     if (may_have_run())
     {
@@ -239,7 +239,7 @@
     bool const is_last = tries_ >= try_limit || core_.reach.is_lost();
     if (is_last && has_connected_to_none())
     {
-        return give_to_other_vm(why, state::error_kind::peer_declined);
+        return hand_over_or_refuse(why, state::error_kind::peer_declined);
     }
     if (tries_ >= try_limit)
     {
@@ -259,8 +259,8 @@
     return tries_ > 0 && failed_connections_ == tries_;
 }
 
-void forward_call::give_to_other_vm(std::string_view why, state::error_kind decline,
-                                    std::vector<state::node_id> peers)
+void forward_call::hand_over_or_refuse(std::string_view why, state::error_kind decline,
+                                       std::vector<state::node_id> peers)
 {
     if (may_use_peer())
     {
@@ -271,21 +271,23 @@
     refuse(has_run_here ? state::error_kind::may_have_run : decline, why);
 }
 
-bool forward_call::give_way_to_refusals(state::time_point now)
+bool forward_call::hand_over_without_share(state::time_point now)
 {
     bool const is_at_capacity = blocking_limit_ != coordination::admission_limit::none;
-    auto const kept = is_at_capacity || is_resumption()
-                          ? std::nullopt
-                          : core_.gate.kept_by_refusals(*admitted_.service, core_.random(), now);
+    auto const without_share =
+        is_at_capacity || is_resumption()
+            ? std::nullopt
+            : core_.gate.upstream_without_share(*admitted_.service, core_.random(), now);
     // With a share that is in use, it is free again as soon as an answer begins.
-    bool const gives_way = kept && (now >= wait_until_ || core_.refusals.share_of(*kept) == 0);
-    if (gives_way)
+    bool const is_final =
+        without_share && (now >= wait_until_ || core_.refusals.share_of(*without_share) == 0);
+    if (is_final)
     {
-        give_to_other_vm("no share of the refusals that upstreams bear",
-                         state::error_kind::peer_at_capacity,
-                         core_.refusals.peers_with_share(*kept));
+        hand_over_or_refuse("no share of the refusals that upstreams bear",
+                            state::error_kind::peer_at_capacity,
+                            core_.refusals.peers_with_share(*without_share));
     }
-    return gives_way;
+    return is_final;
 }
 
 bool forward_call::may_use_peer() const
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -156,11 +156,11 @@
     [[nodiscard]] bool has_connected_to_none() const noexcept;
     /// \brief Has a peer take the call, one of `peers` unless that is empty, or refuses it with
     /// `decline` if it is a peer's.
-    void give_to_other_vm(std::string_view why, state::error_kind decline,
-                          std::vector<state::node_id> peers = {});
-    /// \brief Gives the call to another VM if this VM's shares of what brittle upstreams bear keep
-    /// it from all; returns whether it did.
-    [[nodiscard]] bool give_way_to_refusals(state::time_point now);
+    void hand_over_or_refuse(std::string_view why, state::error_kind decline,
+                             std::vector<state::node_id> peers = {});
+    /// \brief Hands the call over if this VM's shares of what brittle upstreams bear keep it from
+    /// all upstreams; returns whether it did.
+    [[nodiscard]] bool hand_over_without_share(state::time_point now);
     /// \brief Ends this call and has a peer take it; the last action on it.
     void hand_to_peer(std::string_view why, std::vector<state::node_id> peers = {});
     /// \brief Retries or refuses the call after its upstream failed and may have run it.
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -14,6 +14,11 @@
 
 using coordination::call_result;
 
+bool is_peer_decline(state::error_kind kind)
+{
+    return kind == state::error_kind::peer_declined || kind == state::error_kind::peer_at_capacity;
+}
+
 } // namespace
 
 // -- answers --------------------------------------------------------------------------------------
@@ -182,8 +187,12 @@
 {
     log("refused", why);
     core_.metrics.add(forward_count::refused);
-    note_outcome(kind == state::error_kind::may_have_run ? coordination::call_outcome::failed
-                                                         : coordination::call_outcome::refused);
+    // A peer's call that is declined is served, or refused, by another VM.
+    if (!is_peer_decline(kind))
+    {
+        note_outcome(kind == state::error_kind::may_have_run ? coordination::call_outcome::failed
+                                                             : coordination::call_outcome::refused);
+    }
     auto const channel = channel_;
     finish();
     channel->refuse(kind, retry_after);
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -53,6 +53,8 @@
             {"store_era", state::era_in(core.directory.evacuations().known().as_of)},
             {"requests_quarantined", core.quarantine.known().refused_count()},
             {"live_entry_vms", core.fleet.live_count(now)},
+            {"reaches_upstreams", !core.reach.is_lost()},
+            {"peer_calls_in_progress", core.peer_calls_in_progress},
             {"calls_in_progress", core.calls_in_progress}};
 }
 
--- a/tests/coordination/test_refusal_bounds.cpp
+++ b/tests/coordination/test_refusal_bounds.cpp
@@ -17,7 +17,7 @@
 constexpr state::member_key brittle{77};
 constexpr state::time_point start = state::time_point{} + 1h;
 constexpr state::duration step = 5ms;
-constexpr state::duration way = 5ms;
+constexpr state::duration one_way_delay = 5ms;
 
 /// \brief One entry VM of a fleet in which all know each other and the bound.
 struct entry_vm
@@ -62,7 +62,7 @@
 
 /// \brief Has all VMs send as much as they may for ten seconds to an upstream that has room for
 /// `room` requests of 30 ms.
-outcome press(std::size_t vms, double bound, std::size_t room)
+outcome overload(std::size_t vms, double bound, std::size_t room)
 {
     std::vector<std::unique_ptr<entry_vm>> fleet;
     for (std::size_t i = 0; i < vms; ++i)
@@ -104,7 +104,7 @@
                 {
                     refused.push_back(now);
                 }
-                pending.push_back({now + 2 * way + (fits ? 30ms : 0ms), i,
+                pending.push_back({now + 2 * one_way_delay + (fits ? 30ms : 0ms), i,
                                    fits ? send_outcome::accepted : send_outcome::refused});
             }
             bounds.sweep(now);
@@ -130,7 +130,7 @@
         for (double const bound : {1.0, 2.0, 5.0, 20.0, 100.0})
         {
             CAPTURE(vms, bound);
-            outcome const seen = press(vms, bound, 2);
+            outcome const seen = overload(vms, bound, 2);
             CHECK(seen.most_refused <= static_cast<std::size_t>(bound));
             CHECK(seen.senders >= 1);
             // Two places for 30 ms each take some 66 requests a second.
@@ -142,10 +142,11 @@
 // Guards against a bound that keeps requests from upstreams that have room.
 TEST_CASE("an upstream with room is used in spite of its bound on refusals", "[refusals]")
 {
-    outcome const seen = press(9, 20.0, 1'000);
+    outcome const seen = overload(9, 20.0, 1'000);
     CHECK(seen.most_refused == 0);
     CHECK(seen.senders == 9);
-    CHECK(seen.accepted > 9 * 150);
+    constexpr std::size_t accepted_by_nine = 1'350;
+    CHECK(seen.accepted > accepted_by_nine);
 }
 
 TEST_CASE("upstreams that state no bound are not limited", "[refusals]")
--- a/tests/platform/peer_vm.cpp
+++ b/tests/platform/peer_vm.cpp
@@ -72,7 +72,8 @@
     for (int i = 0; i < more_than_queued; ++i)
     {
         sockets_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-        ::connect(sockets_.back(), reinterpret_cast<sockaddr*>(&address), size);
+        // Most of them never end.
+        static_cast<void>(::connect(sockets_.back(), reinterpret_cast<sockaddr*>(&address), size));
     }
 }
 
