--- a/include/plumdale/coordination/upstream_reach.hpp
+++ b/include/plumdale/coordination/upstream_reach.hpp
@@ -26,7 +26,7 @@
 /// One upstream that can't be connected to may be dead or crowded, so other upstreams are probed
 /// before the paths count as lost, and all the while until they are back. Example:
 /// \code
-/// reach.connection_failed(member, listed_upstreams, now);
+/// reach.connection_failed(member, usable_upstreams, now);
 /// for (std::size_t i = reach.take_due_probes(now); i > 0; --i) { probe(); }
 /// if (reach.is_lost()) { peer_calls.send(); }
 /// \endcode
@@ -35,7 +35,7 @@
 public:
     /// \brief Records that a connection to an upstream was opened.
     reach_change connected(state::time_point now);
-    /// \brief Records that none could be opened to one of `upstreams` listed upstreams.
+    /// \brief Records that none could be opened to one of `upstreams` that take work.
     reach_change connection_failed(state::member_key member, std::size_t upstreams,
                                    state::time_point now);
     /// \brief Returns how many upstreams are to be probed now, and counts them as probed.
@@ -56,7 +56,7 @@
         return failed_;
     }
 
-    /// \brief Different upstreams that must fail in a row, or all if fewer are listed.
+    /// \brief Different upstreams that must fail in a row, or all if fewer take work.
     static constexpr std::size_t min_failed = 5;
     /// \brief With the one that raised the doubt and the one that its call tries next, as many as
     /// `min_failed` and one to spare.
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -125,12 +125,22 @@
 
 // -- paths to upstreams ---------------------------------------------------------------------------
 
-std::size_t forward_core::listed_upstreams() const
+// Those that leave are neither probed nor sent to, and would keep the paths from counting as lost.
+// Counted no further than matters, as there may be thousands.
+std::size_t forward_core::usable_upstreams(state::time_point now) const
 {
     std::size_t count = 0;
-    for (state::service const& each : routing->configuration().services)
+    for (state::service const& service : routing->configuration().services)
     {
-        count += directory.members_of(each.name).size();
+        for (state::member_key const member : directory.members_of(service.name))
+        {
+            coordination::directory_entry const* const entry = directory.find(member);
+            count += entry != nullptr && directory.may_take_work(*entry, now) ? 1 : 0;
+            if (count >= coordination::upstream_reach::min_failed)
+            {
+                return count;
+            }
+        }
     }
     return count;
 }
@@ -154,14 +164,14 @@
         return;
     }
     state::time_point const now = boot_now();
-    if (reach.connection_failed(member, listed_upstreams(), now) ==
+    if (reach.connection_failed(member, usable_upstreams(now), now) ==
         coordination::reach_change::lost)
     {
         metrics.add(forward_count::reach_losses);
         log.write("reach", "no upstream reached", {},
                   {{"last", to_text(failure)},
                    {"failed", static_cast<std::int64_t>(reach.failed().size())},
-                   {"upstreams", static_cast<std::int64_t>(listed_upstreams())},
+                   {"usable_upstreams", static_cast<std::int64_t>(usable_upstreams(now))},
                    {"peers", static_cast<std::int64_t>(fleet.live_count(now) - 1)}});
     }
     if (reach.is_lost())
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -209,7 +209,8 @@
     void apply_reported_start(state::member_key member, state::incarnation started);
     void report_evacuations(std::span<state::evacuation_change const> changes,
                             std::string_view source);
-    [[nodiscard]] std::size_t listed_upstreams() const;
+    /// \brief Returns how many upstreams take work, up to `upstream_reach::min_failed`.
+    [[nodiscard]] std::size_t usable_upstreams(state::time_point now) const;
     coordination::fleet_retry_budget& retry_budget_of(std::string const& service);
 
     directory_change_log change_log_;
--- a/tests/platform/test_unreachable_upstreams.cpp
+++ b/tests/platform/test_unreachable_upstreams.cpp
@@ -159,6 +159,24 @@
     CHECK(sound.core.metrics.value(peer_calls) == 6);
 }
 
+// Guards against lost paths that are not noticed while most upstreams leave and can't be probed.
+TEST_CASE("paths count as lost when all upstreams that take work fail", "[reach]")
+{
+    forward_fixture fixture;
+    dead_address const nowhere{lost_path::refused};
+    cut_paths(fixture, fixture.core, nowhere);
+    std::vector<state::service_member> leaving;
+    for (std::size_t const i : {2U, 3U, 4U})
+    {
+        leaving.push_back(fixture.upstreams[i]->make_member("engine", 1'000'000));
+        leaving.back().leaving = true;
+    }
+    fixture.core.apply_members(leaving, "test");
+    answer_to_call(fixture, "event", "id-101");
+    run_until_reach_is(fixture, false);
+    CHECK(fixture.core.reach.is_lost());
+}
+
 // Guards against callers that wait for a path until their time is over.
 TEST_CASE("calls that no VM can send are refused at once", "[reach]")
 {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -475,6 +475,7 @@
             return []
         is_worse = served[True] / tries[True] < 2 / 3 * served[False] / tries[False]
         if is_worse and failed[True] > MAX_FAILED_TRIES + sum(tries.values()) / 50:
+            (self.folder / "cuts.json").write_text(json.dumps(self.cuts))
             return [f"VMs without a path served {served[True]} of {tries[True]} first tries, the others {served[False]} of {tries[False]}"]
         return []
 
