--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -152,7 +152,7 @@
     void redispatch(std::string_view why);
     /// \brief Returns whether a peer may take the call: it is a caller's own, and begins anew.
     [[nodiscard]] bool may_use_peer() const;
-    /// \brief Returns whether the call was tried and no connection could be opened for it.
+    /// \brief Returns whether each try of the call ended without a connection.
     [[nodiscard]] bool has_connected_to_none() const noexcept;
     /// \brief Has a peer take the call, one of `peers` unless that is empty, or refuses it with
     /// `decline` if it is a peer's.
--- a/tests/platform/test_brittle_upstreams.cpp
+++ b/tests/platform/test_brittle_upstreams.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -43,15 +44,16 @@
 
 } // namespace
 
-// Guards against more requests at a brittle upstream than it may refuse: first ones, retries after
-// a refusal, hedges, and drafts.
+// Guards against more requests at a brittle upstream than it may refuse: first ones and hedges.
 TEST_CASE("a brittle upstream never has more to refuse than it bears", "[refusals]")
 {
     forward_fixture fixture;
     learn_bounds(fixture, "3");
     std::vector<std::shared_ptr<scripted_caller>> callers;
-    std::size_t const before =
-        fixture.upstreams[0]->call_count() + fixture.upstreams[1]->call_count();
+    // Four fifths of three are two: open at once, and two more a window after those are given up.
+    constexpr std::size_t most = 4;
+    std::array<std::size_t, 2> const before{fixture.upstreams[0]->call_count(),
+                                            fixture.upstreams[1]->call_count()};
     for (int i = 0; i < 20; ++i)
     {
         std::string const id = "id-" + std::to_string(100 + i);
@@ -61,19 +63,13 @@
     fixture.run_until(
         [&]
         {
-            for (auto const& upstream : fixture.upstreams)
-            {
-                CHECK(upstream->call_count() <= before + 4);
-            }
+            CHECK(fixture.upstreams[0]->call_count() <= before[0] + most);
+            CHECK(fixture.upstreams[1]->call_count() <= before[1] + most);
             return std::all_of(callers.begin(), callers.end(),
                                [](auto const& each) { return !each->received.empty(); });
         });
-    for (std::size_t const i : {0U, 1U})
-    {
-        // 80% of three are two: open at once, and after the first two are given up none for a
-        // second.
-        CHECK(fixture.upstreams[i]->call_count() <= before + 4);
-    }
+    CHECK(fixture.upstreams[0]->call_count() > before[0]);
+    CHECK(fixture.upstreams[1]->call_count() > before[1]);
 }
 
 // Guards against callers that are refused by a VM whose share is nothing, though other VMs have
@@ -103,11 +99,10 @@
         fixture.run_until([&] { return caller->received.find("whole") != std::string::npos; });
         CHECK(fixture.request_count(field) == 1);
     }
-    bool const has_share =
-        fixture.core.refusals.share_of(key(0)) > 0 || fixture.core.refusals.share_of(key(1)) > 0;
-    auto const through_peers =
-        fixture.core.metrics.value(transport::forward_count::calls_through_peers);
-    CHECK((has_share || through_peers == 8));
+    // By its id this VM is of the lowest rank for neither upstream.
+    REQUIRE(fixture.core.refusals.share_of(key(0)) == 0);
+    REQUIRE(fixture.core.refusals.share_of(key(1)) == 0);
+    CHECK(fixture.core.metrics.value(transport::forward_count::calls_through_peers) == 8);
 }
 
 // Guards against a call that ran at a peer, and that the peer declined as it could not retry it.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -355,7 +355,7 @@
         while asyncio.get_running_loop().time() < until:
             await asyncio.sleep(self.random.uniform(0.2, 1.0))
             brittle = [u for u in self.upstreams.values() if u.alive and u.limit is None and u.entry["service"] == "plain"]
-            self.record.falls, bound = 0, self.random.randint(4, 9)
+            self.record.falls, bound = 0, self.random.randint(2, 6)
             for upstream in brittle:
                 upstream.brittle = bound
             await asyncio.sleep(CONTACT_S)
