Load parts: interfaces, messages, settings and conditions of what is new under hard load

Cause: two customers with hard load need parts that don't exist; they are built side by side, so what they give each other is agreed first. The selector's cost has a function of its own; nothing decides differently.

--- a/include/plumdale/coordination/fleet_update.hpp
+++ b/include/plumdale/coordination/fleet_update.hpp
@@ -3,6 +3,10 @@
 #include <plumdale/coordination/broadcast_tree.hpp>
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/request_quarantine.hpp>
+#include <plumdale/coordination/upstream_speeds.hpp>
+#include <plumdale/coordination/upstream_suspicions.hpp>
+#include <plumdale/coordination/waiting_calls.hpp>
+#include <plumdale/coordination/zone_reach.hpp>
 #include <plumdale/state/evacuation.hpp>
 #include <plumdale/state/identifier.hpp>
 #include <plumdale/state/service_member.hpp>
@@ -35,6 +39,10 @@
     static constexpr std::size_t max_readers = 2;
     static constexpr std::size_t max_evidence = 24;
     static constexpr std::size_t max_limits = 24;
+    static constexpr std::size_t max_speeds = 32;
+    static constexpr std::size_t max_suspicions = 32;
+    static constexpr std::size_t max_zones = 8;
+    static constexpr std::size_t max_waiting = 8;
 
     state::node_id sender;
     state::incarnation incarnation_number;
@@ -64,6 +72,14 @@
     std::vector<state::stated_limit> limits;
     /// \brief Refusals per second that upstreams bear, in place of requests.
     std::vector<state::stated_limit> refusal_limits;
+    /// \brief What the sender observed of upstreams' speeds.
+    std::vector<speed_row> speeds;
+    /// \brief Upstreams that the sender has just failed to reach, or reached again.
+    std::vector<suspicion_row> suspicions;
+    /// \brief Zones that the sender has just failed to reach, or reached again.
+    std::vector<zone_reach_row> zone_reach;
+    /// \brief Calls that wait at the sender.
+    std::vector<waiting_row> waiting;
     /// \brief Number of the broadcast that the receiver forwards within `range`; zero for none.
     std::uint64_t broadcast_id = 0;
     broadcast_range range;
--- a/include/plumdale/coordination/upstream_selector.hpp
+++ b/include/plumdale/coordination/upstream_selector.hpp
@@ -2,6 +2,7 @@
 
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/outlier_detector.hpp>
+#include <plumdale/coordination/selection_hints.hpp>
 #include <plumdale/coordination/send_gate.hpp>
 #include <plumdale/coordination/service_directory.hpp>
 #include <plumdale/coordination/upstream_subset.hpp>
@@ -64,15 +65,15 @@
 
 /// \brief Selects the upstream that will be least full; prefers its own zone and healthy ones.
 ///
-/// Example: `upstream_selector selector{directory, ledger, health, gate, subset, "heredia-a",
-/// random};`
+/// Example: `upstream_selector selector{directory, ledger, health, gate, subset, hints,
+/// "heredia-a", random};`
 class upstream_selector
 {
 public:
     upstream_selector(service_directory const& directory, load_ledger const& ledger,
                       outlier_detector const& health, send_gate const& gate,
-                      upstream_subset const& subset, std::string_view own_zone,
-                      std::minstd_rand& random);
+                      upstream_subset const& subset, selection_hints const& hints,
+                      std::string_view own_zone, std::minstd_rand& random);
 
     /// \brief Returns the best upstream of a service; none when no upstream may take work, or none
     /// of those that were sampled.
@@ -118,6 +119,9 @@
     choose_sampled(std::span<state::member_key const> members, state::service const& service,
                    call_demand const& demand, selection_options const& options,
                    state::time_point now) const;
+    /// \brief Returns what speaks against a candidate; the lowest is chosen.
+    [[nodiscard]] double cost_of(directory_entry const& entry, selected_upstream const& candidate,
+                                 selection_options const& options, state::time_point now) const;
     template <class Sampled>
     [[nodiscard]] std::optional<selected_upstream>
     best_of(std::span<state::member_key const> members, state::service const& service,
@@ -129,6 +133,7 @@
     outlier_detector const& health_;
     send_gate const& gate_;
     upstream_subset const& subset_;
+    selection_hints const& hints_;
     std::string_view own_zone_;
     std::minstd_rand& random_;
 };
--- a/include/plumdale/protocol/forward_settings.hpp
+++ b/include/plumdale/protocol/forward_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumdale/coordination/fleet_retry_budget.hpp>
+#include <plumdale/coordination/load_parts.hpp>
 #include <plumdale/coordination/load_update_queue.hpp>
 #include <plumdale/protocol/settings.hpp>
 #include <plumdale/state/endpoint.hpp>
@@ -38,6 +39,8 @@
     /// \brief Bytes per second spent on reporting starts and ends of generations to peers.
     double load_news_bytes_per_second = coordination::load_update_queue::default_bytes_per_second;
     coordination::fleet_retry_limit retry_limit;
+    /// \brief Parts that may be on; the configuration decides whether they are.
+    coordination::load_part_settings parts{};
 };
 
 /// \brief Returns whether a settings file is one of a forwarding entry VM.
--- a/include/plumdale/state/routing_configuration.hpp
+++ b/include/plumdale/state/routing_configuration.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <plumdale/state/identifier.hpp>
 #include <plumdale/state/time.hpp>
 
 #include <cstdint>
@@ -75,6 +76,9 @@
     duration time{};
 };
 
+/// \brief Identifies a service in tables and datagrams; made from its name.
+using service_key = identifier<struct service_key_tag>;
+
 /// \brief A pool of upstreams.
 struct service
 {
--- a/programs/plumctl/check.cpp
+++ b/programs/plumctl/check.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 
+#include <plumdale/protocol/forward_settings.hpp>
 #include <plumdale/protocol/settings.hpp>
 
 #include <boost/json.hpp>
@@ -39,6 +40,47 @@
     }
 }
 
+json::array part_rows(coordination::load_part_settings const& parts)
+{
+    json::array rows;
+    for (std::size_t i = 0; i < coordination::load_part_count; ++i)
+    {
+        auto const part = static_cast<coordination::load_part>(i);
+        rows.push_back(json::object{{"name", coordination::load_part_names[i]},
+                                    {"allowed", parts[i]},
+                                    {"on_where", coordination::load_parts::condition(part)}});
+    }
+    return rows;
+}
+
+// The configuration in force, which decides whether an allowed part is on, is not in the file.
+void print_parts(coordination::load_part_settings const& parts, bool as_json)
+{
+    if (as_json)
+    {
+        std::cout << json::serialize(json::object{{"parts", part_rows(parts)}}) << std::endl;
+        return;
+    }
+    for (std::size_t i = 0; i < coordination::load_part_count; ++i)
+    {
+        std::cout << coordination::load_part_names[i] << ": " << (parts[i] ? "on where " : "off")
+                  << (parts[i] ? coordination::load_parts::condition(
+                                     static_cast<coordination::load_part>(i))
+                               : std::string_view{})
+                  << '\n';
+    }
+}
+
+void check_forward_settings(std::string const& text, bool as_json,
+                            std::vector<protocol::settings_error>& errors)
+{
+    protocol::forward_settings const settings = protocol::decode_forward_settings(text, errors);
+    if (errors.empty())
+    {
+        print_parts(settings.parts, as_json);
+    }
+}
+
 } // namespace
 
 int run_check(arguments args)
@@ -57,7 +99,14 @@
     }
     std::string const text{std::istreambuf_iterator<char>{in}, {}};
     std::vector<protocol::settings_error> errors;
-    static_cast<void>(protocol::decode_settings(text, errors));
+    if (protocol::is_forward_settings(text))
+    {
+        check_forward_settings(text, as_json.getValue(), errors);
+    }
+    else
+    {
+        static_cast<void>(protocol::decode_settings(text, errors));
+    }
     print_errors(file.getValue(), errors, as_json.getValue());
     return errors.empty() ? 0 : state::answer_for(state::error_kind::settings_invalid).exit_code;
 }
--- a/src/coordination/upstream_selector.cpp
+++ b/src/coordination/upstream_selector.cpp
@@ -24,10 +24,10 @@
 
 upstream_selector::upstream_selector(service_directory const& directory, load_ledger const& ledger,
                                      outlier_detector const& health, send_gate const& gate,
-                                     upstream_subset const& subset, std::string_view own_zone,
-                                     std::minstd_rand& random)
+                                     upstream_subset const& subset, selection_hints const& hints,
+                                     std::string_view own_zone, std::minstd_rand& random)
     : directory_{directory}, ledger_{ledger}, health_{health}, gate_{gate}, subset_{subset},
-      own_zone_{own_zone}, random_{random}
+      hints_{hints}, own_zone_{own_zone}, random_{random}
 {
 }
 
@@ -101,6 +101,17 @@
     return all ? 1.0 : static_cast<double>(candidates) / static_cast<double>(members);
 }
 
+double upstream_selector::cost_of(directory_entry const& entry, selected_upstream const& candidate,
+                                  selection_options const& options, state::time_point now) const
+{
+    double const wait = std::chrono::duration<double>(candidate.time_to_first_event).count();
+    bool const is_near = entry.info.zone == options.preferred_zone;
+    return candidate.fullness +
+           preemption_penalty * std::max(0.0, candidate.fullness - preemption_threshold) +
+           wait_penalty_per_second * wait + (is_near ? 0.0 : options.zone_penalty) +
+           ejection_penalty * health_.penalty(candidate.member, now);
+}
+
 template <class Sampled>
 std::optional<selected_upstream>
 upstream_selector::best_of(std::span<state::member_key const> members,
@@ -124,16 +135,12 @@
             continue;
         }
         ++compared;
-        double const full = fullness(*entry, service, demand);
-        state::duration const wait = time_to_first_event(*entry, demand);
-        double const score =
-            full + preemption_penalty * std::max(0.0, full - preemption_threshold) +
-            wait_penalty_per_second * std::chrono::duration<double>(wait).count() +
-            (entry->info.zone == options.preferred_zone ? 0.0 : options.zone_penalty) +
-            ejection_penalty * health_.penalty(key, now) + noise(random_);
+        selected_upstream const candidate{key, fullness(*entry, service, demand),
+                                          time_to_first_event(*entry, demand)};
+        double const score = cost_of(*entry, candidate, options, now) + noise(random_);
         if (!best || score < best_score)
         {
-            best = selected_upstream{key, full, wait};
+            best = candidate;
             best_score = score;
         }
     }
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -51,6 +51,34 @@
   ageMs @3 :UInt32;
 }
 
+# Times that calls took at an upstream over what was expected: logarithms in thousandths.
+struct UpstreamSpeed {
+  member @0 :UInt64;
+  prefill @1 :Int16;
+  prefillWeight @2 :UInt16;
+  pace @3 :Int16;
+  paceWeight @4 :UInt16;
+}
+
+struct UpstreamSuspicion {
+  member @0 :UInt64;
+  kind @1 :UInt8;
+  ageMs @2 :UInt32;
+}
+
+struct ZoneReach {
+  zone @0 :UInt64;
+  isReached @1 :Bool;
+  ageMs @2 :UInt32;
+}
+
+struct WaitingCalls {
+  service @0 :UInt64;
+  rank @1 :UInt8;
+  calls @2 :UInt16;
+  oldestMs @3 :UInt32;
+}
+
 struct FleetNews {
   sender @0 :UInt64;
   uptime @1 :UInt64;
@@ -75,6 +103,10 @@
   limits @20 :List(StatedLimit);
   asksEvidence @21 :Bool;
   refusalLimits @22 :List(StatedLimit);
+  speeds @23 :List(UpstreamSpeed);
+  suspicions @24 :List(UpstreamSuspicion);
+  zoneReach @25 :List(ZoneReach);
+  waiting @26 :List(WaitingCalls);
 }
 
 struct ConfigurationOffer {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -75,6 +75,37 @@
     to.setAgeMs(milliseconds_of(from.age));
 }
 
+void write(wire::UpstreamSpeed::Builder to, coordination::speed_row const& from)
+{
+    to.setMember(from.member.value);
+    to.setPrefill(from.prefill);
+    to.setPrefillWeight(from.prefill_weight);
+    to.setPace(from.pace);
+    to.setPaceWeight(from.pace_weight);
+}
+
+void write(wire::UpstreamSuspicion::Builder to, coordination::suspicion_row const& from)
+{
+    to.setMember(from.member.value);
+    to.setKind(static_cast<std::uint8_t>(from.kind));
+    to.setAgeMs(milliseconds_of(from.age));
+}
+
+void write(wire::ZoneReach::Builder to, coordination::zone_reach_row const& from)
+{
+    to.setZone(from.zone.value);
+    to.setIsReached(from.is_reached);
+    to.setAgeMs(milliseconds_of(from.age));
+}
+
+void write(wire::WaitingCalls::Builder to, coordination::waiting_row const& from)
+{
+    to.setService(from.service.value);
+    to.setRank(from.rank);
+    to.setCalls(from.calls);
+    to.setOldestMs(milliseconds_of(from.oldest));
+}
+
 template <class List, class Values>
 void write_rows(List to, Values const& from)
 {
@@ -110,6 +141,37 @@
             std::chrono::milliseconds{from.getAgeMs()}};
 }
 
+coordination::speed_row read(wire::UpstreamSpeed::Reader from)
+{
+    return {state::member_key{from.getMember()}, from.getPrefill(), from.getPrefillWeight(),
+            from.getPace(), from.getPaceWeight()};
+}
+
+// A finding of a kind that a newer version adds is none that this version can use.
+std::optional<coordination::suspicion_row> read(wire::UpstreamSuspicion::Reader from)
+{
+    constexpr auto last = static_cast<std::uint8_t>(coordination::suspicion_kind::timed_out);
+    if (from.getKind() > last)
+    {
+        return std::nullopt;
+    }
+    return coordination::suspicion_row{state::member_key{from.getMember()},
+                                       static_cast<coordination::suspicion_kind>(from.getKind()),
+                                       std::chrono::milliseconds{from.getAgeMs()}};
+}
+
+coordination::zone_reach_row read(wire::ZoneReach::Reader from)
+{
+    return {state::zone_id{from.getZone()}, from.getIsReached(),
+            std::chrono::milliseconds{from.getAgeMs()}};
+}
+
+coordination::waiting_row read(wire::WaitingCalls::Reader from)
+{
+    return {state::service_key{from.getService()}, from.getRank(), from.getCalls(),
+            std::chrono::milliseconds{from.getOldestMs()}};
+}
+
 state::service_member read(wire::ServiceMember::Reader from)
 {
     state::service_member member;
@@ -150,6 +212,29 @@
     return read;
 }
 
+void read_load_parts(wire::FleetNews::Reader from, fleet_update& update)
+{
+    for (auto const each : from.getSpeeds())
+    {
+        update.speeds.push_back(read(each));
+    }
+    for (auto const each : from.getSuspicions())
+    {
+        if (auto const row = read(each))
+        {
+            update.suspicions.push_back(*row);
+        }
+    }
+    for (auto const each : from.getZoneReach())
+    {
+        update.zone_reach.push_back(read(each));
+    }
+    for (auto const each : from.getWaiting())
+    {
+        update.waiting.push_back(read(each));
+    }
+}
+
 fleet_update read_update(wire::FleetNews::Reader from)
 {
     fleet_update update;
@@ -191,6 +276,7 @@
     {
         update.refusal_limits.push_back(read(each));
     }
+    read_load_parts(from, update);
     return update;
 }
 
@@ -208,6 +294,30 @@
     return offer;
 }
 
+// Empty lists are omitted, so that a message without these rows has the size that it had before.
+void write_load_parts(wire::FleetNews::Builder to, fleet_update const& update)
+{
+    if (!update.speeds.empty())
+    {
+        write_rows(to.initSpeeds(static_cast<unsigned int>(update.speeds.size())), update.speeds);
+    }
+    if (!update.suspicions.empty())
+    {
+        write_rows(to.initSuspicions(static_cast<unsigned int>(update.suspicions.size())),
+                   update.suspicions);
+    }
+    if (!update.zone_reach.empty())
+    {
+        write_rows(to.initZoneReach(static_cast<unsigned int>(update.zone_reach.size())),
+                   update.zone_reach);
+    }
+    if (!update.waiting.empty())
+    {
+        write_rows(to.initWaiting(static_cast<unsigned int>(update.waiting.size())),
+                   update.waiting);
+    }
+}
+
 } // namespace
 
 std::string encode(fleet_update const& update, std::string_view fleet_key)
@@ -247,6 +357,7 @@
             write_rows(
                 to.initRefusalLimits(static_cast<unsigned int>(update.refusal_limits.size())),
                 update.refusal_limits);
+            write_load_parts(to, update);
         });
     return with_mac({text.data(), text.size()}, fleet_key);
 }
--- a/src/protocol/forward_settings.cpp
+++ b/src/protocol/forward_settings.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/parse.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace plumdale::protocol
@@ -30,6 +31,23 @@
     reader.seconds("repeat_window_s", into.window, 0.1, hour_s);
 }
 
+void read_parts(object_reader& reader, coordination::load_part_settings& into)
+{
+    std::vector<std::string> names;
+    reader.strings("load_parts", names);
+    for (std::string const& name : names)
+    {
+        auto const known = std::find(coordination::load_part_names.begin(),
+                                     coordination::load_part_names.end(), name);
+        if (known == coordination::load_part_names.end())
+        {
+            reader.add_error("load_parts", boost::json::value{name}, "names of load parts");
+            continue;
+        }
+        into[static_cast<std::size_t>(known - coordination::load_part_names.begin())] = true;
+    }
+}
+
 } // namespace
 
 bool is_forward_settings(std::string_view text)
@@ -76,6 +94,7 @@
     reader.milliseconds("event_delay_ms", settings.event_delay, 1, hour_ms);
     reader.real("load_news_bytes_per_s", settings.load_news_bytes_per_second, 1e3, 1e9);
     read_retry_limit(reader, settings.retry_limit);
+    read_parts(reader, settings.parts);
     reader.reject_unknown_keys();
     if (settings.fleet_key.size() < min_fleet_key_length)
     {
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -45,8 +45,9 @@
       refusal_limits{fleet, self, directory, logger, "refusal limit"},
       refusals{refusal_limits.known()}, gate{directory,    health,         backoffs,
                                              cold_limiter, limits.known(), refusals},
-      subset{directory, self}, selector{directory, ledger,        health, gate,
-                                        subset,    settings.zone, random},
+      subset{directory, self}, parts{process_settings.parts},
+      zones{state::id_from_name<state::zone_id>(process_settings.zone)},
+      selector{directory, ledger, health, gate, subset, hints, settings.zone, random},
       quarantine{logger, metrics}, prober{*this}, peers{fleet, random},
       orders{loop,
              process_settings.upstream_source,
@@ -90,6 +91,7 @@
         return false;
     }
     routing = std::make_shared<coordination::routing_table const>(std::move(decoded.value()));
+    configure_parts();
     former_version = known;
     former_text = std::exchange(configuration_text, std::move(text));
     log.write("configuration", "in force", {},
@@ -100,6 +102,26 @@
     return true;
 }
 
+void forward_core::configure_parts()
+{
+    coordination::load_parts const before = parts;
+    parts.configure(routing->configuration());
+    for (std::size_t i = 0; i < coordination::load_part_count; ++i)
+    {
+        auto const each = static_cast<coordination::load_part>(i);
+        if (parts.is_on(each) != before.is_on(each))
+        {
+            log.write("part", parts.is_on(each) ? "on" : "off", {},
+                      {{"name", coordination::load_part_names[i]},
+                       {"because", parts.status(each).because}});
+        }
+    }
+    using coordination::load_part;
+    hints.speeds = parts.is_on(load_part::learned_speeds) ? &speeds : nullptr;
+    hints.suspicions = parts.is_on(load_part::shared_suspicions) ? &suspicions : nullptr;
+    hints.zones = parts.is_on(load_part::shared_suspicions) ? &zones : nullptr;
+}
+
 // -- calls ----------------------------------------------------------------------------------------
 
 bool forward_core::detect_retry(std::string const& route, state::duration time_left)
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -17,6 +17,7 @@
 #include <plumdale/coordination/fleet_retry_budget.hpp>
 #include <plumdale/coordination/fleet_view.hpp>
 #include <plumdale/coordination/load_ledger.hpp>
+#include <plumdale/coordination/load_parts.hpp>
 #include <plumdale/coordination/load_update_queue.hpp>
 #include <plumdale/coordination/outlier_detector.hpp>
 #include <plumdale/coordination/peer_selector.hpp>
@@ -24,11 +25,13 @@
 #include <plumdale/coordination/retry_detector.hpp>
 #include <plumdale/coordination/route_outcomes.hpp>
 #include <plumdale/coordination/routing_table.hpp>
+#include <plumdale/coordination/selection_hints.hpp>
 #include <plumdale/coordination/send_gate.hpp>
 #include <plumdale/coordination/service_directory.hpp>
 #include <plumdale/coordination/upstream_backoffs.hpp>
 #include <plumdale/coordination/upstream_reach.hpp>
 #include <plumdale/coordination/upstream_selector.hpp>
+#include <plumdale/coordination/waiting_calls.hpp>
 #include <plumdale/protocol/dialect.hpp>
 #include <plumdale/protocol/forward_settings.hpp>
 
@@ -149,6 +152,14 @@
     coordination::upstream_backoffs backoffs;
     coordination::send_gate gate;
     coordination::upstream_subset subset;
+    /// \brief Which parts are on under the configuration in force.
+    coordination::load_parts parts;
+    coordination::upstream_speeds speeds;
+    coordination::upstream_suspicions suspicions;
+    coordination::zone_reach zones;
+    coordination::waiting_calls waiting;
+    /// \brief Knowledge of the parts that are on.
+    coordination::selection_hints hints;
     coordination::upstream_selector selector;
     quarantine_tracker quarantine;
     upstream_pool pool;
@@ -212,6 +223,8 @@
     /// \brief Returns how many upstreams take work, up to `upstream_reach::min_failed`.
     [[nodiscard]] std::size_t usable_upstreams(state::time_point now) const;
     coordination::fleet_retry_budget& retry_budget_of(std::string const& service);
+    /// \brief Switches parts on or off as the configuration in force asks.
+    void configure_parts();
 
     directory_change_log change_log_;
     std::unordered_map<std::string, coordination::fleet_retry_budget> retry_budgets_;
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -38,6 +38,19 @@
     return rows;
 }
 
+json::array part_rows(forward_core const& core)
+{
+    json::array rows;
+    for (std::size_t i = 0; i < coordination::load_part_count; ++i)
+    {
+        auto const& status = core.parts.status(static_cast<coordination::load_part>(i));
+        rows.push_back({{"name", coordination::load_part_names[i]},
+                        {"on", status.is_on},
+                        {"because", status.because}});
+    }
+    return rows;
+}
+
 json::object entry_object(forward_core const& core)
 {
     state::time_point const now = boot_now();
@@ -55,7 +68,8 @@
             {"live_entry_vms", core.fleet.live_count(now)},
             {"reaches_upstreams", !core.reach.is_lost()},
             {"peer_calls_in_progress", core.peer_calls_in_progress},
-            {"calls_in_progress", core.calls_in_progress}};
+            {"calls_in_progress", core.calls_in_progress},
+            {"parts", part_rows(core)}};
 }
 
 json::array route_rows(forward_core const& core)
--- a/tests/coordination/test_cold_upstream_limiter.cpp
+++ b/tests/coordination/test_cold_upstream_limiter.cpp
@@ -46,7 +46,7 @@
           limits{fleet, node(index)}, refusals{limits}, gate{directory, health, backoffs,
                                                              limiter,   limits, refusals},
           subset{directory, node(index)}, selector{directory, ledger, health, gate,
-                                                   subset,    "a",    random}
+                                                   subset,    hints,  "a",    random}
     {
         for (std::size_t i = 0; i < vms; ++i)
         {
@@ -82,6 +82,7 @@
     upstream_backoffs backoffs;
     send_gate gate;
     upstream_subset subset;
+    selection_hints hints;
     upstream_selector selector;
 };
 
--- a/tests/coordination/test_upstream_selector.cpp
+++ b/tests/coordination/test_upstream_selector.cpp
@@ -40,7 +40,8 @@
     upstream_backoffs backoffs;
     refusal_bounds refusals{limits};
     send_gate gate{directory, health, backoffs, share, limits, refusals};
-    upstream_selector selector{directory, ledger, health, gate, subset, "a", random};
+    selection_hints hints;
+    upstream_selector selector{directory, ledger, health, gate, subset, hints, "a", random};
 
     state::member_key add(std::string const& name, std::string const& zone)
     {
--- a/tests/coordination/test_upstream_subset.cpp
+++ b/tests/coordination/test_upstream_subset.cpp
@@ -195,7 +195,8 @@
     upstream_backoffs backoffs;
     refusal_bounds refusals{limits};
     send_gate gate{directory, health, backoffs, share, limits, refusals};
-    upstream_selector selector{directory, ledger, health, gate, subset, "zone-0", random};
+    selection_hints hints;
+    upstream_selector selector{directory, ledger, health, gate, subset, hints, "zone-0", random};
 };
 
 } // namespace
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -85,6 +85,44 @@
     CHECK(read.value().evidence[0].age == std::chrono::seconds{17});
 }
 
+TEST_CASE("rows of the load parts are unchanged by a round trip", "[fleet_codec]")
+{
+    fleet_update sent;
+    sent.speeds = {{state::member_key{1}, -330, 25, 531, 140}};
+    sent.suspicions = {
+        {state::member_key{2}, suspicion_kind::timed_out, std::chrono::milliseconds{40}}};
+    sent.zone_reach = {{state::zone_id{3}, false, std::chrono::milliseconds{300}}};
+    sent.waiting = {{state::service_key{4}, 2, 17, std::chrono::milliseconds{850}}};
+    auto const read = decode_fleet_update(encode(sent, key), key);
+    REQUIRE(read);
+    CHECK(read.value().speeds == sent.speeds);
+    REQUIRE(read.value().suspicions.size() == 1);
+    CHECK(read.value().suspicions[0].member == state::member_key{2});
+    CHECK(read.value().suspicions[0].kind == suspicion_kind::timed_out);
+    CHECK(read.value().suspicions[0].age == std::chrono::milliseconds{40});
+    REQUIRE(read.value().zone_reach.size() == 1);
+    CHECK(read.value().zone_reach[0].zone == state::zone_id{3});
+    CHECK_FALSE(read.value().zone_reach[0].is_reached);
+    CHECK(read.value().zone_reach[0].age == std::chrono::milliseconds{300});
+    REQUIRE(read.value().waiting.size() == 1);
+    CHECK(read.value().waiting[0].service == state::service_key{4});
+    CHECK(read.value().waiting[0].rank == 2);
+    CHECK(read.value().waiting[0].calls == 17);
+    CHECK(read.value().waiting[0].oldest == std::chrono::milliseconds{850});
+}
+
+// A newer version may send a kind that this one doesn't know, during an upgrade.
+TEST_CASE("a finding of an unknown kind is passed over", "[fleet_codec]")
+{
+    fleet_update sent;
+    sent.suspicions = {{state::member_key{1}, static_cast<suspicion_kind>(9), {}},
+                       {state::member_key{2}, suspicion_kind::refused, {}}};
+    auto const read = decode_fleet_update(encode(sent, key), key);
+    REQUIRE(read);
+    REQUIRE(read.value().suspicions.size() == 1);
+    CHECK(read.value().suspicions[0].member == state::member_key{2});
+}
+
 TEST_CASE("a fleet update of maximum size fits into a datagram", "[fleet_codec]")
 {
     fleet_update full = update();
@@ -101,6 +139,13 @@
                          {state::request_digest{0x123456789abcdef0},
                           state::member_key{0x123456789abcdef0}, std::chrono::minutes{10}});
     CHECK(encode(full, key).size() < 1'400);
+    full.evidence.clear();
+    full.speeds.assign(fleet_update::max_speeds,
+                       {state::member_key{0x123456789abcdef0}, -1'400, 900, 1'400, 900});
+    full.suspicions.assign(fleet_update::max_suspicions,
+                           {state::member_key{0x123456789abcdef0}, suspicion_kind::timed_out,
+                            std::chrono::seconds{10}});
+    CHECK(encode(full, key).size() < 1'400);
     full = update();
     full.loads.assign(fleet_update::max_loads,
                       {state::member_key{0x123456789abcdef0}, 24, 30'000, 34'000, 9'000});
--- a/tests/protocol/test_forward_settings.cpp
+++ b/tests/protocol/test_forward_settings.cpp
@@ -46,6 +46,20 @@
     CHECK(settings.seeds == std::vector{state::endpoint{0x0a000002, 7200}});
 }
 
+TEST_CASE("load parts are off unless the settings name them", "[forward_settings]")
+{
+    std::vector<settings_error> errors;
+    CHECK(decode_forward_settings(settings_with(""), errors).parts ==
+          coordination::load_part_settings{});
+    auto const settings =
+        decode_forward_settings(settings_with(R"(,"load_parts":["fitted_copies"])"), errors);
+    REQUIRE(errors.empty());
+    CHECK(settings.parts[static_cast<std::size_t>(coordination::load_part::fitted_copies)]);
+    CHECK_FALSE(settings.parts[static_cast<std::size_t>(coordination::load_part::learned_speeds)]);
+    CHECK(has_error_at(settings_with(R"(,"load_parts":["copies"])"), "/load_parts"));
+    CHECK(has_error_at(settings_with(R"(,"load_parts":true)"), "/load_parts"));
+}
+
 TEST_CASE("only files with mode forward are settings of a forwarding entry VM",
           "[forward_settings]")
 {
