--- a/include/plumdale/coordination/load_parts.hpp
+++ b/include/plumdale/coordination/load_parts.hpp
@@ -52,6 +52,8 @@
 public:
     explicit load_parts(load_part_settings const& allowed) noexcept;
 
+    /// \brief Changes which parts the settings allow; `configure` decides anew.
+    void allow(load_part_settings const& allowed) noexcept;
     void configure(state::routing_configuration const& configuration);
     [[nodiscard]] bool is_on(load_part part) const noexcept
     {
@@ -72,7 +74,7 @@
     static constexpr state::duration min_time_for_own_findings = std::chrono::milliseconds{1'050};
 
 private:
-    load_part_settings allowed_;
+    load_part_settings allowed_{};
     std::array<load_part_status, load_part_count> statuses_{};
 };
 
--- a/programs/plumctl/check.cpp
+++ b/programs/plumctl/check.cpp
@@ -9,6 +9,9 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <optional>
+#include <string_view>
+#include <vector>
 
 namespace plumdale::plumctl
 {
@@ -17,27 +20,44 @@
 
 namespace json = boost::json;
 
-void print_errors(std::string const& file, std::vector<protocol::settings_error> const& errors,
-                  bool as_json)
+/// \brief What the check of a file found.
+struct check_report
 {
-    json::array all;
-    for (protocol::settings_error const& error : errors)
+    std::vector<protocol::settings_error> errors;
+    /// \brief Load parts that the settings of a forwarding VM allow; none for other files.
+    std::optional<coordination::load_part_settings> parts;
+};
+
+check_report check_text(std::string const& text)
+{
+    check_report report;
+    if (protocol::is_forward_settings(text))
     {
-        if (as_json)
-        {
-            all.push_back(json::object{{"file", file},
-                                       {"pointer", error.pointer},
-                                       {"found", error.found},
-                                       {"allowed", error.allowed}});
-            continue;
-        }
-        std::cout << file << ": " << error.pointer << ": found " << error.found
-                  << "; allowed: " << error.allowed << '\n';
+        report.parts = protocol::decode_forward_settings(text, report.errors).parts;
+    }
+    else
+    {
+        static_cast<void>(protocol::decode_settings(text, report.errors));
     }
-    if (as_json)
+    return report;
+}
+
+json::array error_rows(std::string const& file, std::vector<protocol::settings_error> const& errors)
+{
+    json::array rows;
+    for (protocol::settings_error const& error : errors)
     {
-        std::cout << json::serialize(json::object{{"errors", all}}) << std::endl;
+        rows.push_back(json::object{{"file", file},
+                                    {"pointer", error.pointer},
+                                    {"found", error.found},
+                                    {"allowed", error.allowed}});
     }
+    return rows;
+}
+
+std::string_view condition_of(std::size_t part)
+{
+    return coordination::load_parts::condition(static_cast<coordination::load_part>(part));
 }
 
 json::array part_rows(coordination::load_part_settings const& parts)
@@ -45,39 +65,43 @@
     json::array rows;
     for (std::size_t i = 0; i < coordination::load_part_count; ++i)
     {
-        auto const part = static_cast<coordination::load_part>(i);
         rows.push_back(json::object{{"name", coordination::load_part_names[i]},
                                     {"allowed", parts[i]},
-                                    {"on_where", coordination::load_parts::condition(part)}});
+                                    {"on_where", condition_of(i)}});
     }
     return rows;
 }
 
-// The configuration in force, which decides whether an allowed part is on, is not in the file.
-void print_parts(coordination::load_part_settings const& parts, bool as_json)
+void print_json(std::string const& file, check_report const& report)
 {
-    if (as_json)
+    json::object all{{"errors", error_rows(file, report.errors)}};
+    if (report.parts)
     {
-        std::cout << json::serialize(json::object{{"parts", part_rows(parts)}}) << std::endl;
-        return;
+        all["parts"] = part_rows(*report.parts);
     }
+    std::cout << json::serialize(all) << std::endl;
+}
+
+// The configuration in force, which decides whether an allowed part is on, is not in the file.
+void print_parts(coordination::load_part_settings const& parts)
+{
     for (std::size_t i = 0; i < coordination::load_part_count; ++i)
     {
         std::cout << coordination::load_part_names[i] << ": " << (parts[i] ? "on where " : "off")
-                  << (parts[i] ? coordination::load_parts::condition(
-                                     static_cast<coordination::load_part>(i))
-                               : std::string_view{})
-                  << '\n';
+                  << (parts[i] ? condition_of(i) : std::string_view{}) << '\n';
     }
 }
 
-void check_forward_settings(std::string const& text, bool as_json,
-                            std::vector<protocol::settings_error>& errors)
+void print_text(std::string const& file, check_report const& report)
 {
-    protocol::forward_settings const settings = protocol::decode_forward_settings(text, errors);
-    if (errors.empty())
+    for (protocol::settings_error const& error : report.errors)
     {
-        print_parts(settings.parts, as_json);
+        std::cout << file << ": " << error.pointer << ": found " << error.found
+                  << "; allowed: " << error.allowed << '\n';
+    }
+    if (report.parts)
+    {
+        print_parts(*report.parts);
     }
 }
 
@@ -98,17 +122,10 @@
             as_json.getValue());
     }
     std::string const text{std::istreambuf_iterator<char>{in}, {}};
-    std::vector<protocol::settings_error> errors;
-    if (protocol::is_forward_settings(text))
-    {
-        check_forward_settings(text, as_json.getValue(), errors);
-    }
-    else
-    {
-        static_cast<void>(protocol::decode_settings(text, errors));
-    }
-    print_errors(file.getValue(), errors, as_json.getValue());
-    return errors.empty() ? 0 : state::answer_for(state::error_kind::settings_invalid).exit_code;
+    check_report const report = check_text(text);
+    as_json.getValue() ? print_json(file.getValue(), report) : print_text(file.getValue(), report);
+    return report.errors.empty() ? 0
+                                 : state::answer_for(state::error_kind::settings_invalid).exit_code;
 }
 
 } // namespace plumdale::plumctl
--- a/src/coordination/load_parts.cpp
+++ b/src/coordination/load_parts.cpp
@@ -107,11 +107,17 @@
 
 } // namespace
 
-load_parts::load_parts(load_part_settings const& allowed) noexcept : allowed_{allowed}
+load_parts::load_parts(load_part_settings const& allowed) noexcept
 {
+    allow(allowed);
+}
+
+void load_parts::allow(load_part_settings const& allowed) noexcept
+{
+    allowed_ = allowed;
     for (std::size_t i = 0; i < load_part_count; ++i)
     {
-        statuses_[i].because = allowed_[i] ? not_configured : not_allowed;
+        statuses_[i] = {false, allowed_[i] ? not_configured : not_allowed};
     }
 }
 
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -91,7 +91,7 @@
         return false;
     }
     routing = std::make_shared<coordination::routing_table const>(std::move(decoded.value()));
-    configure_parts();
+    configure_parts(settings.parts);
     former_version = known;
     former_text = std::exchange(configuration_text, std::move(text));
     log.write("configuration", "in force", {},
@@ -102,9 +102,18 @@
     return true;
 }
 
-void forward_core::configure_parts()
+void forward_core::allow_parts(coordination::load_part_settings const& allowed)
+{
+    if (routing != nullptr)
+    {
+        configure_parts(allowed);
+    }
+}
+
+void forward_core::configure_parts(coordination::load_part_settings const& allowed)
 {
     coordination::load_parts const before = parts;
+    parts.allow(allowed);
     parts.configure(routing->configuration());
     for (std::size_t i = 0; i < coordination::load_part_count; ++i)
     {
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -75,6 +75,8 @@
     {
         return routing == nullptr ? 0 : routing->configuration().version;
     }
+    /// \brief Applies changed settings of the load parts.
+    void allow_parts(coordination::load_part_settings const& allowed);
     /// \brief Merges entries of upstreams; queues those that changed for peers.
     void apply_members(std::span<state::service_member const> members, std::string_view source);
     /// \brief Applies entries that can't be used: their upstreams get no new work.
@@ -223,8 +225,8 @@
     /// \brief Returns how many upstreams take work, up to `upstream_reach::min_failed`.
     [[nodiscard]] std::size_t usable_upstreams(state::time_point now) const;
     coordination::fleet_retry_budget& retry_budget_of(std::string const& service);
-    /// \brief Switches parts on or off as the configuration in force asks.
-    void configure_parts();
+    /// \brief Switches parts on or off as settings and the configuration in force ask.
+    void configure_parts(coordination::load_part_settings const& allowed);
 
     directory_change_log change_log_;
     std::unordered_map<std::string, coordination::fleet_retry_budget> retry_budgets_;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -343,6 +343,8 @@
             settings_.grace = read->grace;
             settings_.event_delay = read->event_delay;
             settings_.retry_limit = read->retry_limit;
+            settings_.parts = read->parts;
+            core_.allow_parts(read->parts);
         }
         log_.write(part, read ? "settings reloaded" : "settings not reloaded", {}, {});
     }
--- a/tests/coordination/test_load_parts.cpp
+++ b/tests/coordination/test_load_parts.cpp
@@ -55,6 +55,18 @@
     CHECK_FALSE(without_permission.status(load_part::learned_speeds).because.empty());
 }
 
+TEST_CASE("a part that the settings no longer allow is off", "[load_parts]")
+{
+    state::route route = generating(0, 1'800ms);
+    route.target_gap = 180ms;
+    load_parts parts{all_allowed};
+    parts.configure(with_routes({route}));
+    REQUIRE(parts.is_on(load_part::learned_speeds));
+    parts.allow({});
+    parts.configure(with_routes({route}));
+    CHECK_FALSE(parts.is_on(load_part::learned_speeds));
+}
+
 TEST_CASE("speeds are learnt where a gap between events is bounded", "[load_parts]")
 {
     state::route route = generating(0, 1'800ms);
--- a/tests/platform/test_operations.cpp
+++ b/tests/platform/test_operations.cpp
@@ -43,6 +43,20 @@
     CHECK_FALSE(page.at("routes").as_array().empty());
 }
 
+TEST_CASE("the status page shows whether each load part is on and why", "[operations]")
+{
+    forward_fixture fixture;
+    boost::json::value const page = page_of(fixture);
+    auto const& parts = page.at("entry").at("parts").as_array();
+    REQUIRE(parts.size() == coordination::load_part_count);
+    CHECK(parts.front().at("name").as_string() == "learned_speeds");
+    CHECK_FALSE(parts.front().at("on").as_bool());
+    CHECK(parts.front().at("because").as_string() == "the settings don't allow it");
+    fixture.core.allow_parts({false, false, false, true});
+    boost::json::value const reloaded = page_of(fixture);
+    CHECK(reloaded.at("entry").at("parts").as_array().back().at("on").as_bool());
+}
+
 // When a zone is evacuated and one VM still sends there, the status pages show which VM it is.
 TEST_CASE("the status page shows the orders in force and the upstreams that they exclude",
           "[operations]")
