Soak: a silent store with reclaimed upstreams, and load parts

While the store is silent, departures reach no VM, and each finds each gone upstream itself; nothing counted these tries. In every third seed three upstreams are now reclaimed one after the other while the store answers 503: their listeners close, their entries stay, and those that replace them are unlisted. As many are added before, so that calls have a choice. The VMs' lines give the tries in vain, by VM; those without another upstream to choose can't be avoided and are told apart.

VMs of half the seeds may have all load parts on.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -45,6 +45,10 @@
                   "coldPerS": 35, "coldStartS": 1.0}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     "tenants": [{"name": "customer", "apiKeys": ["key"]}]}
+# What load parts are for: calls with little time, and streams that can let others of their service pass.
+LOAD_ROUTES = [
+    {**CONFIGURATION["routes"][0], "name": "brief-fetch", "prefix": "/fetch/load/", "timeoutMs": 1000},
+    {**CONFIGURATION["routes"][2], "name": "patient-draft", "prefix": "/draft/load/", "targetLatencyMs": 4000, "priority": 2}]
 
 
 async def read_message(reader):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,7 @@
 """Fault soak: runs entry VMs as processes, injects faults and checks the promises at callers and upstreams.
 
-usage: tests/soak/soak.py [--seeds N] [--first SEED] [--seconds S] [--kept] [--overlap] [--parallel P] [--binary FILE]
+usage: tests/soak/soak.py [--seeds N] [--first SEED] [--seconds S] [--kept] [--overlap] [--load-parts NAMES] [--compare]
+                          [--parallel P] [--binary FILE]
 
 Each seed starts three entry VMs and six upstreams on loopback addresses of its own, sends calls for some seconds and
 injects overlapping faults: connections delayed, reset or silenced by a proxy; entry VMs paused, killed, stopped and
@@ -8,7 +9,9 @@
 which say so in their answers alone, that ask for back-offs, crash or restart under the same name; brittle upstreams that
 end when they refuse too much; VMs whose paths to all upstreams are cut (silent, reset, or new connections only); entries of other
 writers; zones that are evacuated; configurations and settings that change; a store that is down or restored from a
-snapshot. Seeds with even numbers cut VMs, those with odd ones have brittle upstreams; --overlap does both.
+snapshot. Seeds with even numbers cut VMs, those with odd ones have brittle upstreams; --overlap does both. In every third seed upstreams are
+reclaimed while the store is silent, and tries of calls at those that are gone are counted. VMs of half the seeds may have all load
+parts on, or --load-parts in all seeds; --compare runs each seed without and with `shared_suspicions` and bounds the tries.
 Callers keep their connections until the VM closes them. Only processes that a seed started are signalled, by their ids. The last line is
 `N passed, N failed`; failed seeds print their violations and the folder of their logs.
 """
@@ -23,8 +26,9 @@
 import sys
 import tempfile
 
+from gone_upstreams import GoneUpstreams, avoidable, comparison_violations
 from path_filter import PathFilter
-from platform_standin import CONFIGURATION, ENDING_BODY, Record, Store, Upstream
+from platform_standin import CONFIGURATION, ENDING_BODY, LOAD_ROUTES, Record, Store, Upstream
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 ZONES = ("a", "b")
@@ -39,6 +43,12 @@
 # In one time in which upstreams are brittle, this many and a tenth of their number may end.
 MAX_FALLS = 2
 
+# Calls of LOAD_ROUTES, of all plain and streamed ones.
+LOAD_ROUTE_SHARE = 0.3
+# Services of the upstreams that are reclaimed, in their order.
+RECLAIMED = ("engine", "plain", "engine")
+ALL_LOAD_PARTS = ("learned_speeds", "shared_suspicions", "ranked_waiting", "fitted_copies")
+
 # Seeds that once failed, with the cause; --kept runs all of them.
 REGRESSION_SEEDS = {
     10: "a draft resumed while its former upstream had not yet read the end of the connection; the rule allows 0.4 s",
@@ -84,9 +94,20 @@
             far.transport.abort()
 
 
+def load_parts_of(seed):
+    """Returns the load parts that VMs of a seed may have on: all of them in half of the seeds."""
+    return list(ALL_LOAD_PARTS) if seed // 2 % 2 and seed not in REGRESSION_SEEDS else []
+
+
+def has_reclaimed_upstreams(seed):
+    return seed % 3 == 0 and seed not in REGRESSION_SEEDS
+
+
 class Fleet:
-    def __init__(self, seed, binary, folder):
+    def __init__(self, seed, binary, folder, load_parts=()):
         self.seed, self.binary, self.folder, self.random = seed, binary, folder, random.Random(seed)
+        # Draws for reclaimed upstreams and LOAD_ROUTES, so that all else is drawn as without them.
+        self.load_parts, self.load_random, self.gone = load_parts, random.Random(f"load {seed}"), GoneUpstreams()
         self.host = f"127.{10 + seed % 200}.{1 + seed // 200 % 250}"
         self.record, self.store, self.upstreams, self.proxies = Record(), Store(), {}, []
         self.vms, self.calls, self.next_name, self.servers, self.stopping = {}, {}, 0, [], False
@@ -114,7 +135,8 @@
         self.proxies.append(proxy)
         host, port = await self.listen(proxy.serve)
         proxy.path_filter = self.path_filter
-        self.path_filter.add_listener(self.servers[-1].sockets[0])
+        upstream.listener = self.servers[-1]
+        self.path_filter.add_listener(upstream.listener.sockets[0])
         upstream.address = f"{host}:{port}"
         self.record.upstream_starts[upstream.address] = upstream.born
         upstream.on_end = lambda: asyncio.create_task(self.replace(upstream))
@@ -128,7 +150,8 @@
         return (*plain, "engine", "engine", "engine")
 
     async def start(self):
-        self.store.put("op/config", {"version": 3, **CONFIGURATION})
+        routes = CONFIGURATION["routes"] + ([] if self.seed in REGRESSION_SEEDS else LOAD_ROUTES)
+        self.store.put("op/config", {"version": 3, **CONFIGURATION, "routes": routes})
         proxy = Proxy(await self.listen(self.store.serve))
         self.proxies.append(proxy)
         self.platform = await self.listen(proxy.serve)
@@ -146,6 +169,8 @@
                     "seeds": [f"{self.host}.{n}:1" for n in (1, 2, 3)], "platform": "%s:%d" % self.platform, "upstream_source": f"{address}:0",
                     "fleet_key": "soak, sixteen letters", "grace_s": 4, "event_delay_ms": 120, "repeat_ratio": 0.2,
                     "repeat_slack": 50, "repeat_window_s": 10}
+        if self.load_parts:
+            settings["load_parts"] = self.load_parts
         file = self.folder / f"vm-{number}.json"
         file.write_text(json.dumps(settings))
         log = open(self.folder / f"vm-{number}.log", "ab")
@@ -181,7 +206,7 @@
                   "Plumdale-Request-Deadline-Ms": "15000" if kind == "draft" else "3000", "Content-Length": str(len(body))}
         if kind == "draft":
             fields |= {"Plumdale-Token-Usage": "3000,900", "Plumdale-Length-Hint": "300"}
-        text = f"POST {path or f'/{kind}/{call}'} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n"
+        text = f"POST {path or self.draw_path(kind, call)} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n"
         try:
             vm = self.random.randint(1, 3)
             reader, writer = await self.connect(vm)
@@ -196,6 +221,10 @@
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
 
+    def draw_path(self, kind, call):
+        has_load_route = kind != "event" and self.seed not in REGRESSION_SEEDS
+        return f"/{kind}/load/{call}" if has_load_route and self.load_random.random() < LOAD_ROUTE_SHARE else f"/{kind}/{call}"
+
     async def connect(self, vm):
         """Returns an idle connection to a VM, or a new one."""
         kept = self.kept_connections.get(vm, [])
@@ -350,6 +379,28 @@
             await asyncio.sleep(duration)
             self.path_filter.restore()
 
+    async def reclaim_later(self):
+        """Adds as many upstreams as are reclaimed later, so that calls have others to go to."""
+        for service in RECLAIMED:
+            await self.add_upstream(service)
+        await asyncio.sleep(self.load_random.uniform(1.0, 3.0))
+        await self.delay_orders(self.reclaim_upstreams)
+
+    async def reclaim_upstreams(self):
+        """The store is silent for some seconds. Meanwhile upstreams are reclaimed one after the other: they stay listed, and
+        those that take their place are unlisted. One without a limit is left of each service."""
+        self.store.down = True
+        for service in RECLAIMED:
+            left = [u for u in self.upstreams.values() if u.alive and u.limit is None and u.entry["service"] == service]
+            if len(left) > 1:
+                upstream = self.load_random.choice(left)
+                upstream.listener.close()
+                self.gone.add(upstream.name)
+                await self.replace(upstream)
+            await asyncio.sleep(self.load_random.uniform(0.1, 0.4))
+        await asyncio.sleep(self.load_random.uniform(1.0, 2.0))
+        self.store.down = False
+
     async def make_upstreams_brittle(self, until):
         """The plain upstreams but the one with a limit become brittle, and then have less room."""
         while asyncio.get_running_loop().time() < until:
@@ -516,9 +567,10 @@
         return [] if b"".join(events).startswith(observed["body"]) else [f"{call}: events that do not belong to the generation"]
 
 
-async def soak(seed, binary, seconds, overlap):
+async def soak(seed, binary, seconds, overlap, load_parts):
+    """Returns the violations of a seed, and the tries at upstreams that were gone."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"plumdale-soak-{seed}-"))
-    fleet = Fleet(seed, binary, folder)
+    fleet = Fleet(seed, binary, folder, load_parts)
     loop = asyncio.get_running_loop()
     try:
         await fleet.start()
@@ -531,6 +583,8 @@
                 tasks.append(asyncio.create_task(fleet.cut_vms(end)))
             if seed % 2 == 1 or overlap:
                 tasks.append(asyncio.create_task(fleet.make_upstreams_brittle(end)))
+            if has_reclaimed_upstreams(seed):
+                tasks.append(asyncio.create_task(fleet.reclaim_later()))
             fleet.upstreams["i-1"].announce_limit(fleet.random.uniform(0.5, 3.0))
         while loop.time() < end:
             number += 1
@@ -547,11 +601,13 @@
         violations += fleet.service_violations(number, served)
     finally:
         await fleet.stop()
+    tries = fleet.gone.tries(folder)
     state = "ok" if not violations else "FAILED, logs in " + str(folder)
     print(f"seed {seed}: {number} calls, {served} served whole, {refused_by_order} refused with all zones evacuated, {state}", flush=True)
+    print(f"  load parts {', '.join(load_parts) or 'off'}; {fleet.gone.summary(tries) if has_reclaimed_upstreams(seed) else 'no upstream reclaimed'}", flush=True)
     for line in violations[:5]:
         print(f"  {line}", flush=True)
-    return not violations
+    return not violations, tries
 
 
 def report(loop, context):
@@ -567,18 +623,32 @@
     parser.add_argument("--kept", action="store_true", help="also run the seeds that once failed")
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--overlap", action="store_true", help="cut VMs off while upstreams are brittle, in every seed")
+    parser.add_argument("--load-parts", metavar="NAMES", help="load parts of all seeds, with spaces between them; empty for none")
+    parser.add_argument("--compare", action="store_true", help="run each seed without and with shared_suspicions")
     parser.add_argument("--parallel", type=int, default=2)
     parser.add_argument("--binary", default="build/bin/plumdaled")
     options = parser.parse_args()
     asyncio.get_running_loop().set_exception_handler(report)
     limiter = asyncio.Semaphore(options.parallel)
 
+    def load_parts(seed):
+        """Returns the load parts of each run of a seed."""
+        if options.compare:
+            return [[], ["shared_suspicions"]]
+        return [load_parts_of(seed) if options.load_parts is None else options.load_parts.split()]
+
     async def one(seed):
         async with limiter:
-            return await soak(seed, options.binary, options.seconds, options.overlap)
+            return [await soak(seed, options.binary, options.seconds, options.overlap, parts) for parts in load_parts(seed)]
 
     seeds = [*range(options.first, options.first + options.seeds), *(REGRESSION_SEEDS if options.kept else ())]
-    results = await asyncio.gather(*(one(seed) for seed in seeds))
+    runs = await asyncio.gather(*(one(seed) for seed in seeds))
+    results = [is_clean for each in runs for is_clean, _ in each]
+    if options.compare:
+        without, shared = ([each for run in runs for each in avoidable(run[which][1])] for which in (0, 1))
+        violations = comparison_violations(without, shared)
+        print("\n".join(violations or [f"avoidable tries: {len(shared)} with shared_suspicions, {len(without)} without"]))
+        results.append(not violations)
     print(f"{results.count(True)} passed, {results.count(False)} failed")
     return 0 if all(results) else 1
 
