Copies of generations' memory are ordered only where they fit

With the part fitted_copies a first copy goes to an upstream with a slot, memory until the generation is resumed and time on the link; all are compared and one is drawn by room, of the own zone first. Where none fits the search is repeated until a copy could not be complete. Generations on one upstream take turns, those that lose most first, within the time that the link has to spare. Part off: decisions as before.

test_generation_failover: backup_leaves takes the time, in two places; its checks are unchanged.

--- a/include/plumdale/coordination/copy_schedule.hpp
+++ b/include/plumdale/coordination/copy_schedule.hpp
@@ -23,17 +23,31 @@
 /// \brief Returns when the upstream will be gone; the earliest possible time if it is not known.
 [[nodiscard]] state::time_point departure_time(departure const& leaving) noexcept;
 
+/// \brief Returns when the upstream will be gone; the latest possible time if it is not known.
+[[nodiscard]] state::time_point latest_departure_time(departure const& leaving) noexcept;
+
 /// \brief Returns how long one copy of `tokens` takes on an idle link.
 [[nodiscard]] state::duration copy_duration(state::engine_limits const& engine,
                                             std::uint64_t tokens, bool to_other_zone) noexcept;
 
-/// \brief When further copies of a generation are ordered, once the first is complete.
+/// \brief When the first copy of a generation may be ordered.
+struct first_copy_times
+{
+    state::time_point from{};
+    /// \brief A copy ordered later would not be complete before its upstream is gone.
+    state::time_point until{};
+};
+
+/// \brief When copies of a generation are ordered.
 struct copy_schedule
 {
     /// \brief A copy that brings the first one up to date while the generation runs on.
     state::time_point refresh_at = state::never;
     /// \brief The last copy, which stops the generation.
     state::time_point last_at = state::never;
+    /// \brief Turn of the first copy and until when it waits for a destination where it fits; none
+    /// if it is ordered at once or not at all.
+    std::optional<first_copy_times> first = std::nullopt;
 };
 
 /// \brief Returns when copies follow the first one.
@@ -53,6 +67,8 @@
 
 /// \brief Shortest notice that an upstream is assumed to give.
 inline constexpr state::duration min_notice = std::chrono::milliseconds{1'500};
+/// \brief Longest notice that an upstream without a report is assumed to give.
+inline constexpr state::duration max_notice = std::chrono::milliseconds{2'000};
 /// \brief Longest delay until a notice is received: pacing of the watch, its answer, a datagram.
 inline constexpr state::duration max_notice_delay = std::chrono::milliseconds{180};
 /// \brief Reserved before the departure for ordering last copies, a refusal and a retry.
--- a/include/plumdale/coordination/generation_failover.hpp
+++ b/include/plumdale/coordination/generation_failover.hpp
@@ -85,7 +85,7 @@
         backup_ = member;
     }
     /// \brief An upstream leaves or is gone; the backup is dropped if that upstream keeps it.
-    void backup_leaves(state::member_key member, failover_actions& actions);
+    void backup_leaves(state::member_key member, state::time_point now, failover_actions& actions);
     /// \brief The source leaves; `times` are those of the copies after the first. Called again when
     /// the times change.
     void source_leaves(copy_schedule const& times, state::time_point now,
@@ -130,8 +130,11 @@
     static constexpr state::duration copy_retry_delay = std::chrono::milliseconds{40};
     /// \brief Longest delay between two orders to an unreachable source; each order doubles it.
     static constexpr state::duration max_copy_retry_delay = std::chrono::milliseconds{640};
-    /// \brief Destinations that are tried for one departure.
+    /// \brief Destinations that are tried for one departure, unless a first copy may wait for one
+    /// where it fits.
     static constexpr std::size_t max_destinations = 4;
+    /// \brief Delay between two searches for a destination where a first copy fits.
+    static constexpr state::duration destination_retry_delay = std::chrono::milliseconds{40};
     /// \brief Longest wait for the answer to the last copy after the source's stream ended: the
     /// answer comes when the copy is complete, behind other copies on the link.
     static constexpr state::duration last_copy_timeout = std::chrono::milliseconds{1'200};
@@ -152,7 +155,10 @@
         ended
     };
 
-    void order_first(failover_actions& actions);
+    void begin_first(state::time_point now, failover_actions& actions);
+    void order_first(state::time_point now, failover_actions& actions);
+    void wait_for_destination(state::time_point now);
+    void exclude_destination(state::time_point now);
     void order_refresh(failover_actions& actions);
     void order_last(failover_actions& actions);
     void wait_for_next_copy(state::time_point now);
--- a/include/plumdale/coordination/upstream_selector.hpp
+++ b/include/plumdale/coordination/upstream_selector.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <plumdale/coordination/copy_admission.hpp>
 #include <plumdale/coordination/load_ledger.hpp>
 #include <plumdale/coordination/outlier_detector.hpp>
 #include <plumdale/coordination/selection_hints.hpp>
@@ -41,6 +42,15 @@
     std::size_t candidates_examined = 0;
 };
 
+/// \brief The destination that was found for a copy.
+struct copy_choice
+{
+    /// \brief None if the copy fits nowhere.
+    std::optional<state::member_key> member;
+    /// \brief Upstreams that were compared and may take work, with or without room.
+    std::size_t reachable = 0;
+};
+
 /// \brief Limits and weights for the choice of an upstream.
 struct selection_options
 {
@@ -81,6 +91,12 @@
                                                           call_demand const& demand,
                                                           selection_options const& options,
                                                           state::time_point now) const;
+    /// \brief Returns a destination where a copy fits, drawn by room, of the preferred zone if one
+    /// there has room.
+    [[nodiscard]] copy_choice choose_for_copy(state::service const& service,
+                                              copy_request const& copy,
+                                              selection_options const& options,
+                                              state::time_point now) const;
     /// \brief Returns how full an upstream would be with this call.
     [[nodiscard]] double fullness(directory_entry const& entry, state::service const& service,
                                   call_demand const& demand) const;
@@ -119,6 +135,9 @@
     choose_sampled(std::span<state::member_key const> members, state::service const& service,
                    call_demand const& demand, selection_options const& options,
                    state::time_point now) const;
+    /// \brief Returns whether an upstream may take work, is reachable and is not excluded.
+    [[nodiscard]] bool may_hold_copy(directory_entry const& entry, state::service const& service,
+                                     selection_options const& options, state::time_point now) const;
     /// \brief Returns what speaks against a candidate; the lowest is chosen.
     [[nodiscard]] double cost_of(directory_entry const& entry, selected_upstream const& candidate,
                                  selection_options const& options, state::time_point now) const;
--- a/src/coordination/copy_schedule.cpp
+++ b/src/coordination/copy_schedule.cpp
@@ -36,6 +36,11 @@
     return leaving.leaves_at.value_or(leaving.learnt_at + min_notice - max_notice_delay);
 }
 
+state::time_point latest_departure_time(departure const& leaving) noexcept
+{
+    return leaving.leaves_at.value_or(leaving.learnt_at + max_notice);
+}
+
 copy_schedule schedule_copies(departure const& leaving, state::engine_limits const& engine,
                               std::uint64_t fleet_tokens, std::uint32_t fleet_calls) noexcept
 {
--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -27,11 +27,12 @@
     if (phase_ == phase::steady && !backup_)
     {
         excluded_.assign({source_});
-        order_first(actions);
+        begin_first(now, actions);
     }
 }
 
-void generation_failover::backup_leaves(state::member_key member, failover_actions& actions)
+void generation_failover::backup_leaves(state::member_key member, state::time_point now,
+                                        failover_actions& actions)
 {
     if (backup_ != member)
     {
@@ -41,24 +42,58 @@
     if (source_leaves_ && phase_ == phase::steady)
     {
         excluded_.assign({source_, member});
-        order_first(actions);
+        order_first(now, actions);
+    }
+}
+
+void generation_failover::begin_first(state::time_point now, failover_actions& actions)
+{
+    if (!times_.first || times_.first->from <= now)
+    {
+        return order_first(now, actions);
     }
+    phase_ = phase::first_copy;
+    next_deadline_ = times_.first->from;
 }
 
-void generation_failover::order_first(failover_actions& actions)
+void generation_failover::order_first(state::time_point now, failover_actions& actions)
 {
     next_deadline_ = state::never;
     auto const destination = select_destination_(source_, excluded_);
     if (!destination)
     {
-        phase_ = phase::steady;
-        return;
+        return wait_for_destination(now);
     }
     destination_ = *destination;
     phase_ = phase::first_copy;
     actions.push_back(order_copy{source_, destination_, false});
 }
 
+void generation_failover::wait_for_destination(state::time_point now)
+{
+    state::time_point const next = now + destination_retry_delay;
+    bool const can_wait = times_.first && next <= times_.first->until;
+    phase_ = can_wait ? phase::first_copy : phase::steady;
+    next_deadline_ = can_wait ? next : state::never;
+}
+
+// A destination that refuses has less room than is known here, so further ones are likely to refuse
+// as well until news of the orders that took the room arrive: the delay doubles.
+void generation_failover::exclude_destination(state::time_point now)
+{
+    excluded_.push_back(destination_);
+    std::size_t const refused = excluded_.size() - 1;
+    if (times_.first)
+    {
+        next_deadline_ =
+            now + (std::int64_t{1} << std::min(refused, max_destinations)) * copy_retry_delay;
+        return;
+    }
+    bool const is_last = excluded_.size() > max_destinations;
+    phase_ = is_last ? phase::steady : phase::first_copy;
+    next_deadline_ = is_last ? state::never : now + copy_retry_delay;
+}
+
 void generation_failover::wait_for_next_copy(state::time_point now)
 {
     phase_ = phase::copied;
@@ -154,12 +189,7 @@
     }
     if (reason == copy_refusal::no_capacity)
     {
-        excluded_.push_back(destination_);
-        if (excluded_.size() > max_destinations)
-        {
-            phase_ = phase::steady;
-            return;
-        }
+        return exclude_destination(now);
     }
     next_deadline_ = now + copy_retry_delay;
     if (reason == copy_refusal::unreachable)
@@ -294,7 +324,7 @@
     switch (phase_)
     {
     case phase::first_copy:
-        source_ended_ ? resume_from_backup(actions) : order_first(actions);
+        source_ended_ ? resume_from_backup(actions) : order_first(now, actions);
         return;
     case phase::copied:
         now < times_.last_at ? order_refresh(actions) : order_last(actions);
--- a/src/coordination/upstream_selector.cpp
+++ b/src/coordination/upstream_selector.cpp
@@ -151,6 +151,51 @@
     return best;
 }
 
+bool upstream_selector::may_hold_copy(directory_entry const& entry, state::service const& service,
+                                      selection_options const& options, state::time_point now) const
+{
+    state::member_key const key = state::key_of(entry.info);
+    bool const is_excluded =
+        std::find(options.excluded.begin(), options.excluded.end(), key) != options.excluded.end();
+    return !is_excluded && gate_.may_send(entry, service, now) && health_.penalty(key, now) < 1.0;
+}
+
+copy_choice upstream_selector::choose_for_copy(state::service const& service,
+                                               copy_request const& copy,
+                                               selection_options const& options,
+                                               state::time_point now) const
+{
+    copy_choice choice;
+    if (!service.engine)
+    {
+        return choice;
+    }
+    std::span<state::member_key const> const members = directory_.members_of(service.name);
+    double const probability =
+        sampling_probability(members.size(), selection_options::thorough_candidates);
+    std::uniform_real_distribution<double> uniform{0.0, 1.0};
+    destination_draw draw;
+    for (state::member_key const key : members)
+    {
+        bool const is_sampled = probability >= 1.0 || uniform(random_) < probability;
+        directory_entry const* const entry = is_sampled ? directory_.find(key) : nullptr;
+        if (entry == nullptr || !may_hold_copy(*entry, service, options, now))
+        {
+            continue;
+        }
+        ++choice.reachable;
+        member_load const load = ledger_.total(key);
+        copy_request request = copy;
+        request.to_other_zone = entry->info.zone != options.preferred_zone;
+        draw.add(
+            key, request.to_other_zone,
+            copy_rooms(request, {load.tokens, load.calls, load.tokens_at_end}, *service.engine),
+            uniform(random_));
+    }
+    choice.member = draw.drawn();
+    return choice;
+}
+
 double upstream_selector::mean_fullness(state::service const& service, state::time_point now) const
 {
     double sum = 0.0;
--- a/src/transport/forward_metrics.cpp
+++ b/src/transport/forward_metrics.cpp
@@ -46,6 +46,8 @@
     {"plumdale_forward_copies_first_total", "Memory copies ordered while a generation ran."},
     {"plumdale_forward_copies_last_total", "Copies ordered that stopped a generation."},
     {"plumdale_forward_copies_refused_total", "Orders to copy that were refused."},
+    {"plumdale_forward_copies_unfitted_total",
+     "Generations on leaving upstreams whose copy fitted nowhere at some moment."},
     {"plumdale_forward_resumed_total", "Generations gone on at another upstream."},
     {"plumdale_forward_resume_refused_total", "Resumptions that did not run."},
     {"plumdale_forward_upstream_ends_total",
--- a/src/transport/forward_metrics.hpp
+++ b/src/transport/forward_metrics.hpp
@@ -45,6 +45,7 @@
     copies_first,
     copies_last,
     copies_refused,
+    copies_unfitted,
     resumed,
     resume_refused,
     upstream_ends,
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -2,6 +2,7 @@
 
 #include "forward_call.hpp"
 
+#include <plumdale/coordination/copy_admission.hpp>
 #include <plumdale/coordination/generation_admission.hpp>
 #include <plumdale/coordination/generation_failover.hpp>
 #include <plumdale/protocol/raw_event_splitter.hpp>
@@ -81,7 +82,22 @@
     void log_timing();
     void reserve_for_copy(state::member_key destination);
     [[nodiscard]] coordination::generation_failover& failover();
+    /// \brief Tokens that this generation is expected to generate still.
+    [[nodiscard]] std::uint32_t expected_remaining_tokens() const;
     [[nodiscard]] state::duration expected_remaining_time(state::time_point now) const;
+    [[nodiscard]] bool fits_copies() const noexcept;
+    /// \brief Returns the copy that could be ordered now of a generation on a leaving upstream.
+    [[nodiscard]] coordination::copy_request make_copy_request(coordination::departure const& when,
+                                                               state::time_point now) const;
+    /// \brief Returns when the first copy is ordered, if the part that fits copies is on.
+    [[nodiscard]] std::optional<coordination::first_copy_times>
+    first_copy_turn(coordination::departure const& when, coordination::member_load const& fleet,
+                    state::time_point now);
+    [[nodiscard]] std::optional<state::member_key>
+    choose_fitting_destination(coordination::departure const& when,
+                               coordination::selection_options const& options);
+    /// \brief Logs and counts, once for a departure, that there is no destination.
+    void note_no_destination(std::size_t reachable);
     void forward_events();
     void begin_answer();
     void update_loads();
@@ -118,6 +134,7 @@
     bool streaming_ = false;
     bool begun_ = false;
     bool resuming_ = false;
+    bool has_noted_no_destination_ = false;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
 #include <utility>
 
 // Backup, copies and resumption of a stream's generation; stream_call.cpp forwards its events to
@@ -67,14 +68,17 @@
         return;
     }
     member_load const fleet = core_.ledger.total(member);
-    copy_schedule const times =
+    copy_schedule times =
         schedule_copies(when, *admitted_.service->engine, fleet.tokens, fleet.calls);
     state::time_point const now = boot_now();
+    times.first = first_copy_turn(when, fleet, now);
     core_.log.write("call", "upstream leaves", admitted_.headers.id,
                     {{"upstream", member_name()},
                      {"learnt_ms_ago", whole_milliseconds(now - when.learnt_at)},
                      {"leaves_in_ms", when.leaves_at ? whole_milliseconds(*when.leaves_at - now)
                                                      : std::int64_t{-1}},
+                     {"first_copy_in_ms",
+                      times.first ? whole_milliseconds(times.first->from - now) : std::int64_t{0}},
                      {"last_copy_in_ms", whole_milliseconds(times.last_at - now)},
                      {"fleet_calls", fleet.calls},
                      {"fleet_tokens", fleet.tokens}});
@@ -92,7 +96,7 @@
     drop_backup();
     log("backup leaves", {});
     failover_actions actions;
-    failover().backup_leaves(member, actions);
+    failover().backup_leaves(member, boot_now(), actions);
     apply(actions);
 }
 
@@ -136,20 +140,24 @@
 
 // The caller's hint is right at the median. An answer that exceeds it is expected to continue for
 // half of its length so far: lengths vary by more than their mean.
-state::duration stream_call::expected_remaining_time(state::time_point now) const
+std::uint32_t stream_call::expected_remaining_tokens() const
 {
     std::uint32_t const generated_tokens = tokens_held() - admitted_.demand.prompt_tokens;
     std::uint32_t const hinted_tokens = admitted_.demand.output_tokens;
-    std::uint32_t const remaining_tokens =
-        std::max(hinted_tokens > generated_tokens ? hinted_tokens - generated_tokens : 0U,
-                 generated_tokens / 2);
+    return std::max(hinted_tokens > generated_tokens ? hinted_tokens - generated_tokens : 0U,
+                    generated_tokens / 2);
+}
+
+state::duration stream_call::expected_remaining_time(state::time_point now) const
+{
+    std::uint32_t const generated_tokens = tokens_held() - admitted_.demand.prompt_tokens;
     state::duration const token_time =
         generated_tokens == 0
             ? default_token_time
             : (now - first_event_at_) / static_cast<std::int64_t>(generated_tokens);
     // The first events may arrive together, and a pause between two upstreams is not the token
     // rate.
-    return static_cast<std::int64_t>(remaining_tokens) *
+    return static_cast<std::int64_t>(expected_remaining_tokens()) *
            std::clamp<state::duration>(token_time, default_token_time / 2, 4 * default_token_time);
 }
 
@@ -220,10 +228,71 @@
     call_demand const demand{load_.tokens, admitted_.demand.output_tokens};
     selection_options const options{entry == nullptr ? core_.selector.own_zone() : entry->info.zone,
                                     excluded, other_zone_destination_penalty};
+    departure const* const when = core_.departures.find(source);
+    if (fits_copies() && when != nullptr)
+    {
+        return choose_fitting_destination(*when, options);
+    }
     auto const chosen = core_.selector.choose(*admitted_.service, demand, options, boot_now());
     return chosen ? std::optional{chosen->member} : std::nullopt;
 }
 
+bool stream_call::fits_copies() const noexcept
+{
+    return core_.parts.is_on(load_part::fitted_copies);
+}
+
+copy_request stream_call::make_copy_request(departure const& when, state::time_point now) const
+{
+    return {tokens_held(), expected_remaining_tokens(), latest_departure_time(when) - now};
+}
+
+std::optional<first_copy_times>
+stream_call::first_copy_turn(departure const& when, member_load const& fleet, state::time_point now)
+{
+    if (!fits_copies())
+    {
+        return std::nullopt;
+    }
+    state::engine_limits const& engine = *admitted_.service->engine;
+    copy_request copy = make_copy_request(when, now);
+    state::time_point const until =
+        latest_departure_time(when) - copy_duration(engine, copy.tokens, false);
+    // Before the departure time is known, a turn must not cost a copy that the shortest notice
+    // allows.
+    copy.time_left = departure_time(when) - now;
+    std::uniform_real_distribution<double> uniform{0.0, 1.0};
+    state::duration const turn =
+        copy_turn(copy, {fleet.tokens, fleet.calls}, engine, uniform(core_.random));
+    return first_copy_times{now + turn, until};
+}
+
+std::optional<state::member_key>
+stream_call::choose_fitting_destination(departure const& when, selection_options const& options)
+{
+    state::time_point const now = boot_now();
+    copy_choice const choice = core_.selector.choose_for_copy(
+        *admitted_.service, make_copy_request(when, now), options, now);
+    if (!choice.member)
+    {
+        note_no_destination(choice.reachable);
+    }
+    return choice.member;
+}
+
+void stream_call::note_no_destination(std::size_t reachable)
+{
+    if (std::exchange(has_noted_no_destination_, true))
+    {
+        return;
+    }
+    core_.metrics.add(forward_count::copies_unfitted);
+    core_.log.write("call", "no destination for a copy", admitted_.headers.id,
+                    {{"because", reachable == 0 ? "none reachable" : "none fits"},
+                     {"reachable", static_cast<std::int64_t>(reachable)},
+                     {"tokens", tokens_held()}});
+}
+
 void stream_call::apply(failover_actions const& actions)
 {
     auto const self = shared_from_this();
--- a/tests/coordination/test_generation_failover.cpp
+++ b/tests/coordination/test_generation_failover.cpp
@@ -186,7 +186,7 @@
     failover.set_backup(second_choice);
     failover_actions actions;
     failover.source_leaves({state::never, start + 1s}, start, actions);
-    failover.backup_leaves(second_choice, actions);
+    failover.backup_leaves(second_choice, start, actions);
     REQUIRE(last<order_copy>(actions) != nullptr);
     CHECK(last<order_copy>(actions)->destination == first_choice);
 }
@@ -288,7 +288,7 @@
                 failover.set_backup(second_choice);
                 break;
             case 6:
-                failover.backup_leaves(second_choice, actions);
+                failover.backup_leaves(second_choice, now, actions);
                 break;
             default:
                 failover.advance(now, actions);
@@ -340,3 +340,79 @@
     failover.source_ended(now, actions);
     REQUIRE(last<resume_generation>(actions) != nullptr);
 }
+
+// Load pattern: all destinations are full at the notice, and drafts there end within it. Guards
+// against a generation that is given up while room may still come.
+TEST_CASE("a first copy waits for a destination where it fits", "[generation_failover][load]")
+{
+    bool const may_wait = GENERATE(false, true);
+    std::optional<state::member_key> room;
+    generation_failover failover{source, [&room](auto, auto)
+                                 {
+                                     return room;
+                                 }};
+    copy_schedule times{start + 1s, start + 2s};
+    if (may_wait)
+    {
+        times.first = first_copy_times{start, start + 1s};
+    }
+    failover_actions actions;
+    failover.source_leaves(times, start, actions);
+    failover.advance(start + generation_failover::destination_retry_delay, actions);
+    CHECK(actions.empty());
+    room = first_choice;
+    failover.advance(start + 2 * generation_failover::destination_retry_delay, actions);
+    CHECK((last<order_copy>(actions) != nullptr) == may_wait);
+}
+
+// Load pattern: destinations fill between the decision and the order, more of them than are tried
+// for a copy that may not wait.
+TEST_CASE("a first copy whose destinations fill is ordered elsewhere",
+          "[generation_failover][load]")
+{
+    bool const may_wait = GENERATE(false, true);
+    std::vector<state::member_key> destinations;
+    generation_failover failover{source, [](auto, auto excluded)
+                                 {
+                                     return state::member_key{excluded.size() + 1};
+                                 }};
+    copy_schedule times{start + 20s, start + 30s};
+    if (may_wait)
+    {
+        times.first = first_copy_times{start, start + 10s};
+    }
+    failover_actions actions;
+    failover.source_leaves(times, start, actions);
+    state::time_point now = start;
+    for (int refusals = 0; refusals < 5; ++refusals)
+    {
+        failover.copy_refused(copy_refusal::no_capacity, {}, now, actions);
+        now = std::min(failover.next_deadline(), start + 9s);
+        failover.advance(now, actions);
+    }
+    CHECK(actions.size() == (may_wait ? 6 : 4));
+}
+
+// Guards against orders of all generations at once over one link: those with less to lose go later,
+// and none waits for a copy that could not be complete.
+TEST_CASE("a first copy waits for its turn and not beyond its last chance", "[generation_failover]")
+{
+    generation_failover failover{source, choose};
+    copy_schedule times{start + 1s, start + 2s};
+    times.first = first_copy_times{start + 300ms, start + 900ms};
+    failover_actions actions;
+    failover.source_leaves(times, start, actions);
+    CHECK(actions.empty());
+    CHECK(failover.next_deadline() == start + 300ms);
+    failover.advance(start + 300ms, actions);
+    CHECK(actions.size() == 1);
+
+    generation_failover late{source, [](auto, auto)
+                             {
+                                 return std::optional<state::member_key>{};
+                             }};
+    late.source_leaves(times, start, actions);
+    late.advance(start + 900ms, actions);
+    CHECK(late.next_deadline() == state::never);
+    CHECK(actions.size() == 1);
+}
--- a/tests/platform/test_stream_calls.cpp
+++ b/tests/platform/test_stream_calls.cpp
@@ -208,6 +208,30 @@
     CHECK(fixture.core.metrics.value(transport::forward_count::copies_first) == 1);
 }
 
+// Guards against orders to destinations without room where copies are fitted, and against a change
+// of these decisions where they are not.
+TEST_CASE("a copy that fits nowhere is ordered only where copies are not fitted", "[stream]")
+{
+    bool const is_fitted = GENERATE(false, true);
+    forward_fixture fixture;
+    running_draft draft{fixture};
+    for (std::size_t i = 2; i < fixture.upstreams.size(); ++i)
+    {
+        state::member_key const key = state::key_of(fixture.upstreams[i]->make_member("engine", 1));
+        fixture.core.ledger.add(key, {key, 5, 1'000'000, 1'000'000, 0});
+    }
+    coordination::load_part_settings allowed{};
+    allowed[static_cast<std::size_t>(coordination::load_part::fitted_copies)] = is_fitted;
+    fixture.core.parts = coordination::load_parts{allowed};
+    fixture.core.parts.configure(fixture.core.routing->configuration());
+    announce_departure(fixture, *draft.source);
+    auto const began = transport::boot_now();
+    fixture.run_until([&] { return transport::boot_now() > began + 100ms; });
+    transport::forward_metrics const& metrics = fixture.core.metrics;
+    CHECK(metrics.value(transport::forward_count::copies_first) == (is_fitted ? 0U : 1U));
+    CHECK(metrics.value(transport::forward_count::copies_unfitted) == (is_fitted ? 1U : 0U));
+}
+
 // Guards against orders that go on while an engine backs off: it counts them like calls. One more
 // is sent, as nobody else has the memory.
 TEST_CASE("orders to copy stop while an engine backs off", "[stream][retry-after]")
