Fitted copies: own part of a divided service, turns and retries up to the last chance

Change: members_for_copies, wait_until_last_chance, the oldest exclusion ends, growing delays where the part is on; one constant for the time of a token.

--- a/include/plumdale/coordination/generation_failover.hpp
+++ b/include/plumdale/coordination/generation_failover.hpp
@@ -159,6 +159,8 @@
     void order_first(state::time_point now, failover_actions& actions);
     void wait_for_destination(state::time_point now);
     void exclude_destination(state::time_point now);
+    /// \brief Waits for `delay`, at most until the first copy's last chance; gives up after it.
+    void wait_until_last_chance(state::time_point now, state::duration delay);
     void order_refresh(failover_actions& actions);
     void order_last(failover_actions& actions);
     void wait_for_next_copy(state::time_point now);
--- a/include/plumdale/coordination/upstream_selector.hpp
+++ b/include/plumdale/coordination/upstream_selector.hpp
@@ -135,6 +135,9 @@
     choose_sampled(std::span<state::member_key const> members, state::service const& service,
                    call_demand const& demand, selection_options const& options,
                    state::time_point now) const;
+    /// \brief Returns the upstreams whose load this VM knows.
+    [[nodiscard]] std::vector<state::member_key>
+    members_for_copies(state::service const& service) const;
     /// \brief Returns whether an upstream may take work, is reachable and is not excluded.
     [[nodiscard]] bool may_hold_copy(directory_entry const& entry, state::service const& service,
                                      selection_options const& options, state::time_point now) const;
--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -22,6 +22,11 @@
     {
         wait_for_next_copy(now);
     }
+    bool const awaits_turn = phase_ == phase::first_copy && next_deadline_ != state::never;
+    if (awaits_turn && times_.first)
+    {
+        next_deadline_ = std::min(next_deadline_, times_.first->from);
+    }
     // With a backup no copy is needed: the generation runs until the source is gone, then resumes
     // at the backup.
     if (phase_ == phase::steady && !backup_)
@@ -85,8 +90,11 @@
     std::size_t const refused = excluded_.size() - 1;
     if (times_.first)
     {
-        next_deadline_ =
-            now + (std::int64_t{1} << std::min(refused, max_destinations)) * copy_retry_delay;
+        wait_until_last_chance(now, (std::int64_t{1} << std::min(refused, max_destinations)) *
+                                        copy_retry_delay);
+        // Those that refused first may have room again.
+        bool const is_too_long = refused > max_destinations;
+        excluded_.erase(excluded_.begin() + 1, excluded_.begin() + (is_too_long ? 2 : 1));
         return;
     }
     bool const is_last = excluded_.size() > max_destinations;
@@ -94,6 +102,13 @@
     next_deadline_ = is_last ? state::never : now + copy_retry_delay;
 }
 
+void generation_failover::wait_until_last_chance(state::time_point now, state::duration delay)
+{
+    bool const is_over = now >= times_.first->until;
+    phase_ = is_over ? phase::steady : phase::first_copy;
+    next_deadline_ = is_over ? state::never : std::min(now + delay, times_.first->until);
+}
+
 void generation_failover::wait_for_next_copy(state::time_point now)
 {
     phase_ = phase::copied;
@@ -192,7 +207,8 @@
         return exclude_destination(now);
     }
     next_deadline_ = now + copy_retry_delay;
-    if (reason == copy_refusal::unreachable)
+    bool const may_have_ended = reason == copy_refusal::unknown_generation && times_.first;
+    if (reason == copy_refusal::unreachable || may_have_ended)
     {
         // A drained upstream closes its port and may run for another ten seconds. Each order
         // reports memory at a destination to all peers and withdraws it; without a growing delay
--- a/src/coordination/upstream_selector.cpp
+++ b/src/coordination/upstream_selector.cpp
@@ -160,6 +160,18 @@
     return !is_excluded && gate_.may_send(entry, service, now) && health_.penalty(key, now) < 1.0;
 }
 
+// Of a divided service this VM receives the load of its own part alone: all others look empty.
+std::vector<state::member_key>
+upstream_selector::members_for_copies(state::service const& service) const
+{
+    if (subset_.divides(service.name))
+    {
+        return subset_.own_part(service.name, own_zone_);
+    }
+    std::span<state::member_key const> const all = directory_.members_of(service.name);
+    return {all.begin(), all.end()};
+}
+
 copy_choice upstream_selector::choose_for_copy(state::service const& service,
                                                copy_request const& copy,
                                                selection_options const& options,
@@ -170,12 +182,12 @@
     {
         return choice;
     }
-    std::span<state::member_key const> const members = directory_.members_of(service.name);
+    std::vector<state::member_key> const part = members_for_copies(service);
     double const probability =
-        sampling_probability(members.size(), selection_options::thorough_candidates);
+        sampling_probability(part.size(), selection_options::thorough_candidates);
     std::uniform_real_distribution<double> uniform{0.0, 1.0};
     destination_draw draw;
-    for (state::member_key const key : members)
+    for (state::member_key const key : part)
     {
         bool const is_sampled = probability >= 1.0 || uniform(random_) < probability;
         directory_entry const* const entry = is_sampled ? directory_.find(key) : nullptr;
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -38,7 +38,7 @@
     static constexpr std::uint32_t events_per_update = 16;
     /// \brief Time per token until this generation's own is known: a step takes 7 ms and 0.12 ms
     /// for each other generation, and prompts are processed in between.
-    static constexpr state::duration default_token_time = std::chrono::milliseconds{12};
+    static constexpr state::duration default_token_time = coordination::copy_token_time;
     /// \brief Penalty of a destination in another zone: a copy across zones takes twice the link's
     /// time, and some eight leave an upstream one after another within one notice. Another zone is
     /// used if the own one has no capacity.
--- a/tests/coordination/test_generation_failover.cpp
+++ b/tests/coordination/test_generation_failover.cpp
@@ -416,3 +416,76 @@
     CHECK(late.next_deadline() == state::never);
     CHECK(actions.size() == 1);
 }
+
+// Guards against a turn that comes after the upstream is gone, as its report tells an earlier
+// departure than its notice allowed.
+TEST_CASE("a turn moves forward when the departure is nearer than expected",
+          "[generation_failover]")
+{
+    generation_failover failover{source, choose};
+    copy_schedule times{start + 1s, start + 2s};
+    times.first = first_copy_times{start + 300ms, start + 900ms};
+    failover_actions actions;
+    failover.source_leaves(times, start, actions);
+    times.first = first_copy_times{start + 100ms, start + 150ms};
+    failover.source_leaves(times, start + 50ms, actions);
+    CHECK(failover.next_deadline() == start + 100ms);
+}
+
+// Guards against a wait after refusals that outlasts the last chance to copy.
+TEST_CASE("a refused copy is ordered once more at its last chance", "[generation_failover]")
+{
+    generation_failover failover{source, choose};
+    copy_schedule times{start + 1s, start + 2s};
+    times.first = first_copy_times{start, start + 500ms};
+    failover_actions actions;
+    failover.source_leaves(times, start, actions);
+    failover.copy_refused(copy_refusal::no_capacity, {}, start + 480ms, actions);
+    CHECK(failover.next_deadline() == start + 500ms);
+    failover.copy_refused(copy_refusal::no_capacity, {}, start + 500ms, actions);
+    CHECK(failover.next_deadline() == state::never);
+}
+
+// Guards against searches in vain until the departure once each destination has refused.
+TEST_CASE("a destination that refused earlier may be asked again", "[generation_failover]")
+{
+    std::size_t most_excluded = 0;
+    generation_failover failover{source, [&most_excluded](auto, auto excluded)
+                                 {
+                                     most_excluded = std::max(most_excluded, excluded.size());
+                                     return state::member_key{excluded.back().value + 1};
+                                 }};
+    copy_schedule times{start + 20s, start + 30s};
+    times.first = first_copy_times{start, start + 10s};
+    failover_actions actions;
+    failover.source_leaves(times, start, actions);
+    state::time_point now = start;
+    for (int refusals = 0; refusals < 8; ++refusals)
+    {
+        failover.copy_refused(copy_refusal::no_capacity, {}, now, actions);
+        now = failover.next_deadline();
+        failover.advance(now, actions);
+    }
+    CHECK(most_excluded == 1 + generation_failover::max_destinations);
+}
+
+// A generation that its upstream ended while the stream's end was delayed is unknown there. Guards
+// against an order each 40 ms until the stream's end arrives.
+TEST_CASE(
+    "orders of an unknown generation are repeated with growing delays where copies are fitted",
+    "[generation_failover]")
+{
+    generation_failover failover{source, choose};
+    copy_schedule times{start + 20s, start + 30s};
+    times.first = first_copy_times{start, start + 10s};
+    failover_actions actions;
+    failover.source_leaves(times, start, actions);
+    state::time_point now = start;
+    while (now < start + 5s)
+    {
+        failover.copy_refused(copy_refusal::unknown_generation, {}, now, actions);
+        now = failover.next_deadline();
+        failover.advance(now, actions);
+    }
+    CHECK(actions.size() <= 13);
+}
--- a/tests/coordination/test_upstream_subset.cpp
+++ b/tests/coordination/test_upstream_subset.cpp
@@ -212,6 +212,23 @@
     }
 }
 
+// Guards against copies to upstreams that look empty, as their load is told to other VMs only.
+TEST_CASE("copies go to the own subset", "[upstream_subset][upstream_selector]")
+{
+    selecting_vm vm{fleet_of_584};
+    state::service service;
+    service.name = "lists";
+    service.engine = state::engine_limits{};
+    service.engine->memory_tokens = 30'000;
+    for (int i = 0; i < 100; ++i)
+    {
+        copy_choice const choice =
+            vm.selector.choose_for_copy(service, {3'000, 500, 1'500ms}, {"zone-0"}, now);
+        REQUIRE(choice.member);
+        CHECK(vm.is_in_part(*choice.member));
+    }
+}
+
 // Guards against refusals while thousands of upstreams of other zones are free.
 TEST_CASE("calls go elsewhere where the subset takes no work",
           "[upstream_subset][upstream_selector]")
