Learned speeds: routing follows the speeds that the VMs observe at upstreams

Each VM keeps quantiles of first events and paces by incarnation, sends them in whole messages and estimates factors by a weighted median. The selector estimates first events by them and adds the risk of a gap that is too long; where all is about equal the factors are 1.

--- a/include/plumdale/coordination/upstream_selector.hpp
+++ b/include/plumdale/coordination/upstream_selector.hpp
@@ -26,6 +26,8 @@
     std::uint32_t prompt_tokens = 0;
     /// \brief Tokens that it is expected to generate.
     std::uint32_t output_tokens = 0;
+    /// \brief Longest gap between events with which it is on time; zero if any is.
+    state::duration max_gap{};
 };
 
 /// \brief A selected upstream and its projected load.
@@ -61,6 +63,8 @@
     double zone_penalty = other_zone_penalty;
     /// \brief Approximate number of upstreams that are compared.
     std::size_t candidates = sampled_candidates;
+    /// \brief Gaps that are too long don't count: the call would be refused otherwise.
+    bool accepts_long_gaps = false;
 };
 
 /// \brief Selects the upstream that will be least full; prefers its own zone and healthy ones.
@@ -87,6 +91,15 @@
     /// \brief Returns how long an upstream takes to this call's first event.
     [[nodiscard]] state::duration time_to_first_event(directory_entry const& entry,
                                                       call_demand const& demand) const;
+    /// \brief Returns the probability with which a gap between this call's events is too long at an
+    /// upstream; zero where all upstreams are equally fast.
+    [[nodiscard]] double gap_risk(directory_entry const& entry, state::service const& service,
+                                  call_demand const& demand) const;
+    /// \brief Returns how long an upstream of nominal speed takes for a token of one of `calls`
+    /// generations.
+    [[nodiscard]] static double token_ms(std::uint32_t calls, bool reads_prompts) noexcept;
+    /// \brief Returns the time of an upstream of nominal speed to read a prompt.
+    [[nodiscard]] static state::duration nominal_reading_time(double prompt_tokens);
     /// \brief Returns how long an upstream that prefills nothing else takes to this call's first
     /// event.
     [[nodiscard]] static state::duration min_time_to_first_event(call_demand const& demand);
@@ -105,6 +118,21 @@
     /// \brief Prompt tokens that an upstream prefills in a millisecond beside its running batch: a
     /// chunk of 112 in each step, which takes 7 ms and another 8 ms for the chunk.
     static constexpr double prompt_tokens_per_ms = 7.0;
+    /// \brief A step, which generates a token of each call, takes `step_ms` and `call_ms` for each
+    /// call but one, and `chunk_ms` more while prompts are read.
+    static constexpr double step_ms = 7.0;
+    static constexpr double call_ms = 0.12;
+    static constexpr double chunk_ms = 8.0;
+    /// \brief Pauses of its machine make a step take up to this many times as long.
+    static constexpr double longest_step_ratio = 2.5;
+    /// \brief Gaps that exceed the accepted one by this share are certain to occur in a long
+    /// answer.
+    static constexpr double certain_excess = 0.25;
+    /// \brief Tokens of an answer in which a gap occurs that the upstream's pace allows.
+    static constexpr double risky_tokens = 400.0;
+    /// \brief Fullness added for a gap that is certain to be too long: a late answer earns a sixth,
+    /// as after a second's wait for its first event.
+    static constexpr double long_gap_penalty = 1.0;
     /// \brief Fullness added for each second until the first event: the objective is 1.5 to 1.8 s,
     /// and a late answer earns a sixth of a timely one.
     static constexpr double wait_penalty_per_second = 1.0;
@@ -122,6 +150,8 @@
     /// \brief Returns what speaks against a candidate; the lowest is chosen.
     [[nodiscard]] double cost_of(directory_entry const& entry, selected_upstream const& candidate,
                                  selection_options const& options, state::time_point now) const;
+    /// \brief Returns the learnt speed; nominal where the part is off.
+    [[nodiscard]] speed_factors factors_of(directory_entry const& entry) const;
     template <class Sampled>
     [[nodiscard]] std::optional<selected_upstream>
     best_of(std::span<state::member_key const> members, state::service const& service,
--- a/src/coordination/upstream_selector.cpp
+++ b/src/coordination/upstream_selector.cpp
@@ -13,9 +13,8 @@
     return std::max(1U, member.slots);
 }
 
-state::duration reading_time(double prompt_tokens)
+state::duration from_ms(double ms)
 {
-    double const ms = prompt_tokens / upstream_selector::prompt_tokens_per_ms;
     return std::chrono::duration_cast<state::duration>(
         std::chrono::duration<double, std::milli>{ms});
 }
@@ -51,12 +50,49 @@
                                                        call_demand const& demand) const
 {
     member_load const load = ledger_.total(state::key_of(entry.info));
-    return reading_time(load.pending_prefill_tokens + demand.prompt_tokens);
+    double const tokens = load.pending_prefill_tokens + demand.prompt_tokens;
+    return nominal_reading_time(factors_of(entry).prefill * tokens);
+}
+
+state::duration upstream_selector::nominal_reading_time(double prompt_tokens)
+{
+    return from_ms(prompt_tokens / prompt_tokens_per_ms);
 }
 
 state::duration upstream_selector::min_time_to_first_event(call_demand const& demand)
 {
-    return reading_time(demand.prompt_tokens);
+    return nominal_reading_time(demand.prompt_tokens);
+}
+
+speed_factors upstream_selector::factors_of(directory_entry const& entry) const
+{
+    return hints_.speeds == nullptr ? speed_factors{}
+                                    : hints_.speeds->factors(state::key_of(entry.info));
+}
+
+double upstream_selector::token_ms(std::uint32_t calls, bool reads_prompts) noexcept
+{
+    double const others = calls == 0 ? 0.0 : calls - 1.0;
+    return step_ms + call_ms * others + (reads_prompts ? chunk_ms : 0.0);
+}
+
+// A gap is the time of one event's tokens while prompts are read beside them and the machine
+// pauses.
+double upstream_selector::gap_risk(directory_entry const& entry, state::service const& service,
+                                   call_demand const& demand) const
+{
+    speed_factors const factors = factors_of(entry);
+    if (!factors.is_uneven || !service.engine || demand.max_gap == state::duration::zero())
+    {
+        return 0.0;
+    }
+    std::uint32_t const calls = ledger_.total(state::key_of(entry.info)).calls + 1;
+    double const token = factors.pace * token_ms(calls, true);
+    double const longest_gap_ms = longest_step_ratio * service.engine->tokens_per_event * token;
+    double const max_gap_ms = std::chrono::duration<double, std::milli>(demand.max_gap).count();
+    double const excess = longest_gap_ms / max_gap_ms - 1.0;
+    double const length = std::min(1.0, demand.output_tokens / risky_tokens);
+    return length * std::clamp(excess / certain_excess, 0.0, 1.0);
 }
 
 std::optional<selected_upstream> upstream_selector::choose(state::service const& service,
@@ -137,7 +173,9 @@
         ++compared;
         selected_upstream const candidate{key, fullness(*entry, service, demand),
                                           time_to_first_event(*entry, demand)};
-        double const score = cost_of(*entry, candidate, options, now) + noise(random_);
+        double const gap_cost =
+            options.accepts_long_gaps ? 0.0 : long_gap_penalty * gap_risk(*entry, service, demand);
+        double const score = cost_of(*entry, candidate, options, now) + gap_cost + noise(random_);
         if (!best || score < best_score)
         {
             best = candidate;
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -74,7 +74,7 @@
                        [this](std::string datagram, state::endpoint to)
                        { send(message_kind::configuration, std::move(datagram), to); },
                        std::move(read_store)}},
-      directories_{core}
+      directories_{core}, speeds_{core}
 {
 }
 
@@ -162,6 +162,7 @@
     exchange_evidence(update, from);
     core_.ledger.apply_update(update.sender, update.incarnation_number, update.sequence,
                               update.whole, update.loads, now);
+    speeds_.apply_update(update, now);
     configurations_.note_peer_version(update.configuration);
 }
 
@@ -236,6 +237,7 @@
     core_.fleet.forget_silent(now);
     log_live_peers(now);
     log_traffic(now);
+    speeds_.advance(now);
     directories_.advance(now);
     configurations_.advance();
     bool const store_lost = !last_read_();
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -4,6 +4,7 @@
 #include "directory_exchange.hpp"
 #include "forward_core.hpp"
 #include "load_exchange.hpp"
+#include "speed_tracker.hpp"
 
 #include <plumdale/coordination/evidence_exchange.hpp>
 #include <plumdale/coordination/membership.hpp>
@@ -110,6 +111,7 @@
     state::time_point traffic_logged_at_{};
     coordination::evidence_exchange evidence_;
     directory_exchange directories_;
+    speed_tracker speeds_;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/fleet_exchange_sending.cpp
+++ b/src/transport/fleet_exchange_sending.cpp
@@ -115,6 +115,10 @@
         auto const begin = rows.begin() + static_cast<std::ptrdiff_t>(next);
         update.whole = next == 0;
         update.loads.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+        if (update.whole)
+        {
+            speeds_.add_rows(update, boot_now());
+        }
         next += count;
         record_sent_status(update);
         send(update, peers);
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -70,6 +70,7 @@
     if (!chosen && (!is_recheck || now >= wait_until_))
     {
         chosen = select_upstream(coordination::selection_options::thorough_candidates, now);
+        chosen = chosen ? chosen : select_slow_upstream(now);
     }
     if (chosen)
     {
@@ -98,9 +99,29 @@
                                                                state::time_point now)
 {
     coordination::selection_options options;
+    options.candidates = candidates;
+    return select_upstream(options, now);
+}
+
+// Those whose pace keeps the bound are full. An answer with a long gap is late, a refused call has
+// none.
+std::optional<state::member_key> forward_call::select_slow_upstream(state::time_point now)
+{
+    if (core_.hints.speeds == nullptr || admitted_.demand.max_gap == state::duration::zero())
+    {
+        return std::nullopt;
+    }
+    coordination::selection_options options;
+    options.candidates = coordination::selection_options::thorough_candidates;
+    options.accepts_long_gaps = true;
+    return select_upstream(options, now);
+}
+
+std::optional<state::member_key>
+forward_call::select_upstream(coordination::selection_options options, state::time_point now)
+{
     options.preferred_zone = core_.selector.own_zone();
     options.excluded = excluded_;
-    options.candidates = candidates;
     auto const chosen = core_.selector.choose(*admitted_.service, admitted_.demand, options, now);
     if (!chosen)
     {
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -145,6 +145,11 @@
     /// there.
     [[nodiscard]] std::optional<state::member_key> select_upstream(std::size_t candidates,
                                                                    state::time_point now);
+    [[nodiscard]] std::optional<state::member_key>
+    select_upstream(coordination::selection_options options, state::time_point now);
+    /// \brief Does so among all upstreams, also those at which a gap between events may be too
+    /// long.
+    [[nodiscard]] std::optional<state::member_key> select_slow_upstream(state::time_point now);
     [[nodiscard]] bool may_send(coordination::directory_entry const& entry,
                                 state::time_point now) const;
     void wait_or_refuse(bool at_capacity, state::time_point now);
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -7,6 +7,7 @@
 #include "milliseconds.hpp"
 #include "operations_page.hpp"
 #include "peer_call_admission.hpp"
+#include "speed_tracker.hpp"
 #include "store_reader.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
@@ -212,7 +213,8 @@
         else if (call.head.target == "/metrics")
         {
             channel.answer(ok, "OK", {{"Content-Type", "text/plain; version=0.0.4"}},
-                           core_.metrics.text(log_.dropped()) + core_.traffic.text());
+                           core_.metrics.text(log_.dropped()) + core_.traffic.text() +
+                               speed_metrics_text(core_));
         }
         else
         {
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -259,6 +259,13 @@
     return writer.take();
 }
 
+std::string gauge_text(std::string_view name, double value, std::string_view help)
+{
+    text_writer writer;
+    writer.gauge(name, value, help);
+    return writer.take();
+}
+
 std::string metrics_text(std::span<worker_sample const> workers, control_metrics const& control,
                          gauge_metrics const& gauges)
 {
--- a/src/transport/metrics.hpp
+++ b/src/transport/metrics.hpp
@@ -124,6 +124,9 @@
 [[nodiscard]] std::string counter_text(std::string_view name, std::uint64_t value,
                                        std::string_view help);
 
+/// \brief Returns one gauge in the page's format.
+[[nodiscard]] std::string gauge_text(std::string_view name, double value, std::string_view help);
+
 /// \brief Returns the page in Prometheus's text format.
 [[nodiscard]] std::string metrics_text(std::span<worker_sample const> workers,
                                        control_metrics const& control, gauge_metrics const& gauges);
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -126,6 +126,13 @@
         row["cold"] = core.gate.is_cold(entry, *service, now);
         row["takes_own_request"] = core.gate.may_send(entry, *service, now);
     }
+    if (core.hints.speeds != nullptr && service != nullptr && service->engine)
+    {
+        coordination::speed_factors const speed = core.speeds.factors(key);
+        row["prefill_factor"] = speed.prefill;
+        row["pace_factor"] = speed.pace;
+        row["speed_known"] = speed.is_known;
+    }
     return row;
 }
 
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -28,6 +28,7 @@
     : forward_call{core, std::move(channel), std::move(admitted)}, last_progress_{
                                                                        admitted_.call.read_at}
 {
+    admitted_.demand.max_gap = admitted_.route->target_gap;
     core_.departures.add_listener(*this);
 }
 
@@ -116,6 +117,7 @@
 void stream_call::forward_events()
 {
     std::string chunk;
+    std::uint32_t const events_before = events_forwarded_;
     while (auto event = events_.next())
     {
         // After a resumption an upstream may repeat events that the caller has.
@@ -155,14 +157,20 @@
     if (is_first_of_run)
     {
         run_began_at_ = now;
+        note_first_event(now);
         clear_pending_prefill();
         note_backup();
     }
+    else
+    {
+        note_pace(events_forwarded_ - events_before, now);
+    }
     last_progress_ = now;
     begin_answer();
     channel_->send_chunk(chunk);
     if (channel_->is_full())
     {
+        pace_.interrupt();
         exchange_->pause(true);
     }
     update_loads();
@@ -172,6 +180,49 @@
     }
 }
 
+// -- speed ----------------------------------------------------------------------------------------
+
+// A resumed run waited for its copy, and its upstream reads only what that lacks.
+bool stream_call::shows_speed() const noexcept
+{
+    return core_.hints.speeds != nullptr && admitted_.service->engine && !resume_from_;
+}
+
+void stream_call::note_first_event(state::time_point now)
+{
+    if (!shows_speed())
+    {
+        return;
+    }
+    if (nominal_first_event_ >= min_measured_wait)
+    {
+        core_.speeds.note_first_event(member_,
+                                      std::chrono::duration<double>(now - sent_at_) /
+                                          std::chrono::duration<double>(nominal_first_event_),
+                                      now);
+    }
+    pace_.begin(now);
+}
+
+void stream_call::note_pace(std::uint32_t events, state::time_point now)
+{
+    if (!shows_speed())
+    {
+        return;
+    }
+    member_load const load = core_.ledger.total(member_);
+    double const token_ms =
+        upstream_selector::token_ms(load.calls, load.pending_prefill_tokens != 0);
+    double const expected_ms = token_ms * events * admitted_.service->engine->tokens_per_event;
+    auto const ratio = pace_.add(std::chrono::duration_cast<state::duration>(
+                                     std::chrono::duration<double, std::milli>{expected_ms}),
+                                 now);
+    if (ratio)
+    {
+        core_.speeds.note_pace(member_, *ratio, now);
+    }
+}
+
 // A resumption processes only the tokens that its copy lacks.
 std::uint32_t stream_call::pending_prefill_tokens() const
 {
@@ -284,6 +335,10 @@
 {
     core_.health.note(member_, call_result::good, boot_now());
     core_.metrics.add(forward_count::streams_whole);
+    if (auto const ratio = shows_speed() ? pace_.finish() : std::nullopt)
+    {
+        core_.speeds.note_pace(member_, *ratio, boot_now());
+    }
     begin_answer();
     log_timing();
     note_outcome(is_on_time() ? call_outcome::on_time : call_outcome::late);
@@ -325,6 +380,7 @@
          {"prompt_tokens", admitted_.demand.prompt_tokens},
          {"fullness_percent", static_cast<std::int64_t>(100.0 * best_.fullness)},
          {"expected_first_event_ms", whole_milliseconds(best_.time_to_first_event)},
+         {"speed_percent", static_cast<std::int64_t>(100.0 * core_.speeds.factors(member_).pace)},
          {"sent_after_ms", whole_milliseconds(first_sent_at_ - admitted_.call.read_at)},
          {"age_ms", whole_milliseconds(boot_now() - admitted_.call.read_at)}});
 }
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -4,6 +4,7 @@
 
 #include <plumdale/coordination/generation_admission.hpp>
 #include <plumdale/coordination/generation_failover.hpp>
+#include <plumdale/coordination/pace_meter.hpp>
 #include <plumdale/protocol/raw_event_splitter.hpp>
 
 #include <cstdint>
@@ -42,6 +43,8 @@
     /// time, and some eight leave an upstream one after another within one notice. Another zone is
     /// used if the own one has no capacity.
     static constexpr double other_zone_destination_penalty = 1.0;
+    /// \brief Shorter waits for a first event are made of the network's and the step's time.
+    static constexpr state::duration min_measured_wait = std::chrono::milliseconds{100};
     /// \brief A caller abandons a stream after a silence of the longest of this time, four
     /// objectives and eight allowed gaps; work beyond that is wasted.
     static constexpr state::duration min_silence_timeout = std::chrono::seconds{2};
@@ -73,6 +76,12 @@
     void clear_pending_prefill();
     std::optional<std::string> request() override;
 
+    /// \brief Records how long the first event of this run took.
+    void note_first_event(state::time_point now);
+    /// \brief Records the pace of events after the first.
+    void note_pace(std::uint32_t events, state::time_point now);
+    /// \brief Returns whether this run tells how fast its upstream is.
+    [[nodiscard]] bool shows_speed() const noexcept;
     void choose_backup();
     void note_backup();
     void drop_backup();
@@ -115,6 +124,9 @@
     /// \brief First event of the run at this upstream.
     state::time_point run_began_at_{};
     state::duration longest_gap_{};
+    /// \brief Time to this run's first event at an upstream of nominal speed.
+    state::duration nominal_first_event_{};
+    coordination::pace_meter pace_;
     bool streaming_ = false;
     bool begun_ = false;
     bool resuming_ = false;
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -158,6 +158,8 @@
 std::optional<std::string> stream_call::request()
 {
     choose_backup();
+    nominal_first_event_ =
+        upstream_selector::nominal_reading_time(core_.ledger.total(member_).pending_prefill_tokens);
     return forward_call::request();
 }
 
@@ -174,7 +176,8 @@
     }
     directory_entry const* const source = core_.directory.find(member_);
     std::array<state::member_key, 1> const excluded{member_};
-    call_demand const demand{tokens_held(), admitted_.demand.output_tokens};
+    call_demand const demand{tokens_held(), admitted_.demand.output_tokens,
+                             admitted_.demand.max_gap};
     selection_options const options{
         source == nullptr ? core_.selector.own_zone() : source->info.zone, excluded};
     auto const chosen = core_.selector.choose(service, demand, options, boot_now());
@@ -217,7 +220,8 @@
                                 std::span<state::member_key const> excluded)
 {
     directory_entry const* const entry = core_.directory.find(source);
-    call_demand const demand{load_.tokens, admitted_.demand.output_tokens};
+    call_demand const demand{load_.tokens, admitted_.demand.output_tokens,
+                             admitted_.demand.max_gap};
     selection_options const options{entry == nullptr ? core_.selector.own_zone() : entry->info.zone,
                                     excluded, other_zone_destination_penalty};
     auto const chosen = core_.selector.choose(*admitted_.service, demand, options, boot_now());
