Shared suspicions: what one VM finds at upstreams and zones, all know

Cause: while the store is silent each VM found each upstream that is gone itself, and in a zone's cut tried the other zones' upstreams one by one, then peers that are cut like itself. Change: upstream_suspicions (findings weighed by kind, VMs and zones; answers refute; one VM at a time probes), zone_reach (a zone of whose upstreams three fail without an answer gets no calls, backups or copies until one answers), both only where the part is on; findings ride along the trees of upstreams' changes; the codec keeps the origin of such rows also at the trees' leaves (round trip test extended).

--- a/include/plumdale/coordination/upstream_selector.hpp
+++ b/include/plumdale/coordination/upstream_selector.hpp
@@ -95,6 +95,8 @@
     /// \brief Returns the probability with which each upstream of a service is sampled.
     [[nodiscard]] double sampling_probability(std::size_t members,
                                               std::size_t candidates) const noexcept;
+    /// \brief Returns whether an upstream is suspected to be gone or its zone to be cut off.
+    [[nodiscard]] bool is_doubtful(state::member_key member, state::time_point now) const;
     [[nodiscard]] std::string_view own_zone() const noexcept
     {
         return own_zone_;
@@ -113,6 +115,8 @@
     static constexpr double preemption_penalty = 4.0;
     /// \brief Added in full for an upstream that is ejected; higher than any fullness.
     static constexpr double ejection_penalty = 10.0;
+    /// \brief Added for an upstream that is likely gone; also crowded ones are preferred to it.
+    static constexpr double suspicion_penalty = 100.0;
 
 private:
     [[nodiscard]] std::optional<selected_upstream>
--- a/src/coordination/upstream_selector.cpp
+++ b/src/coordination/upstream_selector.cpp
@@ -71,7 +71,7 @@
             subset_.own_part(service.name, options.preferred_zone);
         auto const best = choose_sampled(part, service, demand, options, now);
         // Where the subset has only ejected upstreams, as after a cut, others may be reachable.
-        if (best && health_.penalty(best->member, now) < 1.0)
+        if (best && health_.penalty(best->member, now) < 1.0 && !is_doubtful(best->member, now))
         {
             return best;
         }
@@ -89,7 +89,12 @@
     auto best = best_of(members, service, demand, options, now,
                         [&] { return probability >= 1.0 || draw(random_) < probability; });
     // If no sampled upstream may take work, all are compared, unless only a few were requested.
-    bool const is_final = best || options.candidates < selection_options::sampled_candidates;
+    bool const are_few = options.candidates < selection_options::sampled_candidates;
+    if (best && is_doubtful(best->member, now))
+    {
+        best.reset();
+    }
+    bool const is_final = best || are_few;
     return is_final ? best : best_of(members, service, demand, options, now, [] { return true; });
 }
 
@@ -101,6 +106,18 @@
     return all ? 1.0 : static_cast<double>(candidates) / static_cast<double>(members);
 }
 
+bool upstream_selector::is_doubtful(state::member_key member, state::time_point now) const
+{
+    if (hints_.suspicions != nullptr && hints_.suspicions->is_suspected(member, now))
+    {
+        return true;
+    }
+    directory_entry const* const entry =
+        hints_.zones == nullptr ? nullptr : directory_.find(member);
+    return entry != nullptr &&
+           hints_.zones->is_cut(state::id_from_name<state::zone_id>(entry->info.zone), now);
+}
+
 double upstream_selector::cost_of(directory_entry const& entry, selected_upstream const& candidate,
                                   selection_options const& options, state::time_point now) const
 {
@@ -109,7 +126,8 @@
     return candidate.fullness +
            preemption_penalty * std::max(0.0, candidate.fullness - preemption_threshold) +
            wait_penalty_per_second * wait + (is_near ? 0.0 : options.zone_penalty) +
-           ejection_penalty * health_.penalty(candidate.member, now);
+           ejection_penalty * health_.penalty(candidate.member, now) +
+           (is_doubtful(candidate.member, now) ? suspicion_penalty : 0.0);
 }
 
 template <class Sampled>
@@ -158,7 +176,9 @@
     for (state::member_key const key : directory_.members_of(service.name))
     {
         directory_entry const* const entry = directory_.find(key);
-        if (entry != nullptr && directory_.may_take_work(*entry, now))
+        bool const is_counted =
+            entry != nullptr && directory_.may_take_work(*entry, now) && !is_doubtful(key, now);
+        if (is_counted)
         {
             sum += fullness(*entry, service, {});
             ++count;
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -339,9 +339,13 @@
             to.setSpread(update.broadcast_id);
             to.setPassesOn(update.has_range);
             // Omitted where not needed: most messages are not passed on.
-            if (update.has_range)
+            // Findings are weighed by who made them, also where nothing is to be forwarded.
+            if (update.has_range || !update.suspicions.empty() || !update.zone_reach.empty())
             {
                 to.setOrigin(update.range.origin.value);
+            }
+            if (update.has_range)
+            {
                 to.setFirst(update.range.first);
                 to.setLast(update.range.last);
             }
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -151,6 +151,7 @@
     core_.quarantine.apply_updates(update.evidence);
     core_.limits.apply_updates(update.limits);
     core_.refusal_limits.apply_updates(update.refusal_limits);
+    apply_findings(update);
     apply_members(update);
     state::time_point const now = boot_now();
     // All entry VMs use the same ports.
@@ -176,6 +177,18 @@
     forward_update(update);
 }
 
+// Findings on a way along a tree are their origin's, not the forwarder's.
+void fleet_exchange::apply_findings(fleet_update const& update)
+{
+    state::member_entry const* const origin = members_.table().find(update.range.origin);
+    if (core_.hints.suspicions != nullptr && origin != nullptr)
+    {
+        core_.suspicions.apply_update(origin->info.id, origin->info.zone, update.suspicions,
+                                      boot_now());
+        core_.zones.apply_update(origin->info.id, origin->info.zone, update.zone_reach, boot_now());
+    }
+}
+
 // -- fetching from peers --------------------------------------------------------------------------
 
 void fleet_exchange::broadcast_configuration()
@@ -206,6 +219,29 @@
     }
 }
 
+void fleet_exchange::advance_suspicions(state::time_point now)
+{
+    if (core_.hints.suspicions == nullptr)
+    {
+        return;
+    }
+    core_.zones.advance(now);
+    core_.advance_zones(now);
+    core_.log_suspicions(now);
+    core_.suspicions.sweep(now);
+    if (core_.reach.is_lost())
+    {
+        return;
+    }
+    std::vector<zoned_vm> const peers =
+        core_.suspicions.empty() ? std::vector<zoned_vm>{} : zoned_peers();
+    for (state::member_key const member : core_.suspicions.take_due_probes(peers, now))
+    {
+        core_.prober.probe_suspect(member);
+    }
+    announce_suspicions();
+}
+
 void fleet_exchange::log_live_peers(state::time_point now)
 {
     std::size_t const live_count = core_.fleet.live_count(now);
@@ -242,6 +278,7 @@
     bool const became_reader = core_.is_active_reader && !announced_is_reader_;
     bool const is_urgent = store_lost != announced_store_lost_ || became_reader;
     announce_members();
+    advance_suspicions(now);
     if (now >= next_full_update_at_)
     {
         next_full_update_at_ = now + (core_.fleet.is_reader() ? core_.fleet.reader_interval()
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -53,6 +53,8 @@
     void announce_evidence();
     /// \brief Broadcasts new limits that upstreams state, if there are any.
     void announce_limits();
+    /// \brief Broadcasts what this VM found at upstreams, if there is anything new.
+    void announce_suspicions();
     /// \brief Announces that this VM leaves the fleet.
     void leave();
 
@@ -65,6 +67,10 @@
     void on_datagram(std::size_t bytes);
     void process_update(coordination::fleet_update const& update, state::endpoint from);
     void apply_members(coordination::fleet_update const& update);
+    void apply_findings(coordination::fleet_update const& update);
+    void advance_suspicions(state::time_point now);
+    /// \brief Returns the VMs that count as live, with their zones.
+    [[nodiscard]] std::vector<coordination::zoned_vm> zoned_peers() const;
     void receive_peer_message(std::span<char const> text, state::endpoint from);
     void carry_out(coordination::control_actions const& actions);
     void advance_members();
--- a/src/transport/fleet_exchange_sending.cpp
+++ b/src/transport/fleet_exchange_sending.cpp
@@ -180,6 +180,42 @@
     broadcast_limits(core_.refusal_limits, &fleet_update::refusal_limits);
 }
 
+std::vector<zoned_vm> fleet_exchange::zoned_peers() const
+{
+    std::vector<zoned_vm> peers;
+    for (state::member_entry const& entry : members_.table().entries())
+    {
+        if (entry.info.id != settings_.self.id && entry.info.health == state::member_health::alive)
+        {
+            peers.push_back({entry.info.id, entry.info.zone});
+        }
+    }
+    return peers;
+}
+
+void fleet_exchange::announce_suspicions()
+{
+    if (core_.hints.suspicions == nullptr || core_.reach.is_lost())
+    {
+        return;
+    }
+    std::vector<suspicion_row> const unreported = core_.suspicions.unreported(boot_now());
+    for (auto const part :
+         split_rows(std::span{std::as_const(unreported)}, fleet_update::max_suspicions))
+    {
+        fleet_update update;
+        update.suspicions.assign(part.begin(), part.end());
+        broadcast(update);
+    }
+    fleet_update update;
+    update.zone_reach = core_.zones.unreported(boot_now());
+    if (!update.zone_reach.empty())
+    {
+        update.zone_reach.resize(std::min(update.zone_reach.size(), fleet_update::max_zones));
+        broadcast(update);
+    }
+}
+
 void fleet_exchange::broadcast_limits(limit_tracker& limits,
                                       std::vector<state::stated_limit> fleet_update::*rows)
 {
@@ -258,12 +294,15 @@
          targets_of(from.range, from.broadcast_id, peers, fan_out_for(peers.size())))
     {
         bool const has_rows = !from.members.empty() || !from.evidence.empty() ||
-                              !from.limits.empty() || !from.refusal_limits.empty();
+                              !from.limits.empty() || !from.refusal_limits.empty() ||
+                              !from.suspicions.empty() || !from.zone_reach.empty();
         fleet_update update = has_rows ? make_update() : make_update_with_orders();
         update.members = from.members;
         update.evidence = from.evidence;
         update.limits = from.limits;
         update.refusal_limits = from.refusal_limits;
+        update.suspicions = from.suspicions;
+        update.zone_reach = from.zone_reach;
         update.broadcast_id = from.broadcast_id;
         update.range = target.subrange;
         update.has_range = target.has_subrange;
--- a/src/transport/fleet_traffic.cpp
+++ b/src/transport/fleet_traffic.cpp
@@ -8,8 +8,8 @@
 {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(message_kind::count)> kind_names{
-    "membership", "status", "load",          "upstreams",
-    "evidence",   "limits", "configuration", "directory"};
+    "membership", "status",     "load",          "upstreams", "evidence",
+    "limits",     "suspicions", "configuration", "directory"};
 
 void write_header(std::string& out, std::string_view name, std::string_view help)
 {
@@ -40,6 +40,10 @@
     {
         return message_kind::upstreams;
     }
+    if (!update.suspicions.empty() || !update.zone_reach.empty())
+    {
+        return message_kind::suspicions;
+    }
     bool const is_change = !update.whole && !update.loads.empty();
     return is_change ? message_kind::load : message_kind::status;
 }
--- a/src/transport/fleet_traffic.hpp
+++ b/src/transport/fleet_traffic.hpp
@@ -22,6 +22,7 @@
     upstreams,     ///< Changed upstreams.
     evidence,      ///< Evidence on requests that end upstreams.
     limits,        ///< Limits that upstreams state.
+    suspicions,    ///< Upstreams and zones that can't be reached, or answered again.
     configuration, ///< Offers and requested configurations.
     directory,     ///< Requested rows of the directory, with the digests that request them.
     count          ///< Number of kinds; no kind itself.
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -102,7 +102,8 @@
     options.excluded = excluded_;
     options.candidates = candidates;
     auto const chosen = core_.selector.choose(*admitted_.service, admitted_.demand, options, now);
-    if (!chosen)
+    // Zones that are cut off are probed apart from calls, which could only lose time there.
+    if (!chosen || core_.is_zone_cut(chosen->member, now))
     {
         return std::nullopt;
     }
@@ -126,7 +127,9 @@
         retry_at_ = now + state::duration{step(core_.random)};
         return arm_timer();
     }
-    if (has_connected_to_none())
+    // Peers are cut off from the same zones.
+    bool const may_hand_over = admitted_.origin.is_peer || !core_.is_any_zone_cut(now);
+    if (has_connected_to_none() && may_hand_over)
     {
         return hand_over_or_refuse("no upstream reached", state::error_kind::peer_declined);
     }
@@ -171,6 +174,8 @@
                            ? idempotent_max_idle
                            : non_idempotent_max_idle;
     exchange_ = std::make_shared<upstream_exchange>(core_.context, core_.pool, options, *this);
+    is_connecting_ = true;
+    core_.note_connecting(member, true);
     exchange_->start();
     if (!finished_)
     {
@@ -203,6 +208,7 @@
 std::optional<std::string> forward_call::request()
 {
     state::time_point const now = boot_now();
+    end_connecting();
     coordination::directory_entry const* const entry = core_.directory.find(member_);
     // Connecting took time, and the process may have been paused meanwhile: the conditions under
     // which the upstream was chosen are checked again before anything is sent.
@@ -218,7 +224,7 @@
     ++sends_;
     if (!exchange_->reused())
     {
-        core_.note_connected();
+        core_.note_connected(member_);
     }
     core_.metrics.add(forward_count::sends);
     core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
@@ -237,7 +243,8 @@
     log("upstream passed over", why);
     bool const is_repeat = sends_ > 0;
     bool const is_last = tries_ >= try_limit || core_.reach.is_lost();
-    if (is_last && has_connected_to_none())
+    bool const may_hand_over = admitted_.origin.is_peer || !core_.is_any_zone_cut(boot_now());
+    if (is_last && has_connected_to_none() && may_hand_over)
     {
         return hand_over_or_refuse(why, state::error_kind::peer_declined);
     }
@@ -324,8 +331,17 @@
 
 // -- ends -----------------------------------------------------------------------------------------
 
+void forward_call::end_connecting()
+{
+    if (std::exchange(is_connecting_, false))
+    {
+        core_.note_connecting(member_, false);
+    }
+}
+
 void forward_call::close_exchange()
 {
+    end_connecting();
     if (exchange_ != nullptr)
     {
         exchange_->cancel();
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -171,6 +171,7 @@
     /// \brief Ends the call; the channel has been answered or is gone.
     void finish();
     void close_exchange();
+    void end_connecting();
     /// \brief Removes a load of this call from the ledger, if it was added.
     void drop_load(coordination::member_load& load);
     void announce_load(state::member_key member);
@@ -216,6 +217,7 @@
     /// \brief Sends that may have run.
     std::uint32_t possible_runs_ = 0;
     bool is_waiting_ = false;
+    bool is_connecting_ = false;
     /// \brief The upstream counted as cold when the call was sent.
     bool is_cold_ = false;
     /// \brief The request that was sent last is neither accepted nor refused yet.
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -29,6 +29,10 @@
     framing_ = framing;
     answer_ = core_.dialect.read_answer(head);
     has_head_ = true;
+    if (!answer_.misdirected)
+    {
+        core_.note_answered(member_);
+    }
     // An answer of another incarnation states nothing about this one.
     if (!answer_.misdirected)
     {
@@ -57,6 +61,10 @@
     // The answer releases the channel's reference to this call.
     auto const self = shared_from_this();
     note_evidence(end);
+    if (end == exchange_end::broken)
+    {
+        core_.probe_in_doubt(member_);
+    }
     exchange_ended(end);
 }
 
@@ -70,6 +78,7 @@
 
 void forward_call::note_unreachable()
 {
+    end_connecting();
     connection_failure_ = exchange_->failure();
     core_.metrics.add_failed_connection(connection_failure_);
     ++failed_connections_;
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -2,6 +2,7 @@
 
 #include "boot_clock.hpp"
 #include "milliseconds.hpp"
+#include "upstream_exchange.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
 
@@ -46,6 +47,7 @@
       refusals{refusal_limits.known()}, gate{directory,    health,         backoffs,
                                              cold_limiter, limits.known(), refusals},
       subset{directory, self}, parts{process_settings.parts},
+      suspicions{directory, self, state::id_from_name<state::zone_id>(process_settings.zone)},
       zones{state::id_from_name<state::zone_id>(process_settings.zone)},
       selector{directory, ledger, health, gate, subset, hints, settings.zone, random},
       quarantine{logger, metrics}, prober{*this}, peers{fleet, random},
@@ -171,9 +173,10 @@
     return count;
 }
 
-void forward_core::note_connected()
+void forward_core::note_connected(state::member_key member)
 {
     state::time_point const now = boot_now();
+    note_answered(member);
     state::time_point const since = reach.lost_since();
     if (reach.connected(now) == coordination::reach_change::restored)
     {
@@ -200,6 +203,7 @@
                    {"usable_upstreams", static_cast<std::int64_t>(usable_upstreams(now))},
                    {"peers", static_cast<std::int64_t>(fleet.live_count(now) - 1)}});
     }
+    note_finding(member, failure);
     if (reach.is_lost())
     {
         // The path failed, not the upstream, which is neither ejected nor cold after it.
@@ -212,4 +216,148 @@
     prober.advance(now);
 }
 
+void forward_core::note_answered(state::member_key member)
+{
+    if (hints.suspicions != nullptr)
+    {
+        suspicions.note(member, coordination::suspicion_kind::answered, boot_now());
+        zones.connected(zone_of(member), boot_now());
+    }
+}
+
+state::zone_id forward_core::zone_of(state::member_key member) const
+{
+    coordination::directory_entry const* const entry = directory.find(member);
+    return entry == nullptr ? state::zone_id{}
+                            : state::id_from_name<state::zone_id>(entry->info.zone);
+}
+
+void forward_core::note_connecting(state::member_key member, bool begins)
+{
+    if (hints.zones != nullptr)
+    {
+        begins ? zones.connecting(zone_of(member), member, boot_now())
+               : zones.connecting_ended(zone_of(member), member);
+    }
+}
+
+bool forward_core::is_any_zone_cut(state::time_point now) const
+{
+    return hints.zones != nullptr && !reach.is_lost() && zones.is_any_cut(now);
+}
+
+bool forward_core::is_zone_cut(state::member_key member, state::time_point now) const
+{
+    return hints.zones != nullptr && !reach.is_lost() && zones.is_cut(zone_of(member), now);
+}
+
+std::vector<state::zone_id> forward_core::cut_zones(state::time_point now) const
+{
+    return hints.zones == nullptr ? std::vector<state::zone_id>{} : zones.cut(now);
+}
+
+void forward_core::advance_zones(state::time_point now)
+{
+    if (hints.zones == nullptr || reach.is_lost())
+    {
+        return;
+    }
+    for (coordination::zone_probes const& due : zones.take_due_probes(fleet.live_count(now), now))
+    {
+        prober.probe_zone(due.zone, due.count, now);
+    }
+    log_zones(now);
+}
+
+// The path failed, not the upstreams, which are neither ejected nor cold after it.
+void forward_core::forget_failures(state::zone_id zone)
+{
+    for (auto const& [key, entry] : directory.entries())
+    {
+        if (state::id_from_name<state::zone_id>(entry.info.zone) == zone)
+        {
+            health.forget(key);
+        }
+    }
+}
+
+void forward_core::log_zones(state::time_point now)
+{
+    for (coordination::zone_change const& each : zones.take_changes(now))
+    {
+        if (!each.is_cut)
+        {
+            // Connections that began before the cut was seen have failed of it.
+            suspicions.path_failed(each.zone, each.since - upstream_exchange::connect_timeout);
+            forget_failures(each.zone);
+        }
+        metrics.add(each.is_cut ? forward_count::zone_cuts : forward_count::zone_cuts_ended);
+        log.write("zone reach", each.is_cut ? "zone not reached" : "zone reached again", {},
+                  {{"zone", name_of(each.zone)}, {"ms", whole_milliseconds(now - each.since)}});
+    }
+}
+
+// Nothing is learnt of upstreams while this VM reaches none.
+void forward_core::note_finding(state::member_key member, connection_failure failure)
+{
+    if (hints.suspicions == nullptr || failure == connection_failure::local)
+    {
+        return;
+    }
+    bool const is_refused =
+        failure == connection_failure::refused || failure == connection_failure::reset;
+    if (reach.is_lost())
+    {
+        return;
+    }
+    state::time_point const now = boot_now();
+    zones.connection_failed(zone_of(member), member, now);
+    advance_zones(now);
+    if (zones.is_cut(zone_of(member), now))
+    {
+        return on_finding();
+    }
+    suspicions.note(member,
+                    is_refused ? coordination::suspicion_kind::refused
+                               : coordination::suspicion_kind::timed_out,
+                    now);
+    on_finding();
+    if (!is_refused)
+    {
+        probe_in_doubt(member);
+    }
+}
+
+// Probed before the next call finds it gone.
+void forward_core::probe_in_doubt(state::member_key member)
+{
+    bool const is_known = hints.suspicions != nullptr && directory.find(member) != nullptr;
+    if (is_known && !reach.is_lost() && suspicions.take_probe_in_doubt(member, boot_now()))
+    {
+        prober.probe_suspect(member);
+    }
+}
+
+void forward_core::log_suspicions(state::time_point now)
+{
+    constexpr std::size_t max_lines = 16;
+    std::vector<coordination::suspicion_change> const changes = suspicions.take_changes(now);
+    std::size_t lines = 0;
+    for (coordination::suspicion_change const& each : changes)
+    {
+        metrics.add(each.is_suspected ? forward_count::suspicions
+                                      : forward_count::suspicions_ended);
+        if (++lines > max_lines)
+        {
+            continue;
+        }
+        coordination::directory_entry const* const entry = directory.find(each.member);
+        log.write("suspicion", each.is_suspected ? "upstream suspected" : "upstream not suspected",
+                  {},
+                  {{"upstream", entry == nullptr ? std::string_view{} : entry->info.name},
+                   {"vms", static_cast<std::int64_t>(each.vms)},
+                   {"changes", static_cast<std::int64_t>(changes.size())}});
+    }
+}
+
 } // namespace plumdale::transport
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -123,9 +123,26 @@
 
     // -- paths to upstreams ------------------------------------------------------------
     /// \brief Records that a connection to an upstream was opened.
-    void note_connected();
+    void note_connected(state::member_key member);
     /// \brief Records that a connection to an upstream could not be opened.
     void note_connection_failed(state::member_key member, connection_failure failure);
+    /// \brief Records that an upstream sent anything.
+    void note_answered(state::member_key member);
+    /// \brief Records how a connection to an upstream failed, for all VMs.
+    void note_finding(state::member_key member, connection_failure failure);
+    /// \brief Connects to an upstream whose connection broke, to see whether it is gone.
+    void probe_in_doubt(state::member_key member);
+    /// \brief Records that a connection to an upstream is being opened, or no longer.
+    void note_connecting(state::member_key member, bool begins);
+    /// \brief Returns whether this VM reaches some zones and not others, as its peers do.
+    [[nodiscard]] bool is_any_zone_cut(state::time_point now) const;
+    /// \brief Returns whether an upstream's zone is one that this VM doesn't reach.
+    [[nodiscard]] bool is_zone_cut(state::member_key member, state::time_point now) const;
+    [[nodiscard]] std::vector<state::zone_id> cut_zones(state::time_point now) const;
+    /// \brief Probes and logs zones that may be cut off.
+    void advance_zones(state::time_point now);
+    /// \brief Logs which upstreams became suspected or no longer are.
+    void log_suspicions(state::time_point now);
 
     net::io_context& context;
     protocol::forward_settings const& settings;
@@ -206,6 +223,9 @@
     /// \brief Called when this VM read an order of evacuation or its revocation.
     std::function<void()> on_evacuations_read = [] {
     };
+    /// \brief Called when this VM could not connect to an upstream.
+    std::function<void()> on_finding = [] {
+    };
 
 private:
     void apply_member(state::service_member const& member, std::string_view source);
@@ -222,6 +242,9 @@
                             std::string_view source);
     /// \brief Returns how many upstreams take work, up to `upstream_reach::min_failed`.
     [[nodiscard]] std::size_t usable_upstreams(state::time_point now) const;
+    [[nodiscard]] state::zone_id zone_of(state::member_key member) const;
+    void log_zones(state::time_point now);
+    void forget_failures(state::zone_id zone);
     coordination::fleet_retry_budget& retry_budget_of(std::string const& service);
     /// \brief Switches parts on or off as the configuration in force asks.
     void configure_parts();
--- a/src/transport/forward_core_upstreams.cpp
+++ b/src/transport/forward_core_upstreams.cpp
@@ -65,6 +65,7 @@
          {"source", source}});
     pool.drop(former);
     health.forget(former);
+    suspicions.forget(former);
     if (was_start_known)
     {
         departures.notify_restart(former);
@@ -232,6 +233,7 @@
     directory.mark_replaced(member, boot_now());
     pool.drop(member);
     health.forget(member);
+    suspicions.forget(member);
     log.write(part, "upstream replaced", {}, {{"member", static_cast<std::int64_t>(member.value)}});
 }
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -93,6 +93,10 @@
         {
             fleet_->announce_limits();
         };
+        core_.on_finding = [this]
+        {
+            fleet_->announce_suspicions();
+        };
         core_.on_load_changed = [this](state::member_key member)
         {
             fleet_->announce_load(member);
--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -38,6 +38,16 @@
     return rows;
 }
 
+json::array cut_zones(forward_core const& core)
+{
+    json::array zones;
+    for (state::zone_id const zone : core.cut_zones(boot_now()))
+    {
+        zones.push_back(json::value{core.name_of(zone)});
+    }
+    return zones;
+}
+
 json::array part_rows(forward_core const& core)
 {
     json::array rows;
@@ -67,6 +77,7 @@
             {"requests_quarantined", core.quarantine.known().refused_count()},
             {"live_entry_vms", core.fleet.live_count(now)},
             {"reaches_upstreams", !core.reach.is_lost()},
+            {"cut_zones", cut_zones(core)},
             {"peer_calls_in_progress", core.peer_calls_in_progress},
             {"calls_in_progress", core.calls_in_progress},
             {"parts", part_rows(core)}};
@@ -102,22 +113,24 @@
     state::member_key const key = state::key_of(entry.info);
     coordination::member_load const load = core.ledger.total(key);
     state::time_point const now = boot_now();
-    json::object row{{"name", entry.info.name},
-                     {"service", entry.info.service},
-                     {"started", entry.info.started.value},
-                     {"zone", entry.info.zone},
-                     {"address", protocol::to_text(entry.info.address)},
-                     {"state", !entry.info.listed   ? "gone"
-                               : entry.info.leaving ? "leaving"
-                                                    : "listed"},
-                     {"takes_work", core.directory.may_take_work(entry, now)},
-                     {"evacuated", core.directory.is_evacuated(entry)},
-                     {"stated_limit_per_minute", per_minute(core.limits.known().limit_of(key))},
-                     {"backoff_ms", whole_milliseconds(core.backoffs.left(key, now))},
-                     {"set_aside", core.health.penalty(key, now)},
-                     {"fleet_calls", load.calls},
-                     {"fleet_tokens", load.tokens},
-                     {"own_calls", core.ledger.own(key).calls}};
+    json::object row{
+        {"name", entry.info.name},
+        {"service", entry.info.service},
+        {"started", entry.info.started.value},
+        {"zone", entry.info.zone},
+        {"address", protocol::to_text(entry.info.address)},
+        {"state", !entry.info.listed   ? "gone"
+                  : entry.info.leaving ? "leaving"
+                                       : "listed"},
+        {"takes_work", core.directory.may_take_work(entry, now)},
+        {"evacuated", core.directory.is_evacuated(entry)},
+        {"stated_limit_per_minute", per_minute(core.limits.known().limit_of(key))},
+        {"backoff_ms", whole_milliseconds(core.backoffs.left(key, now))},
+        {"set_aside", core.health.penalty(key, now)},
+        {"suspected", core.hints.suspicions != nullptr && core.suspicions.is_suspected(key, now)},
+        {"fleet_calls", load.calls},
+        {"fleet_tokens", load.tokens},
+        {"own_calls", core.ledger.own(key).calls}};
     state::service const* const service =
         core.routing == nullptr ? nullptr : core.routing->find_service(entry.info.service);
     if (service != nullptr)
--- a/src/transport/reach_prober.cpp
+++ b/src/transport/reach_prober.cpp
@@ -87,11 +87,49 @@
 void reach_prober::probe(state::member_key member)
 {
     core_.metrics.add(forward_count::reach_probes);
+    connect(member, [this, member](connection_failure failure)
+            { core_.note_connection_failed(member, failure); });
+}
+
+void reach_prober::probe_suspect(state::member_key member)
+{
+    core_.metrics.add(forward_count::suspicion_probes);
+    connect(member,
+            [this, member](connection_failure failure) { core_.note_finding(member, failure); });
+}
+
+// Where the own zone has no upstreams, only these probes show that the VM reaches none at all.
+void reach_prober::probe_zone(state::zone_id zone, std::size_t count, state::time_point now)
+{
+    std::vector<state::member_key> members;
+    bool has_own = false;
+    for (auto const& [key, entry] : core_.directory.entries())
+    {
+        bool const is_of_zone = state::id_from_name<state::zone_id>(entry.info.zone) == zone;
+        bool const is_usable = core_.directory.may_take_work(entry, now);
+        has_own = has_own || (is_usable && entry.info.zone == core_.settings.zone);
+        if (is_of_zone && is_usable)
+        {
+            members.push_back(key);
+        }
+    }
+    std::shuffle(members.begin(), members.end(), core_.random);
+    members.resize(std::min(count, members.size()));
+    for (state::member_key const member : members)
+    {
+        has_own ? probe_suspect(member) : probe(member);
+    }
+}
+
+void reach_prober::connect(state::member_key member,
+                           std::function<void(connection_failure)> const& on_failed)
+{
     auto const pending = std::make_shared<pending_probe>(core_.context);
     if (open_from(pending->socket, core_.settings.upstream_source))
     {
         return;
     }
+    core_.note_connecting(member, true);
     pending->timer.expires_after(upstream_exchange::connect_timeout);
     // A socket that is closed ends its connecting with an error.
     pending->timer.async_wait(
@@ -103,19 +141,20 @@
                 pending->socket.close(ignored);
             }
         });
-    pending->socket.async_connect(
-        to_tcp(core_.directory.find(member)->info.address),
-        [this, pending, member](error_code error)
-        {
-            pending->timer.cancel();
-            if (error)
-            {
-                return core_.note_connection_failed(member, connection_failure_of(error));
-            }
-            core_.note_connected();
-            core_.pool.keep(member, std::move(pending->socket), upstream_pool::default_keep_alive,
-                            boot_now());
-        });
+    pending->socket.async_connect(to_tcp(core_.directory.find(member)->info.address),
+                                  [this, pending, member, on_failed](error_code error)
+                                  {
+                                      pending->timer.cancel();
+                                      core_.note_connecting(member, false);
+                                      if (error)
+                                      {
+                                          return on_failed(connection_failure_of(error));
+                                      }
+                                      core_.note_connected(member);
+                                      core_.pool.keep(member, std::move(pending->socket),
+                                                      upstream_pool::default_keep_alive,
+                                                      boot_now());
+                                  });
 }
 
 } // namespace plumdale::transport
--- a/src/transport/reach_prober.hpp
+++ b/src/transport/reach_prober.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_failure.hpp"
 #include "net.hpp"
 
 #include <plumdale/state/routing_configuration.hpp>
@@ -7,6 +8,7 @@
 #include <plumdale/state/time.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <span>
 #include <vector>
@@ -27,6 +29,10 @@
 
     /// \brief Probes when probes are due; called several times a second and after each failure.
     void advance(state::time_point now);
+    /// \brief Connects to an upstream that may be gone; tells nothing of the other paths.
+    void probe_suspect(state::member_key member);
+    /// \brief Connects to upstreams of a zone, chosen at random.
+    void probe_zone(state::zone_id zone, std::size_t count, state::time_point now);
 
 private:
     /// \brief Returns `count` upstreams at random, of each service in turn: one service may be dead
@@ -36,6 +42,9 @@
     choose_of(state::service const& service, std::span<state::member_key const> chosen,
               state::time_point now);
     void probe(state::member_key member);
+    /// \brief Connects within the time limit and calls `on_failed` if it can't.
+    void connect(state::member_key member,
+                 std::function<void(connection_failure)> const& on_failed);
 
     forward_core& core_;
     /// \brief The service whose upstreams the next round begins with.
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -109,6 +109,7 @@
         failure_body_ += bytes;
         return;
     }
+    core_.note_answered(member_);
     events_.append(bytes);
     forward_events();
 }
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -178,7 +178,9 @@
     selection_options const options{
         source == nullptr ? core_.selector.own_zone() : source->info.zone, excluded};
     auto const chosen = core_.selector.choose(service, demand, options, boot_now());
-    if (!chosen || !has_capacity_for_backup(chosen->fullness))
+    bool const fits = chosen && has_capacity_for_backup(chosen->fullness) &&
+                      !core_.selector.is_doubtful(chosen->member, boot_now());
+    if (!fits)
     {
         return;
     }
@@ -221,7 +223,8 @@
     selection_options const options{entry == nullptr ? core_.selector.own_zone() : entry->info.zone,
                                     excluded, other_zone_destination_penalty};
     auto const chosen = core_.selector.choose(*admitted_.service, demand, options, boot_now());
-    return chosen ? std::optional{chosen->member} : std::nullopt;
+    bool const fits = chosen && !core_.selector.is_doubtful(chosen->member, boot_now());
+    return fits ? std::optional{chosen->member} : std::nullopt;
 }
 
 void stream_call::apply(failover_actions const& actions)
--- a/tests/coordination/test_upstream_selector.cpp
+++ b/tests/coordination/test_upstream_selector.cpp
@@ -235,3 +235,51 @@
         CHECK(found >= attempts * 95 / 100);
     }
 }
+
+// Guards against calls that go where another VM could not connect, and against a service whose
+// upstreams are all suspected and that gets none.
+TEST_CASE("a suspected upstream is selected only if all are suspected", "[upstream_selector]")
+{
+    selector_fixture fleet;
+    state::member_key const gone = fleet.add("i-1", "a");
+    state::member_key const crowded = fleet.add("i-2", "b");
+    fleet.ledger.add(crowded, {crowded, 24, 19'000, 30'000, 9'000});
+    upstream_suspicions suspicions{fleet.directory, state::node_id{1},
+                                   state::id_from_name<state::zone_id>("a")};
+    suspicions.note(gone, suspicion_kind::refused, now);
+    CHECK(fleet.selector.choose(lists(), {3'000, 500}, {"a"}, now)->member == gone);
+    fleet.hints.suspicions = &suspicions;
+    CHECK(fleet.selector.choose(lists(), {3'000, 500}, {"a"}, now)->member == crowded);
+    suspicions.note(crowded, suspicion_kind::refused, now);
+    CHECK(fleet.selector.choose(lists(), {3'000, 500}, {"a"}, now));
+}
+
+// Guards against a sample that holds only upstreams of a zone that is cut off.
+TEST_CASE("a zone that is cut off is passed over whatever is sampled", "[upstream_selector]")
+{
+    selector_fixture fleet;
+    for (int i = 0; i < 60; ++i)
+    {
+        fleet.add("i-" + std::to_string(i), "b");
+    }
+    state::member_key const reached = fleet.add("i-60", "c");
+    zone_reach zones{state::id_from_name<state::zone_id>("a")};
+    auto const cut = state::id_from_name<state::zone_id>("b");
+    for (std::uint64_t i = 0; i < zone_reach::min_failed; ++i)
+    {
+        zones.connection_failed(cut, state::member_key{i}, now - 100ms);
+    }
+    fleet.hints.zones = &zones;
+    for (int i = 0; i < 50; ++i)
+    {
+        CHECK(fleet.selector.choose(lists(), {3'000, 500}, {"a"}, now)->member == reached);
+    }
+    // A waiting call goes on waiting rather than being sent there.
+    selection_options options{"a"};
+    options.candidates = 1;
+    for (int i = 0; i < 50; ++i)
+    {
+        auto const chosen = fleet.selector.choose(lists(), {3'000, 500}, options, now);
+        CHECK((!chosen || chosen->member == reached));
+    }
+}
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -92,10 +92,13 @@
     sent.suspicions = {
         {state::member_key{2}, suspicion_kind::timed_out, std::chrono::milliseconds{40}}};
     sent.zone_reach = {{state::zone_id{3}, false, std::chrono::milliseconds{300}}};
+    // Whose findings they are is known also where nothing is to be forwarded.
+    sent.range.origin = state::node_id{77};
     sent.waiting = {{state::service_key{4}, 2, 17, std::chrono::milliseconds{850}}};
     auto const read = decode_fleet_update(encode(sent, key), key);
     REQUIRE(read);
     CHECK(read.value().speeds == sent.speeds);
+    CHECK(read.value().range.origin == state::node_id{77});
     REQUIRE(read.value().suspicions.size() == 1);
     CHECK(read.value().suspicions[0].member == state::member_key{2});
     CHECK(read.value().suspicions[0].kind == suspicion_kind::timed_out);
