--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -189,7 +189,9 @@
     selection_options const options{
         source == nullptr ? core_.selector.own_zone() : source->info.zone, excluded};
     auto const chosen = core_.selector.choose(service, demand, options, boot_now());
-    if (!chosen || !has_capacity_for_backup(chosen->fullness))
+    bool const fits = chosen && has_capacity_for_backup(chosen->fullness) &&
+                      !core_.selector.is_doubtful(chosen->member, boot_now());
+    if (!fits)
     {
         return;
     }
@@ -238,7 +240,8 @@
         return choose_fitting_destination(*when, options);
     }
     auto const chosen = core_.selector.choose(*admitted_.service, demand, options, boot_now());
-    return chosen ? std::optional{chosen->member} : std::nullopt;
+    bool const fits = chosen && !core_.selector.is_doubtful(chosen->member, boot_now());
+    return fits ? std::optional{chosen->member} : std::nullopt;
 }
 
 bool stream_call::fits_copies() const noexcept
