--- a/include/plumdale/coordination/waiting_calls.hpp
+++ b/include/plumdale/coordination/waiting_calls.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
 #include <string>
@@ -56,6 +57,8 @@
 class waiting_calls
 {
 public:
+    /// \brief Records that a call found no capacity, whether it will wait or is refused.
+    void note_arrival(waiting_call const& call);
     /// \brief Adds a call and returns its number; none if too many wait.
     [[nodiscard]] std::optional<std::uint64_t> push(waiting_call call, state::duration expected,
                                                     state::time_point now);
@@ -101,6 +104,8 @@
     /// \brief Most calls that wait for a service at a VM: more than end within a caller's patience.
     static constexpr std::size_t max_calls = 64;
     static constexpr std::size_t max_candidates = 8;
+    /// \brief Arrivals by which a customer's part of the demand is known.
+    static constexpr std::size_t remembered_arrivals = 64;
     /// \brief Time until peers know of a change. Calls that find capacity within it are tried at
     /// full rate, as nobody knows better who goes first.
     static constexpr state::duration news_age = std::chrono::milliseconds{500};
@@ -124,6 +129,8 @@
         /// \brief Calls that were sent from here.
         std::uint64_t turn = 0;
         std::unordered_map<std::string, std::uint64_t> customer_turns;
+        /// \brief Customers of the last calls that found no capacity.
+        std::deque<std::string> arrivals;
         std::optional<state::duration> mean_held;
         /// \brief What waits took by what was expected.
         double wait_ratio = 1.0;
@@ -142,6 +149,9 @@
 
     [[nodiscard]] calls_ahead ahead_at_peers(waiting_call const& call, state::duration waited,
                                              state::time_point now) const;
+    /// \brief Returns the part of the calls before a customer's call that it has to wait for: less
+    /// than one where the others ask for more than it does.
+    [[nodiscard]] double part_before(waiting_call const& call) const;
     [[nodiscard]] std::size_t count_of(state::service_key service, state::time_point now) const;
     [[nodiscard]] static std::uint32_t next_rank(line const& from, bool is_long);
     [[nodiscard]] static bool goes_before(line const& in, entry const& one, entry const& other);
--- a/src/coordination/waiting_calls.cpp
+++ b/src/coordination/waiting_calls.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <set>
+#include <string_view>
 
 namespace plumdale::coordination
 {
@@ -20,6 +22,8 @@
 constexpr state::duration min_measured_wait = std::chrono::milliseconds{200};
 // While calls wait, rows are sent at least this far apart.
 constexpr state::duration min_repeat_interval = std::chrono::milliseconds{500};
+// A customer that asks for little still waits for the calls that are tried meanwhile.
+constexpr double min_part_before = 0.2;
 // Customers whose turns are remembered for a service.
 constexpr std::size_t max_customers = 256;
 // Ranks above this one are sent as it: rows hold a byte.
@@ -46,6 +50,16 @@
 
 // -- calls at this VM -----------------------------------------------------------------------------
 
+void waiting_calls::note_arrival(waiting_call const& call)
+{
+    std::deque<std::string>& arrivals = lines_[call.service].arrivals;
+    arrivals.push_back(call.customer);
+    if (arrivals.size() > remembered_arrivals)
+    {
+        arrivals.pop_front();
+    }
+}
+
 std::optional<std::uint64_t> waiting_calls::push(waiting_call call, state::duration expected,
                                                  state::time_point now)
 {
@@ -196,6 +210,22 @@
     return ahead;
 }
 
+// Peers report no customers, but callers of one reach all VMs alike. With turns between `k`
+// customers, one that asks for less than a k-th waits for that much less than all.
+double waiting_calls::part_before(waiting_call const& call) const
+{
+    line const* const in = find_line(call.service);
+    if (in == nullptr || in->arrivals.empty())
+    {
+        return 1.0;
+    }
+    std::set<std::string_view> const customers{in->arrivals.begin(), in->arrivals.end()};
+    auto const own = std::count(in->arrivals.begin(), in->arrivals.end(), call.customer);
+    double const part = static_cast<double>(std::max<std::ptrdiff_t>(1, own)) /
+                        static_cast<double>(in->arrivals.size());
+    return std::clamp(part * static_cast<double>(customers.size()), min_part_before, 1.0);
+}
+
 // A short answer needs so little that it holds nobody up: only long ones hold back.
 double waiting_calls::chance(waiting_call const& call, state::duration waited, std::size_t running,
                              state::time_point now) const
@@ -214,8 +244,11 @@
         in != nullptr && in->mean_held
             ? static_cast<double>(running) * (seconds{news_age} / seconds{*in->mean_held})
             : 1.0;
-    double const by_age = std::max(1.0, ends_in_news_age) / std::max(1.0, ahead.older);
-    return by_rank * std::min(1.0, by_age);
+    double const by_age =
+        std::max(1.0, ends_in_news_age) / std::max(1.0, ahead.older * part_before(call));
+    double const share = std::min(1.0, by_age);
+    // Squared, as those far behind would otherwise overtake by their number.
+    return by_rank * share * share;
 }
 
 std::size_t waiting_calls::count_of(state::service_key service, state::time_point now) const
@@ -266,7 +299,8 @@
         return std::nullopt;
     }
     double const time_per_end = seconds{*in->mean_held}.count() / static_cast<double>(running);
-    return to_duration(in->wait_ratio * time_per_end * static_cast<double>(place_of(call, now)));
+    return to_duration(in->wait_ratio * time_per_end * part_before(call) *
+                       static_cast<double>(place_of(call, now)));
 }
 
 void waiting_calls::note_held(state::service_key service, state::duration time)
--- a/src/transport/forward_call_waiting.cpp
+++ b/src/transport/forward_call_waiting.cpp
@@ -45,6 +45,7 @@
 bool forward_call::join_waiting(state::time_point now)
 {
     coordination::waiting_call const place = waiting_place();
+    core_.waiting.note_arrival(place);
     calls_before_ = core_.waiting.place_of(place, now);
     // Short answers wait for prompts to be read, which the calls that run say nothing about, and
     // calls that are late anyway are served as soon as others leave something.
