--- a/src/transport/operations_page.cpp
+++ b/src/transport/operations_page.cpp
@@ -51,6 +51,18 @@
     return rows;
 }
 
+json::array waiting_rows(forward_core const& core, state::time_point now)
+{
+    json::array rows;
+    for (coordination::waiting_row const& each : core.waiting.own_rows(now))
+    {
+        rows.push_back({{"rank", each.rank},
+                        {"calls", each.calls},
+                        {"oldest_ms", whole_milliseconds(each.oldest)}});
+    }
+    return rows;
+}
+
 json::object entry_object(forward_core const& core)
 {
     state::time_point const now = boot_now();
@@ -69,6 +81,7 @@
             {"reaches_upstreams", !core.reach.is_lost()},
             {"peer_calls_in_progress", core.peer_calls_in_progress},
             {"calls_in_progress", core.calls_in_progress},
+            {"waiting", waiting_rows(core, now)},
             {"parts", part_rows(core)}};
 }
 
