--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -164,6 +164,10 @@
     core_.ledger.apply_update(update.sender, update.incarnation_number, update.sequence,
                               update.whole, update.loads, now);
     speeds_.apply_update(update, now);
+    if (core_.parts.is_on(load_part::ranked_waiting))
+    {
+        core_.waiting.apply_update(update.sender, update.waiting, now);
+    }
     configurations_.note_peer_version(update.configuration);
 }
 
@@ -281,6 +285,7 @@
     bool const is_urgent = store_lost != announced_store_lost_ || became_reader;
     announce_members();
     advance_suspicions(now);
+    announce_waiting(now);
     if (now >= next_full_update_at_)
     {
         next_full_update_at_ = now + (core_.fleet.is_reader() ? core_.fleet.reader_interval()
