--- a/src/coordination/upstream_selector.cpp
+++ b/src/coordination/upstream_selector.cpp
@@ -213,7 +213,8 @@
     state::member_key const key = state::key_of(entry.info);
     bool const is_excluded =
         std::find(options.excluded.begin(), options.excluded.end(), key) != options.excluded.end();
-    return !is_excluded && gate_.may_send(entry, service, now) && health_.penalty(key, now) < 1.0;
+    return !is_excluded && gate_.may_send(entry, service, now) && health_.penalty(key, now) < 1.0 &&
+           !is_doubtful(key, now);
 }
 
 // Of a divided service this VM receives the load of its own part alone: all others look empty.
--- a/tests/coordination/test_upstream_selector.cpp
+++ b/tests/coordination/test_upstream_selector.cpp
@@ -283,3 +283,17 @@
         CHECK((!chosen || chosen->member == reached));
     }
 }
+
+// Guards against copies to an upstream that peers found gone: their orders end with nothing.
+TEST_CASE("no copy goes to a suspected upstream", "[upstream_selector]")
+{
+    selector_fixture fleet;
+    state::member_key const gone = fleet.add("i-1", "a");
+    upstream_suspicions suspicions{fleet.directory, state::node_id{1},
+                                   state::id_from_name<state::zone_id>("a")};
+    fleet.hints.suspicions = &suspicions;
+    CHECK(fleet.selector.choose_for_copy(lists(), {3'000, 500, 1'500ms}, {"a"}, now).member ==
+          gone);
+    suspicions.note(gone, suspicion_kind::refused, now);
+    CHECK_FALSE(fleet.selector.choose_for_copy(lists(), {3'000, 500, 1'500ms}, {"a"}, now).member);
+}
