--- a/src/coordination/waiting_calls.cpp
+++ b/src/coordination/waiting_calls.cpp
@@ -226,7 +226,9 @@
     return std::clamp(part * static_cast<double>(customers.size()), min_part_before, 1.0);
 }
 
-// A short answer needs so little that it holds nobody up: only long ones hold back.
+// A short answer needs so little that it holds nobody up: only long ones hold back. Calls that can
+// only be late hold back like a lower rank: some VM nearly always has a call that can be on time,
+// and their own limit leaves the memory that those wait for.
 double waiting_calls::chance(waiting_call const& call, state::duration waited, std::size_t running,
                              state::time_point now) const
 {
@@ -235,10 +237,8 @@
         return 1.0;
     }
     calls_ahead const ahead = ahead_at_peers(call, waited, now);
-    double const by_rank = ahead.more_urgent == 0.0 ? 1.0
-                           : call.rank >= late_rank
-                               ? 0.0
-                               : 1.0 / static_cast<double>(turns_per_lower_rank);
+    double const by_rank =
+        ahead.more_urgent == 0.0 ? 1.0 : 1.0 / static_cast<double>(turns_per_lower_rank);
     line const* const in = find_line(call.service);
     double const ends_in_news_age =
         in != nullptr && in->mean_held
