--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -64,7 +64,8 @@
     }
     if (is_ranked() && now < wait_until_ && !has_turn(now))
     {
-        return wait_or_refuse(true, now);
+        auto const spare = select_upstream(recheck_candidates(now), now);
+        return spare && leaves_capacity() ? open_exchange(*spare) : wait_or_refuse(true, now);
     }
     bool const is_recheck = is_waiting_ && admitted_.service->engine;
     auto chosen = select_upstream(is_recheck ? recheck_candidates(now)
