--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -64,8 +64,7 @@
     }
     if (is_ranked() && now < wait_until_ && !has_turn(now))
     {
-        auto const spare = select_upstream(recheck_candidates(now), now);
-        return spare && leaves_capacity() ? open_exchange(*spare) : wait_or_refuse(true, now);
+        return wait_or_refuse(true, now);
     }
     bool const is_recheck = is_waiting_ && admitted_.service->engine;
     auto chosen = select_upstream(is_recheck ? recheck_candidates(now)
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -162,8 +162,6 @@
     void wait_or_refuse(bool at_capacity, state::time_point now);
     /// \brief Returns whether no other waiting call is to be tried before this one.
     [[nodiscard]] bool has_turn(state::time_point now);
-    /// \brief Returns whether the best upstream would still take another call like this one.
-    [[nodiscard]] bool leaves_capacity() const;
     /// \brief Takes a place among the waiting calls; returns false, and refuses the call, if it
     /// could not be served in time from there.
     [[nodiscard]] bool join_waiting(state::time_point now);
--- a/src/transport/forward_call_waiting.cpp
+++ b/src/transport/forward_call_waiting.cpp
@@ -42,21 +42,6 @@
     return chance >= 1.0 || draw(core_.random) < chance;
 }
 
-// Calls hold back only where capacity is scarce. Rows of peers are up to a second old: calls that
-// held back for others that were long served let upstreams stand nearly empty, and were refused.
-bool forward_call::leaves_capacity() const
-{
-    auto const& engine = admitted_.service->engine;
-    if (!engine || engine->memory_tokens == 0)
-    {
-        return false;
-    }
-    double const tokens = admitted_.demand.prompt_tokens + admitted_.demand.output_tokens / 2.0;
-    double const own_part = tokens / engine->memory_tokens;
-    return best_.fullness + own_part <=
-           coordination::fullness_limit(admitted_.demand.output_tokens);
-}
-
 bool forward_call::join_waiting(state::time_point now)
 {
     coordination::waiting_call const place = waiting_place();
