--- a/src/coordination/zone_reach.cpp
+++ b/src/coordination/zone_reach.cpp
@@ -178,8 +178,10 @@
 std::vector<zone_reach_row> zone_reach::unreported(state::time_point now)
 {
     std::vector<zone_reach_row> rows;
-    for (auto& [zone, of] : zones_)
+    for (auto& known : zones_)
     {
+        state::zone_id const zone = known.first;
+        zone_state& of = known.second;
         evidence const found = evidence_of(of, now);
         bool const fails =
             found.upstreams >= min_failed_to_report && now >= found.first_at + doubt_time;
