--- a/tests/coordination/test_copy_admission.cpp
+++ b/tests/coordination/test_copy_admission.cpp
@@ -142,6 +142,7 @@
 private:
     static constexpr std::uint32_t generations_each = 8;
     static constexpr std::uint32_t tokens_each = 2'500;
+    static constexpr std::uint32_t tokens_of_all = generations_each * tokens_each;
     static constexpr std::uint32_t remaining_tokens = 400;
 
     struct news
@@ -163,8 +164,11 @@
         member.revision = 1;
         member.leaving = leaves;
         state::member_key const key = state::key_of(member);
-        std::uint32_t const held = leaves ? generations_each * tokens_each
-                                          : pattern_.held + random_() % (pattern_.spread + 1);
+        std::uint32_t held = tokens_of_all;
+        if (!leaves)
+        {
+            held = static_cast<std::uint32_t>(pattern_.held + random_() % (pattern_.spread + 1));
+        }
         upstreams_[key] = {key, member.zone, held, held / tokens_each, start};
         member_load const row{key, held / tokens_each, held, held, 0};
         for (auto const& each : deciders_)
@@ -204,10 +208,10 @@
         {
             std::uniform_real_distribution<double> uniform{0.0, 1.0};
             copy_request const copy{each.tokens, remaining_tokens, end - start};
-            times.first = first_copy_times{
-                start + copy_turn(copy, {generations_each * tokens_each, generations_each},
-                                  *drafts().engine, uniform(random_)),
-                end - copy_duration(*drafts().engine, each.tokens, false)};
+            times.first =
+                first_copy_times{start + copy_turn(copy, {tokens_of_all, generations_each},
+                                                   *drafts().engine, uniform(random_)),
+                                 end - copy_duration(*drafts().engine, each.tokens, false)};
         }
         failover_actions actions;
         each.failover->source_leaves(times, start, actions);
--- a/tests/coordination/test_upstream_speeds.cpp
+++ b/tests/coordination/test_upstream_speeds.cpp
@@ -35,8 +35,8 @@
     std::vector<bool> is_noisy;
     int false_alarms = 0;
 
-    observed_fleet(std::vector<double> upstream_speeds_, std::size_t vm_count)
-        : speeds{std::move(upstream_speeds_)}, vms(vm_count), vm_slowness(vm_count, 1.0),
+    observed_fleet(std::vector<double> slowness, std::size_t vm_count)
+        : speeds{std::move(slowness)}, vms(vm_count), vm_slowness(vm_count, 1.0),
           is_noisy(speeds.size(), false)
     {
         for (std::size_t i = 0; i < speeds.size(); ++i)
