--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -92,9 +92,11 @@
     {
         wait_until_last_chance(now, (std::int64_t{1} << std::min(refused, max_destinations)) *
                                         copy_retry_delay);
-        // Those that refused first may have room again.
-        bool const is_too_long = refused > max_destinations;
-        excluded_.erase(excluded_.begin() + 1, excluded_.begin() + (is_too_long ? 2 : 1));
+        if (refused > max_destinations)
+        {
+            // The one that refused first may have room again.
+            excluded_.erase(excluded_.begin() + 1);
+        }
         return;
     }
     bool const is_last = excluded_.size() > max_destinations;
