Log the shared parts of a call's prompt, and since when it is written

What could not be told apart: lines of calls whose upstream ended named no part of their prompts, nor whether an answer had begun. Now each line of a call has `parts` (all but the last, 8 at most) and `writing_ms` (-1 before the first event), and answered streams have `parts` too, so that what ended calls have in common and answered ones don't can be read off. Nothing decides by them yet.

--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -3,6 +3,7 @@
 #include <plumdale/protocol/message_head.hpp>
 #include <plumdale/state/endpoint.hpp>
 #include <plumdale/state/evacuation.hpp>
+#include <plumdale/state/identifier.hpp>
 #include <plumdale/state/result.hpp>
 #include <plumdale/state/routing_configuration.hpp>
 #include <plumdale/state/service_member.hpp>
@@ -42,6 +43,8 @@
     std::uint32_t output_limit = 0;
     /// \brief The caller's estimate of the answer's tokens; accurate at the median, often far off.
     std::uint32_t output_hint = 0;
+    /// \brief Parts of the prompt that other requests may have too, in order; none for plain calls.
+    std::vector<state::prompt_part> shared_parts;
 };
 
 /// \brief Where an upstream resumes a generation that another one began.
--- a/include/plumdale/state/identifier.hpp
+++ b/include/plumdale/state/identifier.hpp
@@ -50,6 +50,8 @@
 using idempotency_key_id = identifier<struct key_tag>;
 /// \brief Identifies a request across its attempts: a digest of host, path, customer and body.
 using request_digest = identifier<struct request_tag>;
+/// \brief A part of prompts that requests share, derived from the platform's identifier of it.
+using prompt_part = identifier<struct prompt_part_tag>;
 /// \brief The transport's identifier of one waiting caller (an HTTP exchange or a peer's relay).
 using caller_handle = identifier<struct caller_tag>;
 /// \brief The shard's identifier of one exchange with an upstream.
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -209,6 +209,8 @@
     /// \brief Returns how long a caller that is refused now should wait before it retries.
     [[nodiscard]] virtual state::duration retry_after();
     [[nodiscard]] std::vector<protocol::header_field> answer_fields() const;
+    /// \brief Returns the prompt's shared parts for log lines.
+    [[nodiscard]] std::string shared_parts_text() const;
     [[nodiscard]] std::string_view member_name() const;
     [[nodiscard]] std::string_view name_of(state::member_key member) const;
 
--- a/src/transport/forward_call_log.cpp
+++ b/src/transport/forward_call_log.cpp
@@ -5,11 +5,32 @@
 #include <plumdale/protocol/generation_text.hpp>
 #include <plumdale/state/store_position.hpp>
 
+#include <algorithm>
+#include <span>
+#include <string>
+
 // Log lines of a call.
 
 namespace plumdale::transport
 {
 
+namespace
+{
+
+constexpr std::size_t max_logged_parts = 8;
+
+std::string to_text(std::span<state::prompt_part const> parts)
+{
+    std::string text;
+    for (state::prompt_part const part : parts.first(std::min(parts.size(), max_logged_parts)))
+    {
+        text.append(text.empty() ? "" : ",").append(protocol::to_hex(part.value));
+    }
+    return text;
+}
+
+} // namespace
+
 std::string_view forward_call::member_name() const
 {
     return name_of(member_);
@@ -21,14 +42,22 @@
     return entry == nullptr ? std::string_view{} : std::string_view{entry->info.name};
 }
 
+std::string forward_call::shared_parts_text() const
+{
+    return to_text(admitted_.headers.shared_parts);
+}
+
 void forward_call::log(std::string_view decision, std::string_view why)
 {
     state::time_point const now = boot_now();
     coordination::directory_entry const* const entry = core_.directory.find(member_);
+    auto const running_since = runs_since();
     core_.log.write(
         "call", decision, admitted_.headers.id,
         {{"why", why},
          {"request", protocol::to_hex(admitted_.request.value)},
+         {"parts", shared_parts_text()},
+         {"writing_ms", running_since ? whole_milliseconds(now - *running_since) : -1},
          {"route", admitted_.route->name},
          {"configuration", static_cast<std::int64_t>(admitted_.table->configuration().version)},
          {"upstream", member_name()},
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -399,6 +399,7 @@
         "call", "answered", admitted_.headers.id,
         {{"upstream", member_name()},
          {"request", protocol::to_hex(admitted_.request.value)},
+         {"parts", shared_parts_text()},
          {"route", admitted_.route->name},
          {"first_event_ms", whole_milliseconds(first_event_at_ - admitted_.call.read_at)},
          {"objective_ms", whole_milliseconds(admitted_.route->target_latency)},
--- a/tests/platform/test_dialect.cpp
+++ b/tests/platform/test_dialect.cpp
@@ -49,6 +49,27 @@
     CHECK(headers.output_hint == 70);
 }
 
+TEST_CASE("the parts of a prompt are read without its last one", "[dialect]")
+{
+    auto const parts_of = [](std::string_view text)
+    {
+        protocol::message_head head;
+        head.fields = {{"Plumdale-Prompt-Prefix", std::string{text}}};
+        return platform_dialect{}.read_call(head).shared_parts;
+    };
+    auto const part = [](std::string_view name)
+    {
+        return state::id_from_name<state::prompt_part>(name);
+    };
+    CHECK(parts_of("5c1e:800,91bd:410,e440:250") == std::vector{part("5c1e"), part("91bd")});
+    CHECK(parts_of("5c1e:800, 91bd:410,e440:250") == std::vector{part("5c1e"), part("91bd")});
+    CHECK(parts_of("5c1e:800,5c1e:800,e440:250") == std::vector{part("5c1e")});
+    CHECK(parts_of("e440:250").empty());
+    CHECK(parts_of("").empty());
+    CHECK(parts_of(":1,,x").empty());
+    CHECK(platform_dialect{}.read_call(call_head()).shared_parts.empty());
+}
+
 TEST_CASE("malformed figures in a caller's head read as missing", "[dialect]")
 {
     for (char const* const text : {"", "soon", "-5", "nan", "inf"})
