--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -3,8 +3,10 @@
 #include <array>
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <poll.h>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -16,8 +18,14 @@
 
 constexpr std::chrono::milliseconds poll_interval{10};
 
-[[noreturn]] void execute(std::string const& path, std::vector<std::string> const& args, int output)
+[[noreturn]] void execute(std::string const& path, std::vector<std::string> const& args, int output,
+                          unsigned descriptors)
 {
+    if (descriptors != 0)
+    {
+        rlimit const limit{descriptors, descriptors};
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
     std::vector<char*> words;
     words.push_back(const_cast<char*>(path.c_str()));
     for (std::string const& arg : args)
@@ -46,7 +54,8 @@
     return true;
 }
 
-process::process(std::string const& program, std::vector<std::string> const& args)
+process::process(std::string const& program, std::vector<std::string> const& args,
+                 unsigned descriptors)
 {
     std::string const path = std::string{PLUMDALE_BINARIES} + "/" + program;
     std::array<int, 2> pipe_ends{};
@@ -57,7 +66,7 @@
     pid_ = ::fork();
     if (pid_ == 0)
     {
-        execute(path, args, pipe_ends[1]);
+        execute(path, args, pipe_ends[1], descriptors);
     }
     ::close(pipe_ends[1]);
     output_ = pipe_ends[0];
@@ -141,4 +150,22 @@
     return !code_;
 }
 
+std::chrono::milliseconds process::processor_time() const
+{
+    // Fields 14 and 15 after the name in parentheses, in clock ticks: user and system time.
+    constexpr int fields_before = 11;
+    std::ifstream file{"/proc/" + std::to_string(pid_) + "/stat"};
+    std::string text;
+    std::getline(file, text, ')');
+    for (int i = 0; i < fields_before; ++i)
+    {
+        file >> text;
+    }
+    std::uint64_t user = 0;
+    std::uint64_t system = 0;
+    file >> user >> system;
+    return std::chrono::milliseconds{1'000 * (user + system) /
+                                     static_cast<std::uint64_t>(::sysconf(_SC_CLK_TCK))};
+}
+
 } // namespace plumdale::system_tests
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -24,8 +24,10 @@
 class process
 {
 public:
-    /// \brief Starts `program` from the build's folder of programs.
-    process(std::string const& program, std::vector<std::string> const& args);
+    /// \brief Starts `program` from the build's folder of programs, with at most `descriptors` open
+    /// files; zero for the system's limit.
+    process(std::string const& program, std::vector<std::string> const& args,
+            unsigned descriptors = 0);
     process(process const&) = delete;
     process& operator=(process const&) = delete;
     /// \brief Kills the process if it still runs.
@@ -39,6 +41,8 @@
     /// no value after the timeout.
     [[nodiscard]] std::optional<int> wait(std::chrono::milliseconds within = default_timeout);
     [[nodiscard]] bool running();
+    /// \brief Returns how much processor time the process has used.
+    [[nodiscard]] std::chrono::milliseconds processor_time() const;
 
 private:
     [[nodiscard]] std::string read_line();
