An answer without a length is whole when its connection is closed in order

What callers saw: 502 for a whole answer, or a second run of it; a whole stream cut off before its end. Cause: the exchange took every end of a connection without a length for a possible break. Change: such an end is resolved in one place (forward_call::resolve) before evidence, retries and answers look at it: a close in order ends an answer; a stream only after a whole event, not while its upstream has the order to stop it for a last copy, and then if that order finds the generation ended. A reset stays a break. Peers answer with a length or in chunks, so the path through them needs nothing of its own.

--- a/include/plumdale/protocol/http_reader.hpp
+++ b/include/plumdale/protocol/http_reader.hpp
@@ -27,7 +27,7 @@
     none,
     length,
     chunked,
-    until_close ///< Ends with the connection; a broken connection looks the same.
+    until_close ///< Ends when the connection is closed in order.
 };
 
 /// \brief Progress of the reader.
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -102,7 +102,13 @@
 protected:
     /// \brief Returns the headers to add to the next send.
     [[nodiscard]] virtual protocol::system_headers make_system_headers(state::time_point now) const;
-    /// \brief Called when the exchange ended, in whatever way.
+    /// \brief Returns whether the answer is whole if its upstream closes the connection now, and it
+    /// has no length.
+    [[nodiscard]] virtual bool is_whole_if_closed() const
+    {
+        return true;
+    }
+    /// \brief Called when the exchange ended; `end` is not `closed`.
     virtual void exchange_ended(exchange_end end);
     /// \brief Returns when the upstream was first seen to run the call; none before.
     [[nodiscard]] virtual std::optional<state::time_point> runs_since() const
@@ -263,6 +269,8 @@
     void refuse_quarantined();
     /// \brief Refuses the call as all upstreams back off, the first of them until `end`.
     void refuse_backed_off(state::time_point end, state::time_point now);
+    /// \brief Returns `complete` or `broken` in place of `closed`.
+    [[nodiscard]] exchange_end resolve(exchange_end end) const;
     /// \brief Records the evidence on the request that the end of its exchange gives.
     void note_evidence(exchange_end end);
     /// \brief Records how the upstream took the request that was sent last, once.
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -56,16 +56,26 @@
     exchange_->keep_alive(answer_.keep_alive, answer_.closes);
 }
 
+exchange_end forward_call::resolve(exchange_end end) const
+{
+    if (end != exchange_end::closed)
+    {
+        return end;
+    }
+    return is_whole_if_closed() ? exchange_end::complete : exchange_end::broken;
+}
+
 void forward_call::on_end(exchange_end end)
 {
     // The answer releases the channel's reference to this call.
     auto const self = shared_from_this();
-    note_evidence(end);
-    if (end == exchange_end::broken)
+    exchange_end const resolved = resolve(end);
+    note_evidence(resolved);
+    if (resolved == exchange_end::broken)
     {
         core_.probe_in_doubt(member_);
     }
-    exchange_ended(end);
+    exchange_ended(resolved);
 }
 
 void forward_call::settle(coordination::send_outcome outcome)
--- a/src/transport/plain_call.cpp
+++ b/src/transport/plain_call.cpp
@@ -30,10 +30,7 @@
 {
     if (end != exchange_end::complete)
     {
-        // An answer that ended with its connection may have been cut short, which can't be
-        // detected.
-        return retry_or_refuse(end == exchange_end::unconfirmed ? "answer of unknown length"
-                                                                : "connection broke");
+        return retry_or_refuse("connection broke");
     }
     if (is_success() && (!answer_.is_signed || answer_.encoded))
     {
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -309,6 +309,17 @@
     return has_event ? std::optional{run_began_at_} : std::nullopt;
 }
 
+// An upstream that stops a generation for its last copy closes the stream in the same way.
+bool stream_call::is_whole_if_closed() const
+{
+    if (!streaming_)
+    {
+        return true;
+    }
+    bool const runs = begun_ && !resuming_;
+    return runs && events_.buffered_bytes() == 0 && !(failover_ && failover_->is_stopping());
+}
+
 void stream_call::exchange_ended(exchange_end end)
 {
     if (!resuming_)
@@ -347,8 +358,9 @@
         finish();
         return channel->answer(head_.status, head_.reason, answer_fields(), failure_body_);
     }
-    source_ended(end == exchange_end::unconfirmed ? "stream of unknown length"
-                                                  : "connection broke");
+    closed_while_stopping_ = framing_ == protocol::body_framing::until_close &&
+                             events_.buffered_bytes() == 0 && failover_ && failover_->is_stopping();
+    source_ended("connection broke");
 }
 
 void stream_call::complete_stream()
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -63,6 +63,7 @@
     [[nodiscard]] coordination::admission_request
     make_admission_request(state::time_point now) const;
     [[nodiscard]] state::duration retry_after() override;
+    [[nodiscard]] bool is_whole_if_closed() const override;
     void exchange_ended(exchange_end end) override;
     [[nodiscard]] std::optional<state::time_point> runs_since() const override;
     void answer_ended(exchange_end end) override;
@@ -151,6 +152,8 @@
     bool begun_ = false;
     bool resuming_ = false;
     bool has_noted_no_destination_ = false;
+    /// \brief The stream was closed after an event while its upstream had the order to stop it.
+    bool closed_while_stopping_ = false;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -357,6 +357,12 @@
         log(last ? "last copy complete" : "first copy complete", {});
         failover_->copied(copy.value().handle, now, actions);
     }
+    else if (last && closed_while_stopping_ &&
+             refusal_of(answer) == copy_refusal::unknown_generation)
+    {
+        // It had ended before the order came, and the stream with it.
+        return complete_stream();
+    }
     else
     {
         drop_load(copy_load_);
@@ -385,6 +391,7 @@
         return abort_answer("upstreams ended under this request");
     }
     close_exchange();
+    closed_while_stopping_ = false;
     resume_from_ = protocol::resume_point{
         holder->info.address, action.handle.empty() ? admitted_.headers.id : action.handle,
         last_event_id_};
--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -141,7 +141,7 @@
         report_progress();
         if (sink_ != nullptr)
         {
-            finish(exchange_end::unconfirmed);
+            finish(exchange_end::closed);
         }
         return;
     }
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -25,7 +25,7 @@
 enum class exchange_end : std::uint8_t
 {
     complete,        ///< The answer ended as its framing says.
-    unconfirmed,     ///< It ended when the connection was closed; a lost one can look the same.
+    closed,          ///< It has no length, and the upstream closed the connection in order.
     unreachable,     ///< No connection: nothing was sent.
     not_sent,        ///< `exchange_sink::request` declined: nothing was sent.
     broken,          ///< The upstream ended the connection first.
