A part of prompts that crashes upstreams is refused by all VMs

Cause: each crash came from a request of its own, so request_quarantine, which counts by request, connected none of them; the class is harm that adds up over requests whose common feature nothing counts.

Change: prompt_quarantine counts crashes by the prompts' shared parts. A crash counts where an answer had not begun or went on for less than a second, and the upstream accepts no connection after it; requests and times have to differ. An answer, or a second of one, proves the parts of its prompt sound for everybody. Of parts with evidence in common the one with most crashes accounts for it. The second crash refuses a part at all VMs; one VM tries it again after 1 s, 1 min and 10 min, then no more, so that a wrong suspicion ends and a part that is bad costs three requests. A generation that was answered for a second is never quarantined, nor is a request whose crashes a refused part accounts for.

The stand-in of an upstream that crashes now closes its port as well, as a real one does; it only reset connections, which sound upstreams do too.

--- a/include/plumdale/coordination/fleet_update.hpp
+++ b/include/plumdale/coordination/fleet_update.hpp
@@ -2,6 +2,7 @@
 
 #include <plumdale/coordination/broadcast_tree.hpp>
 #include <plumdale/coordination/load_ledger.hpp>
+#include <plumdale/coordination/prompt_quarantine.hpp>
 #include <plumdale/coordination/request_quarantine.hpp>
 #include <plumdale/coordination/upstream_speeds.hpp>
 #include <plumdale/coordination/upstream_suspicions.hpp>
@@ -38,6 +39,7 @@
     static constexpr std::size_t max_members = 7;
     static constexpr std::size_t max_readers = 2;
     static constexpr std::size_t max_evidence = 24;
+    static constexpr std::size_t max_part_evidence = 24;
     static constexpr std::size_t max_limits = 24;
     static constexpr std::size_t max_speeds = 32;
     static constexpr std::size_t max_suspicions = 32;
@@ -64,9 +66,10 @@
     std::vector<member_load> loads;
     /// \brief Upstreams whose change the sender has just learnt.
     std::vector<state::service_member> members;
-    /// \brief Digest of the sender's evidence of requests that end upstreams.
+    /// \brief Digest of the requests and parts of prompts that the sender refuses.
     std::uint64_t quarantine = 0;
     std::vector<request_evidence> evidence;
+    std::vector<part_evidence> parts;
     /// \brief The sender lacks evidence and requests the receiver's.
     bool requests_evidence = false;
     std::vector<state::stated_limit> limits;
--- a/include/plumdale/coordination/request_quarantine.hpp
+++ b/include/plumdale/coordination/request_quarantine.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -77,6 +78,9 @@
     /// \brief Returns how many upstreams are known to have ended while they ran a request, up to
     /// `refusal_threshold`.
     [[nodiscard]] std::size_t ended_upstream_count(state::request_digest request) const;
+    /// \brief Returns these upstreams.
+    [[nodiscard]] std::span<state::member_key const>
+    ended_upstreams(state::request_digest request) const;
     /// \brief Returns the number of requests that are refused.
     [[nodiscard]] std::size_t refused_count() const;
     /// \brief Returns and removes the evidence to be sent to all peers.
--- a/src/coordination/request_quarantine.cpp
+++ b/src/coordination/request_quarantine.cpp
@@ -178,9 +178,16 @@
 }
 
 std::size_t request_quarantine::ended_upstream_count(state::request_digest request) const
+{
+    return ended_upstreams(request).size();
+}
+
+std::span<state::member_key const>
+request_quarantine::ended_upstreams(state::request_digest request) const
 {
     auto const found = suspects_.find(request);
-    return found == suspects_.end() ? 0 : found->second.count;
+    return found == suspects_.end() ? std::span<state::member_key const>{}
+                                    : std::span{found->second.ended}.first(found->second.count);
 }
 
 std::size_t request_quarantine::refused_count() const
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -44,6 +44,14 @@
   ageMs @2 :UInt32;
 }
 
+struct PartEvidence {
+  part @0 :UInt64;
+  crashed @1 :UInt64;
+  request @2 :UInt64;
+  ageMs @3 :UInt32;
+  idleMs @4 :UInt32;
+}
+
 struct StatedLimit {
   member @0 :UInt64;
   isStated @1 :Bool;
@@ -107,6 +115,7 @@
   suspicions @24 :List(UpstreamSuspicion);
   zoneReach @25 :List(ZoneReach);
   waiting @26 :List(WaitingCalls);
+  parts @27 :List(PartEvidence);
 }
 
 struct ConfigurationOffer {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -67,6 +67,15 @@
     to.setAgeMs(milliseconds_of(from.age));
 }
 
+void write(wire::PartEvidence::Builder to, coordination::part_evidence const& from)
+{
+    to.setPart(from.part.value);
+    to.setCrashed(from.crashed.value);
+    to.setRequest(from.request.value);
+    to.setAgeMs(milliseconds_of(from.age));
+    to.setIdleMs(milliseconds_of(from.idle));
+}
+
 void write(wire::StatedLimit::Builder to, state::stated_limit const& from)
 {
     to.setMember(from.member.value);
@@ -134,6 +143,13 @@
             std::chrono::milliseconds{from.getAgeMs()}};
 }
 
+coordination::part_evidence read(wire::PartEvidence::Reader from)
+{
+    return {state::prompt_part{from.getPart()}, state::member_key{from.getCrashed()},
+            state::request_digest{from.getRequest()}, std::chrono::milliseconds{from.getAgeMs()},
+            std::chrono::milliseconds{from.getIdleMs()}};
+}
+
 state::stated_limit read(wire::StatedLimit::Reader from)
 {
     return {state::member_key{from.getMember()},
@@ -268,6 +284,10 @@
     {
         update.evidence.push_back(read(each));
     }
+    for (auto const each : from.getParts())
+    {
+        update.parts.push_back(read(each));
+    }
     for (auto const each : from.getLimits())
     {
         update.limits.push_back(read(each));
@@ -361,6 +381,11 @@
             write_rows(
                 to.initRefusalLimits(static_cast<unsigned int>(update.refusal_limits.size())),
                 update.refusal_limits);
+            if (!update.parts.empty())
+            {
+                write_rows(to.initParts(static_cast<unsigned int>(update.parts.size())),
+                           update.parts);
+            }
             write_load_parts(to, update);
         });
     return with_mac({text.data(), text.size()}, fleet_key);
--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -105,7 +105,9 @@
 std::optional<std::string> call_through_peer::request()
 {
     state::time_point const now = boot_now();
-    if (now >= admitted_.deadline || core_.quarantine.refuses(admitted_.request))
+    bool const is_refused =
+        !admitted_.origin.is_trial && core_.quarantine.refuses(admitted_.content());
+    if (now >= admitted_.deadline || is_refused)
     {
         return std::nullopt;
     }
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -27,6 +27,9 @@
 constexpr state::duration probe_interval = std::chrono::seconds{1};
 // Time between two log lines on the number of live peers.
 constexpr state::duration live_count_log_interval = std::chrono::seconds{1};
+// Longest time before a VM reports that a part which a peer suspects is sound.
+constexpr state::duration max_reply_delay = std::chrono::milliseconds{300};
+constexpr state::duration reply_delay_per_peer = std::chrono::milliseconds{1};
 // Time between two log lines on what was exchanged with peers.
 constexpr state::duration traffic_log_interval = std::chrono::seconds{10};
 
@@ -149,6 +152,7 @@
 {
     core_.apply_evacuations(update.evacuations, part);
     core_.quarantine.apply_updates(update.evidence);
+    core_.quarantine.apply_updates(update.parts, reply_delay());
     core_.limits.apply_updates(update.limits);
     core_.refusal_limits.apply_updates(update.refusal_limits);
     apply_findings(update);
@@ -171,6 +175,16 @@
     configurations_.note_peer_version(update.configuration);
 }
 
+// Drawn by each VM, and longer in larger fleets, so that one reply reaches the others before
+// theirs.
+state::duration fleet_exchange::reply_delay()
+{
+    auto const peers = static_cast<std::int64_t>(core_.fleet.peers().size());
+    auto const longest = std::min(max_reply_delay, peers * reply_delay_per_peer);
+    return state::duration{
+        std::uniform_int_distribution<std::int64_t>{0, longest.count()}(core_.random)};
+}
+
 // Messages may arrive in any order: upstreams are merged by their revisions, and a part of the
 // fleet depends on what is forwarded from here.
 void fleet_exchange::apply_members(fleet_update const& update)
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -72,6 +72,7 @@
     void advance_suspicions(state::time_point now);
     /// \brief Returns the VMs that count as live, with their zones.
     [[nodiscard]] std::vector<coordination::zoned_vm> zoned_peers() const;
+    [[nodiscard]] state::duration reply_delay();
     void receive_peer_message(std::span<char const> text, state::endpoint from);
     void carry_out(coordination::control_actions const& actions);
     void advance_members();
@@ -85,6 +86,7 @@
     void record_sent_status(coordination::fleet_update const& update);
     /// \brief Exchanges evidence on requests that end upstreams with a peer whose evidence differs.
     void exchange_evidence(coordination::fleet_update const& received, state::endpoint to);
+    void send_evidence(state::endpoint to, state::time_point now);
     /// \brief Starts a broadcast, along as many trees as make up for a lost datagram.
     void broadcast(coordination::fleet_update& update);
     /// \brief Sends upstreams and orders to the receivers of a range's branches, which forward
--- a/src/transport/fleet_exchange_sending.cpp
+++ b/src/transport/fleet_exchange_sending.cpp
@@ -186,12 +186,21 @@
 
 void fleet_exchange::announce_evidence()
 {
-    std::vector<request_evidence> const unreported = core_.quarantine.known().unreported();
-    for (auto const part :
+    std::vector<request_evidence> const unreported = core_.quarantine.known().requests.unreported();
+    for (auto const rows :
          split_rows(std::span{std::as_const(unreported)}, fleet_update::max_evidence))
     {
         fleet_update update;
-        update.evidence.assign(part.begin(), part.end());
+        update.evidence.assign(rows.begin(), rows.end());
+        broadcast(update);
+    }
+    std::vector<part_evidence> const parts =
+        core_.quarantine.known().prompts.unreported(boot_now());
+    for (auto const rows :
+         split_rows(std::span{std::as_const(parts)}, fleet_update::max_part_evidence))
+    {
+        fleet_update update;
+        update.parts.assign(rows.begin(), rows.end());
         broadcast(update);
     }
 }
@@ -280,15 +289,28 @@
         request.requests_evidence = true;
         send(request, std::array{to});
     }
-    std::vector<request_evidence> known;
     if (answer.should_send)
     {
-        known = core_.quarantine.known().evidence(max_sent_evidence, now);
+        send_evidence(to, now);
+    }
+}
+
+void fleet_exchange::send_evidence(state::endpoint to, state::time_point now)
+{
+    std::vector<request_evidence> const known =
+        core_.quarantine.known().requests.evidence(max_sent_evidence, now);
+    for (auto const rows : split_rows(std::span{known}, fleet_update::max_evidence))
+    {
+        fleet_update update = make_update();
+        update.evidence.assign(rows.begin(), rows.end());
+        send(update, std::array{to});
     }
-    for (auto const part : split_rows(std::span{std::as_const(known)}, fleet_update::max_evidence))
+    std::vector<part_evidence> const parts =
+        core_.quarantine.known().prompts.evidence(max_sent_evidence, now);
+    for (auto const rows : split_rows(std::span{parts}, fleet_update::max_part_evidence))
     {
         fleet_update update = make_update();
-        update.evidence.assign(part.begin(), part.end());
+        update.parts.assign(rows.begin(), rows.end());
         send(update, std::array{to});
     }
 }
@@ -316,11 +338,13 @@
          targets_of(from.range, from.broadcast_id, peers, fan_out_for(peers.size())))
     {
         bool const has_rows = !from.members.empty() || !from.evidence.empty() ||
-                              !from.limits.empty() || !from.refusal_limits.empty() ||
-                              !from.suspicions.empty() || !from.zone_reach.empty();
+                              !from.parts.empty() || !from.limits.empty() ||
+                              !from.refusal_limits.empty() || !from.suspicions.empty() ||
+                              !from.zone_reach.empty();
         fleet_update update = has_rows ? make_update() : make_update_with_orders();
         update.members = from.members;
         update.evidence = from.evidence;
+        update.parts = from.parts;
         update.limits = from.limits;
         update.refusal_limits = from.refusal_limits;
         update.suspicions = from.suspicions;
--- a/src/transport/fleet_traffic.cpp
+++ b/src/transport/fleet_traffic.cpp
@@ -28,7 +28,7 @@
 
 message_kind kind_of(coordination::fleet_update const& update) noexcept
 {
-    if (!update.evidence.empty() || update.requests_evidence)
+    if (!update.evidence.empty() || !update.parts.empty() || update.requests_evidence)
     {
         return message_kind::evidence;
     }
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -56,7 +56,7 @@
     }
     if (is_quarantined())
     {
-        return refuse_quarantined();
+        return try_part_or_refuse();
     }
     if (core_.reach.is_lost() && may_use_peer())
     {
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -29,6 +29,8 @@
     std::uint32_t possible_runs = 0;
     /// \brief It counts towards the retry budget already.
     bool is_counted = false;
+    /// \brief It tries a refused part of prompts.
+    bool is_trial = false;
 };
 
 /// \brief A call, with the decisions made before it is sent to an upstream.
@@ -44,6 +46,13 @@
     /// \brief The same for all attempts of a caller at this request.
     state::request_digest request;
     coordination::call_demand demand;
+
+    /// \brief Returns what may end its upstreams; valid as long as this.
+    [[nodiscard]] coordination::call_content content() const noexcept
+    {
+        return {request, headers.shared_parts};
+    }
+
     /// \brief When the time of its caller or of its route is over, whichever is first.
     state::time_point deadline{};
     /// \brief It has less time left than first attempts on its route, so it was refused before.
@@ -98,6 +107,9 @@
     /// request that ends its upstream does so at its start, and the many others that run there are
     /// not the cause.
     static constexpr state::duration suspected_for = std::chrono::seconds{5};
+    /// \brief An upstream that goes on for this time after an answer's first event was not ended by
+    /// the request, nor is any other.
+    static constexpr state::duration proving_time = std::chrono::seconds{1};
 
 protected:
     /// \brief Returns the headers to add to the next send.
@@ -198,6 +210,9 @@
     void refuse(state::error_kind kind, std::string_view why);
     /// \brief Returns whether the request is quarantined, so that it is sent to no upstream.
     [[nodiscard]] bool is_quarantined() const;
+    /// \brief Records that the upstream goes on with the answer, once that shows that it wasn't
+    /// ended by it.
+    void prove_sound(state::time_point now);
     /// \brief Ends the call; the channel has been answered or is gone.
     void finish();
     void close_exchange();
@@ -255,6 +270,8 @@
     /// \brief Calls before it when it began to wait, and how long it was expected to.
     std::size_t calls_before_ = 0;
     std::optional<state::duration> expected_wait_;
+    /// \brief An upstream went on with the answer for `proving_time`.
+    bool is_proven_ = false;
     /// \brief The upstream counted as cold when the call was sent.
     bool is_cold_ = false;
     /// \brief The request that was sent last is neither accepted nor refused yet.
@@ -267,6 +284,10 @@
     void on_deadline_timer();
     void refuse(state::error_kind kind, std::string_view why, state::duration retry_after);
     void refuse_quarantined();
+    /// \brief Sends a quarantined call if a part of its prompt is to be tried again, here or at the
+    /// VM that does so.
+    void try_part_or_refuse();
+    [[nodiscard]] request_attempt attempt() const noexcept;
     /// \brief Refuses the call as all upstreams back off, the first of them until `end`.
     void refuse_backed_off(state::time_point end, state::time_point now);
     /// \brief Returns `complete` or `broken` in place of `closed`.
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -109,18 +109,18 @@
 // Leaving upstreams end their connections too, which is no evidence against their requests.
 void forward_call::note_evidence(exchange_end end)
 {
-    request_attempt const attempt{admitted_.request, admitted_.headers.id};
     bool const is_own_answer = has_head_ && !has_mismatched_id() && !is_refused_by_upstream(end);
     if (end == exchange_end::complete && is_own_answer)
     {
-        return core_.quarantine.answered(attempt);
+        return core_.quarantine.answered(attempt());
     }
     auto const running_since = runs_since();
-    bool const is_suspect = !running_since || boot_now() - *running_since <= suspected_for;
+    bool const is_suspect =
+        !is_proven_ && (!running_since || boot_now() - *running_since <= suspected_for);
     bool const is_leaving = core_.departures.find(member_) != nullptr;
     if (end == exchange_end::broken && is_suspect && !is_leaving)
     {
-        core_.quarantine.upstream_ended(attempt, member_, member_name());
+        core_.quarantine.upstream_ended(attempt(), member_, member_name());
     }
 }
 
@@ -174,17 +174,58 @@
     return coordination::draw_retry_after(draw(core_.random));
 }
 
+request_attempt forward_call::attempt() const noexcept
+{
+    return {admitted_.content(), admitted_.headers.id};
+}
+
 bool forward_call::is_quarantined() const
 {
-    return core_.quarantine.refuses(admitted_.request);
+    if (is_proven_)
+    {
+        return false;
+    }
+    return admitted_.origin.is_trial ? core_.quarantine.refuses_request(admitted_.request)
+                                     : core_.quarantine.refuses(admitted_.content());
+}
+
+void forward_call::prove_sound(state::time_point now)
+{
+    auto const running_since = runs_since();
+    if (!is_proven_ && running_since && now - *running_since >= proving_time)
+    {
+        is_proven_ = true;
+        core_.quarantine.answer_goes_on(attempt());
+    }
+}
+
+void forward_call::try_part_or_refuse()
+{
+    auto const part =
+        may_have_run() ? std::nullopt : core_.quarantine.due_trial(admitted_.content());
+    if (!part)
+    {
+        return refuse_quarantined();
+    }
+    state::node_id const vm = core_.choose_trial_vm(*part);
+    if (vm != core_.self && !may_use_peer())
+    {
+        return refuse_quarantined();
+    }
+    core_.quarantine.begin_trial(attempt(), *part);
+    admitted_.origin.is_trial = true;
+    vm == core_.self ? dispatch() : hand_to_peer("one VM tries the part", {vm});
 }
 
 void forward_call::refuse_quarantined()
 {
     core_.metrics.add(forward_count::quarantine_refused);
+    std::uniform_int_distribution<std::int64_t> spread{
+        0, coordination::prompt_quarantine::trial_delays.front().count()};
     refuse(may_have_run() ? state::error_kind::may_have_run : state::error_kind::quarantined,
-           "upstreams ended under this request",
-           core_.quarantine.known().refused_for(admitted_.request, boot_now()));
+           "upstreams ended under this request or a part of its prompt",
+           core_.quarantine.known().refused_for(admitted_.content(), boot_now()) +
+               state::duration{spread(core_.random)});
 }
 
 // Another VM may not have been refused yet: callers that can't wait for the end retry as usual.
--- a/src/transport/forward_call_log.cpp
+++ b/src/transport/forward_call_log.cpp
@@ -81,8 +81,9 @@
          {"hinted_tokens", admitted_.demand.output_tokens},
          {"sends", sends_},
          {"may_have_run", possible_runs_},
-         {"upstreams_ended", static_cast<std::int64_t>(
-                                 core_.quarantine.known().ended_upstream_count(admitted_.request))},
+         {"upstreams_ended",
+          static_cast<std::int64_t>(
+              core_.quarantine.known().requests.ended_upstream_count(admitted_.request))},
          {"stated_limit_per_minute", per_minute(answer_.statement.request_limit)},
          {"known_limit_per_minute", per_minute(core_.limits.known().limit_of(member_))},
          {"stated_refusals_per_minute", per_minute(answer_.statement.refusal_limit)},
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -72,6 +72,10 @@
                  }},
       change_log_{logger}
 {
+    quarantine.on_end_in_doubt = [this](state::member_key member)
+    {
+        prober.probe_end(member);
+    };
 }
 
 // -- configuration --------------------------------------------------------------------------------
@@ -140,6 +144,20 @@
     return retry_detectors_[route].detect(time_left);
 }
 
+state::node_id forward_core::choose_trial_vm(state::prompt_part part) const
+{
+    state::time_point const now = boot_now();
+    std::vector<state::node_id> live{self};
+    for (auto const& [node, peer] : fleet.peers())
+    {
+        if (fleet.is_live(peer, now))
+        {
+            live.push_back(node);
+        }
+    }
+    return coordination::choose_trial_vm(part, live);
+}
+
 std::size_t forward_core::running_calls(state::service const& service) const
 {
     std::size_t sum = 0;
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -121,6 +121,8 @@
     [[nodiscard]] bool detect_retry(std::string const& route, state::duration time_left);
     /// \brief Returns how many calls of all VMs run at a service's upstreams.
     [[nodiscard]] std::size_t running_calls(state::service const& service) const;
+    /// \brief Returns the VM that tries a refused part of prompts again.
+    [[nodiscard]] state::node_id choose_trial_vm(state::prompt_part part) const;
     /// \brief Spends one retry of a service's budget; returns false when none is left.
     [[nodiscard]] bool take_retry(std::string const& service);
     void note_call(std::string const& service);
--- a/src/transport/reach_prober.cpp
+++ b/src/transport/reach_prober.cpp
@@ -87,15 +87,44 @@
 void reach_prober::probe(state::member_key member)
 {
     core_.metrics.add(forward_count::reach_probes);
-    connect(member, [this, member](connection_failure failure)
-            { core_.note_connection_failed(member, failure); });
+    connect(member,
+            [this, member](connection_failure failure)
+            {
+                if (failure != connection_failure::none)
+                {
+                    core_.note_connection_failed(member, failure);
+                }
+            });
 }
 
 void reach_prober::probe_suspect(state::member_key member)
 {
     core_.metrics.add(forward_count::suspicion_probes);
     connect(member,
-            [this, member](connection_failure failure) { core_.note_finding(member, failure); });
+            [this, member](connection_failure failure)
+            {
+                if (failure != connection_failure::none)
+                {
+                    core_.note_finding(member, failure);
+                }
+            });
+}
+
+// A VM that lost its own paths, or has no descriptor left, learns nothing of the upstream.
+void reach_prober::probe_end(state::member_key member)
+{
+    if (core_.directory.find(member) == nullptr)
+    {
+        return core_.quarantine.end_checked(member, false);
+    }
+    core_.metrics.add(forward_count::end_probes);
+    connect(
+        member,
+        [this, member](connection_failure failure)
+        {
+            bool const is_unknown = failure == connection_failure::local || core_.reach.is_lost();
+            core_.quarantine.end_checked(member, failure == connection_failure::none || is_unknown);
+        });
 }
 
 // Where the own zone has no upstreams, only these probes show that the VM reaches none at all.
@@ -122,12 +151,12 @@
 }
 
 void reach_prober::connect(state::member_key member,
-                           std::function<void(connection_failure)> const& on_failed)
+                           std::function<void(connection_failure)> const& on_end)
 {
     auto const pending = std::make_shared<pending_probe>(core_.context);
     if (open_from(pending->socket, core_.settings.upstream_source))
     {
-        return;
+        return on_end(connection_failure::local);
     }
     core_.note_connecting(member, true);
     pending->timer.expires_after(upstream_exchange::connect_timeout);
@@ -142,18 +171,19 @@
             }
         });
     pending->socket.async_connect(to_tcp(core_.directory.find(member)->info.address),
-                                  [this, pending, member, on_failed](error_code error)
+                                  [this, pending, member, on_end](error_code error)
                                   {
                                       pending->timer.cancel();
                                       core_.note_connecting(member, false);
                                       if (error)
                                       {
-                                          return on_failed(connection_failure_of(error));
+                                          return on_end(connection_failure_of(error));
                                       }
                                       core_.note_connected(member);
                                       core_.pool.keep(member, std::move(pending->socket),
                                                       upstream_pool::default_keep_alive,
                                                       boot_now());
+                                      on_end(connection_failure::none);
                                   });
 }
 
--- a/src/transport/reach_prober.hpp
+++ b/src/transport/reach_prober.hpp
@@ -31,6 +31,8 @@
     void advance(state::time_point now);
     /// \brief Connects to an upstream that may be gone; tells nothing of the other paths.
     void probe_suspect(state::member_key member);
+    /// \brief Connects to an upstream whose connection ended, for the quarantine.
+    void probe_end(state::member_key member);
     /// \brief Connects to upstreams of a zone, chosen at random.
     void probe_zone(state::zone_id zone, std::size_t count, state::time_point now);
 
@@ -42,9 +44,8 @@
     choose_of(state::service const& service, std::span<state::member_key const> chosen,
               state::time_point now);
     void probe(state::member_key member);
-    /// \brief Connects within the time limit and calls `on_failed` if it can't.
-    void connect(state::member_key member,
-                 std::function<void(connection_failure)> const& on_failed);
+    /// \brief Connects within the time limit and calls `on_end` with the failure, or with none.
+    void connect(state::member_key member, std::function<void(connection_failure)> const& on_end);
 
     forward_core& core_;
     /// \brief The service whose upstreams the next round begins with.
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -186,6 +186,7 @@
         note_pace(events_forwarded_ - events_before, now);
     }
     last_progress_ = now;
+    prove_sound(now);
     begin_answer();
     channel_->send_chunk(chunk);
     if (channel_->is_full())
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -388,7 +388,7 @@
     }
     if (is_quarantined())
     {
-        return abort_answer("upstreams ended under this request");
+        return abort_answer("upstreams ended under this request or a part of its prompt");
     }
     close_exchange();
     closed_while_stopping_ = false;
--- a/tests/platform/forward_fixture.cpp
+++ b/tests/platform/forward_fixture.cpp
@@ -91,11 +91,21 @@
 
 scripted_upstream::scripted_upstream(net::io_context& context, std::string name, std::string zone)
     : name_{std::move(name)}, zone_{std::move(zone)},
-      acceptor_{context, tcp::endpoint{net::ip::address_v4::loopback(), 0}}
+      acceptor_{context, tcp::endpoint{net::ip::address_v4::loopback(), 0}},
+      address_{transport::from_tcp(acceptor_.local_endpoint())}
 {
     accept();
 }
 
+void scripted_upstream::crash()
+{
+    acceptor_.close();
+    for (auto const& each : connections)
+    {
+        each->reset();
+    }
+}
+
 void scripted_upstream::accept()
 {
     acceptor_.async_accept(
@@ -118,7 +128,7 @@
     member.service = std::move(service);
     member.zone = zone_;
     member.slots = 24;
-    member.address = transport::from_tcp(acceptor_.local_endpoint());
+    member.address = address_;
     member.revision = revision;
     return member;
 }
--- a/tests/platform/forward_fixture.hpp
+++ b/tests/platform/forward_fixture.hpp
@@ -54,6 +54,9 @@
     /// \brief Returns the number of calls that arrived, on all connections.
     [[nodiscard]] std::size_t call_count() const;
 
+    /// \brief Resets all connections and accepts no further ones, like a process that crashed.
+    void crash();
+
     std::vector<std::shared_ptr<scripted_connection>> connections;
 
 private:
@@ -62,6 +65,7 @@
     std::string name_;
     std::string zone_;
     transport::tcp::acceptor acceptor_;
+    state::endpoint address_;
 };
 
 /// \brief A caller's connection.
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -51,6 +51,8 @@
                      {state::member_key{20}, std::nullopt, std::chrono::seconds{21}}};
     update.evidence = {
         {state::request_digest{15}, state::member_key{16}, std::chrono::seconds{17}}};
+    update.parts = {{state::prompt_part{22}, state::member_key{23}, state::request_digest{24},
+                     std::chrono::seconds{25}, std::chrono::seconds{26}}};
     return update;
 }
 
@@ -83,6 +85,12 @@
     CHECK(read.value().evidence[0].request == state::request_digest{15});
     CHECK(read.value().evidence[0].ended == state::member_key{16});
     CHECK(read.value().evidence[0].age == std::chrono::seconds{17});
+    REQUIRE(read.value().parts.size() == 1);
+    CHECK(read.value().parts[0].part == state::prompt_part{22});
+    CHECK(read.value().parts[0].crashed == state::member_key{23});
+    CHECK(read.value().parts[0].request == state::request_digest{24});
+    CHECK(read.value().parts[0].age == std::chrono::seconds{25});
+    CHECK(read.value().parts[0].idle == std::chrono::seconds{26});
 }
 
 TEST_CASE("rows of the load parts are unchanged by a round trip", "[fleet_codec]")
@@ -143,6 +151,13 @@
                           state::member_key{0x123456789abcdef0}, std::chrono::minutes{10}});
     CHECK(encode(full, key).size() < 1'400);
     full.evidence.clear();
+    full.parts.assign(fleet_update::max_part_evidence,
+                      {state::prompt_part{0x123456789abcdef0},
+                       state::member_key{0x123456789abcdef0},
+                       state::request_digest{0x123456789abcdef0}, std::chrono::minutes{10},
+                       std::chrono::minutes{10}});
+    CHECK(encode(full, key).size() < 1'400);
+    full.parts.clear();
     full.speeds.assign(fleet_update::max_speeds,
                        {state::member_key{0x123456789abcdef0}, -1'400, 900, 1'400, 900});
     full.suspicions.assign(fleet_update::max_suspicions,
