A VM closes new connections unread that it can't serve

What callers saw: where most new connections come to one VM, they wait without a word until they give up, and calls on kept connections wait with them; without descriptors the VM spins. Cause: forwarder::accept took connections without any bound, one a time, and tried again at once after each failure.

Change: connection_acceptor accepts in batches between the loop's other work and pauses when accepting fails; connection_admission decides. A closed connection costs its caller one try, at once. Settings have descriptors and link_mbps; both may be left out.

--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -39,6 +39,7 @@
 class upstream_subset;
 class balancing_strategy;
 class entry_node;
+class connection_admission;
 class evacuation_orders;
 class evidence_exchange;
 class fair_queue;
--- a/include/plumdale/protocol/forward_settings.hpp
+++ b/include/plumdale/protocol/forward_settings.hpp
@@ -7,6 +7,7 @@
 #include <plumdale/state/endpoint.hpp>
 #include <plumdale/state/time.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,10 @@
     state::duration event_delay = std::chrono::milliseconds{120};
     /// \brief Bytes per second spent on reporting starts and ends of generations to peers.
     double load_news_bytes_per_second = coordination::load_update_queue::default_bytes_per_second;
+    /// \brief Descriptors that the process may have open; zero for the system's limit.
+    std::uint32_t descriptors = 0;
+    /// \brief Capacity of the VM's link in Mbit/s; zero if it is unknown.
+    double link_mbps = 0.0;
     coordination::fleet_retry_limit retry_limit;
     /// \brief Parts that may be on; the configuration decides whether they are.
     coordination::load_part_settings parts{};
--- a/src/protocol/forward_settings.cpp
+++ b/src/protocol/forward_settings.cpp
@@ -93,6 +93,8 @@
     reader.seconds("grace_s", settings.grace, 0.0, hour_s);
     reader.milliseconds("event_delay_ms", settings.event_delay, 1, hour_ms);
     reader.real("load_news_bytes_per_s", settings.load_news_bytes_per_second, 1e3, 1e9);
+    reader.number("descriptors", settings.descriptors, 0, UINT32_MAX);
+    reader.real("link_mbps", settings.link_mbps, 0.0, 1e9);
     read_retry_limit(reader, settings.retry_limit);
     read_parts(reader, settings.parts);
     reader.reject_unknown_keys();
--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -57,6 +57,7 @@
       timer_{core.context}, peers_{std::move(peers)}
 {
     ++core_.calls_in_progress;
+    ++core_.calls_through_peers;
 }
 
 call_through_peer::~call_through_peer()
@@ -119,6 +120,7 @@
     call.head = admitted_.call.head;
     call.body = admitted_.call.body;
     std::string const body = protocol::encode(call, core_.settings.fleet_key);
+    core_.on_call_bytes(body.size());
     log("sent to a peer", {});
     std::string text = "POST ";
     text.append(protocol::peer_call_target)
@@ -317,6 +319,7 @@
     }
     finished_ = true;
     --core_.calls_in_progress;
+    --core_.calls_through_peers;
     timer_.cancel();
     if (exchange_ != nullptr)
     {
--- a/src/transport/caller_channel.hpp
+++ b/src/transport/caller_channel.hpp
@@ -77,6 +77,16 @@
     /// \brief Closes the connection immediately, also during a call.
     void close_now();
 
+    /// \brief Returns whether a call was read completely, and whether that was the first.
+    [[nodiscard]] bool has_read_call() const noexcept
+    {
+        return call_count_ != 0;
+    }
+    [[nodiscard]] bool is_first_call() const noexcept
+    {
+        return call_count_ == 1;
+    }
+
     // -- answers ------------------------------------------------------------
     /// \brief Sends a complete answer and adds the header fields that frame its body.
     void answer(unsigned status, std::string_view reason,
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -264,6 +264,7 @@
     std::string text = core_.dialect.forwarded_head(admitted_.call.head, make_system_headers(now),
                                                     admitted_.call.body.size());
     text += admitted_.call.body;
+    core_.on_call_bytes(text.size());
     return text;
 }
 
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -217,12 +217,17 @@
     std::uint32_t calls_in_progress = 0;
     /// \brief Those that peers sent.
     std::uint32_t peer_calls_in_progress = 0;
+    /// \brief Those that peers send to upstreams for this VM.
+    std::uint32_t calls_through_peers = 0;
     /// \brief How late the last of the loop's periodic tasks ran.
     state::duration loop_lag{};
     /// \brief Called when a generation began at an upstream, had its first event or ended there:
     /// peers select upstreams by that load.
     std::function<void(state::member_key)> on_load_changed = [](state::member_key /*member*/) {
     };
+    /// \brief Called when bytes of a call are sent to an upstream or a peer.
+    std::function<void(std::size_t)> on_call_bytes = [](std::size_t /*bytes*/) {
+    };
     /// \brief Called when this VM read a newer configuration as a reader of the store.
     std::function<void()> on_configuration_read = [] {
     };
--- a/src/transport/forward_metrics.cpp
+++ b/src/transport/forward_metrics.cpp
@@ -60,6 +60,8 @@
      "Generations on leaving upstreams whose copy fitted nowhere at some moment."},
     {"plumdale_forward_resumed_total", "Generations gone on at another upstream."},
     {"plumdale_forward_resume_refused_total", "Resumptions that did not run."},
+    {"plumdale_forward_connections_closed_unread_total",
+     "New connections of callers closed before anything was read."},
     {"plumdale_forward_upstream_ends_total",
      "Upstreams that ended while they ran a request, counted once a request."},
     {"plumdale_forward_upstream_crashes_total",
--- a/src/transport/forward_metrics.hpp
+++ b/src/transport/forward_metrics.hpp
@@ -56,6 +56,7 @@
     copies_unfitted,
     resumed,
     resume_refused,
+    connections_closed_unread,
     upstream_ends,
     upstream_crashes,
     end_probes,
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "boot_clock.hpp"
 #include "caller_channel.hpp"
+#include "caller_connections.hpp"
+#include "connection_acceptor.hpp"
 #include "fleet_exchange.hpp"
 #include "forward_call.hpp"
 #include "forward_core.hpp"
@@ -19,7 +21,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/outcome/try.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <unordered_set>
 #include <utility>
@@ -111,13 +115,24 @@
                    {{"callers", protocol::to_text(settings_.callers)},
                     {"platform", protocol::to_text(settings_.platform)},
                     {"zone", settings_.zone}});
-        accept(callers_, [this](std::shared_ptr<caller_channel> const& channel, received_call call)
-               { return start_call(core_, channel, std::move(call)); });
-        accept(ready_,
-               [this](std::shared_ptr<caller_channel> const& channel, received_call const& call)
-               { return answer_operations(*channel, call); });
-        accept(streams_, [this](std::shared_ptr<caller_channel> const& channel,
-                                received_call const& call) { return answer_peer(channel, call); });
+        caller_connections callers{core_, callers_, connection_capacity(),
+                                   [this](tcp::socket socket, call_handler_factory const& start,
+                                          std::function<void(caller_channel&)> const& on_closed)
+                                   {
+                                       open_channel(std::move(socket), false, start, on_closed);
+                                   }};
+        listener_sink ready{
+            *this, ready_, false,
+            [this](std::shared_ptr<caller_channel> const& channel, received_call const& call)
+            {
+                return answer_operations(*channel, call);
+            }};
+        listener_sink streams{
+            *this, streams_, true,
+            [this](std::shared_ptr<caller_channel> const& channel, received_call const& call)
+            {
+                return answer_peer(channel, call);
+            }};
         wait_for_signal();
         store_.start();
         fleet_->start();
@@ -134,32 +149,43 @@
 private:
     // -- connections ------------------------------------------------------------
 
-    void accept(tcp::acceptor& acceptor, call_handler_factory start)
+    /// \brief Takes the connections of one listener; all of them, unless it is the callers'.
+    class listener_sink final : public connection_sink
     {
-        acceptor.async_accept(
-            [this, &acceptor, start = std::move(start)](error_code error, tcp::socket socket)
-            {
-                if (error == net::error::operation_aborted)
-                {
-                    return;
-                }
-                if (!error)
-                {
-                    open_channel(std::move(socket), &acceptor == &streams_, start);
-                }
-                else
-                {
-                    log_.write(part, "no connection accepted", {}, {{"detail", error.message()}});
-                }
-                accept(acceptor, start);
-            });
-    }
+    public:
+        listener_sink(implementation& vm, tcp::acceptor& acceptor, bool is_peer,
+                      call_handler_factory start)
+            : vm_{vm}, is_peer_{is_peer}, start_{std::move(start)}, acceptor_{acceptor, *this}
+        {
+            acceptor_.start();
+        }
+
+        void on_connection(tcp::socket& socket, state::time_point /*now*/) override
+        {
+            vm_.open_channel(std::move(socket), is_peer_, start_, [](caller_channel&) {});
+        }
+        void on_failure(error_code error) override
+        {
+            vm_.log_.write(part, "no connection accepted", {}, {{"detail", error.message()}});
+        }
+
+    private:
+        implementation& vm_;
+        bool is_peer_;
+        call_handler_factory start_;
+        connection_acceptor acceptor_;
+    };
 
-    void open_channel(tcp::socket socket, bool is_peer, call_handler_factory const& start)
+    void open_channel(tcp::socket socket, bool is_peer, call_handler_factory const& start,
+                      std::function<void(caller_channel&)> const& on_closed)
     {
         auto const channel = std::make_shared<caller_channel>(
             std::move(socket), [this, is_peer] { return options(is_peer); }, start,
-            [this](caller_channel& closed) { channels_.erase(&closed); });
+            [this, on_closed](caller_channel& closed)
+            {
+                on_closed(closed);
+                channels_.erase(&closed);
+            });
         channels_.insert(channel.get());
         channel->start();
     }
@@ -195,6 +221,20 @@
         context_.poll();
     }
 
+    // The system's limit binds where the settings state none, or more.
+    [[nodiscard]] coordination::connection_capacity connection_capacity() const
+    {
+        constexpr double bytes_per_megabit = 1e6 / 8.0;
+        rlimit limit{};
+        std::size_t descriptors = settings_.descriptors;
+        if (::getrlimit(RLIMIT_NOFILE, &limit) == 0)
+        {
+            descriptors = descriptors == 0 ? limit.rlim_cur
+                                           : std::min<std::size_t>(descriptors, limit.rlim_cur);
+        }
+        return {descriptors, settings_.link_mbps * bytes_per_megabit};
+    }
+
     // -- pages ------------------------------------------------------------
 
     [[nodiscard]] bool is_ready() const
