Soak: crashing parts, answers that end with their connection, crowds; a wrong suspicion ends sooner

Change: trials are counted by themselves (is_trial in the evidence), at most two; a trial that shows nothing is over at once, and a request that may end upstreams tries no part; a part that was refusable first accounts for what it shares with later ones; an answer proves its parts after .5 s; calls that arrive are counted, not connections. The stand-ins reset connections where a process ends, as a close in order is now the end of an answer without a length: proxies had turned resets into closes.

--- a/include/plumdale/coordination/call_quarantine.hpp
+++ b/include/plumdale/coordination/call_quarantine.hpp
@@ -30,7 +30,7 @@
     [[nodiscard]] bool refuses(call_content const& content, state::time_point now);
     /// \brief Returns the part that the call may be sent to try; none if it is refused for more.
     [[nodiscard]] std::optional<state::prompt_part> due_trial(call_content const& content,
-                                                              state::time_point now);
+                                                              state::time_point now) const;
     /// \brief Returns how long a refused call stays refused unless it arrives again.
     [[nodiscard]] state::duration refused_for(call_content const& content,
                                               state::time_point now) const;
--- a/include/plumdale/coordination/connection_admission.hpp
+++ b/include/plumdale/coordination/connection_admission.hpp
@@ -17,8 +17,8 @@
 {
     /// \brief Open connections of callers.
     std::size_t connections = 0;
-    /// \brief Those whose first call is not read yet.
-    std::size_t unread = 0;
+    /// \brief Those whose call has begun to arrive and is not complete.
+    std::size_t reading = 0;
     std::size_t calls = 0;
     /// \brief Calls that peers send to upstreams for this VM, and live peers.
     std::size_t calls_through_peers = 0;
@@ -36,7 +36,7 @@
     descriptors, ///< Those left are for upstreams, peers and the store.
     queue,       ///< Connections have waited for longer than callers should.
     lag,         ///< The loop has more work than processor time.
-    unread,      ///< Many connections wait for their first call to arrive.
+    reading,     ///< Many calls arrive at once, each the slower for it.
     link,        ///< The VM's link is nearly full.
     peers        ///< Peers send as many calls for this VM as they should.
 };
@@ -92,7 +92,7 @@
     /// \brief Time for the loop's other work between two turns; with more, fewer are accepted.
     static constexpr state::duration target_turn_time = std::chrono::milliseconds{40};
     static constexpr std::size_t max_batch = 16;
-    static constexpr std::size_t max_unread = 64;
+    static constexpr std::size_t max_reading = 64;
     /// \brief Share of the descriptors that callers' connections and calls leave to the rest, and
     /// its least number.
     static constexpr std::size_t reserved_divisor = 4;
--- a/include/plumdale/coordination/prompt_quarantine.hpp
+++ b/include/plumdale/coordination/prompt_quarantine.hpp
@@ -32,6 +32,8 @@
     state::duration age{};
     /// \brief Time since a request with the part last arrived.
     state::duration idle{};
+    /// \brief The request was sent to try the part.
+    bool is_trial = false;
 };
 
 /// \brief Parts whose requests were answered of late, within a bounded size.
@@ -57,23 +59,21 @@
 ///
 /// A crash is evidence against each part of the requests whose answers its upstream was about to
 /// begin, and any answer is proof for the parts of its request. A part with crashes of several
-/// requests and no proof since is refused by all entry VMs, unless another part with more crashes
-/// accounts for them. A refused part is tried again, at most a few times in all, so that a wrong
-/// suspicion ends. Merging evidence is commutative and idempotent. Example:
-/// \code
-/// prompt_quarantine quarantine;
-/// if (quarantine.upstream_crashed(parts, request, member, now)) { /* send `unreported(now)` */ }
-/// if (quarantine.refuses(parts, now)) { /* refuse the request as not run */ }
-/// \endcode
+/// requests and no proof since is refused by all entry VMs, unless another part that has more of
+/// them, or had as many before, accounts for them. A refused part is tried again, at most a few
+/// times in all, so that a wrong suspicion ends. Merging evidence is commutative and idempotent.
+/// Example: \code prompt_quarantine quarantine; if (quarantine.upstream_crashed(parts, request,
+/// member, now)) { /* send `unreported(now)` */ } if (quarantine.refuses(parts, now)) { /* refuse
+/// the request as not run */ } \endcode
 class prompt_quarantine
 {
 public:
     using part_list = std::span<state::prompt_part const>;
 
-    /// \brief Records that an upstream crashed as it began to answer a request; returns whether
-    /// that is new evidence.
+    /// \brief Records that an upstream crashed as it began to answer a request, which tried a part
+    /// or not; returns whether that is new evidence.
     bool upstream_crashed(part_list parts, state::request_digest request, state::member_key member,
-                          state::time_point now);
+                          bool is_trial, state::time_point now);
     /// \brief Records that an upstream answers a request and goes on; returns whether that cleared
     /// evidence, which is then reported to peers.
     bool answered(part_list parts, state::time_point now);
@@ -87,8 +87,11 @@
     /// \brief Returns the only refused part of a request if one request with it may be sent now.
     [[nodiscard]] std::optional<state::prompt_part> due_trial(part_list parts,
                                                               state::time_point now) const;
-    /// \brief Records that a request is sent to try the part; no other is for `trial_time`.
-    void begin_trial(state::prompt_part part, state::time_point now);
+    /// \brief Records that a request tries the part; no other does for `time`, or until
+    /// `end_trial`.
+    void begin_trial(state::prompt_part part, state::duration time, state::time_point now);
+    /// \brief Records that the request of a trial ended, with or without showing anything.
+    void end_trial(state::prompt_part part, state::time_point now);
     /// \brief Returns the time until a refused request may be tried, `lifetime` if it won't be;
     /// zero if it is not refused.
     [[nodiscard]] state::duration refused_for(part_list parts, state::time_point now) const;
@@ -124,13 +127,16 @@
     static constexpr state::duration common_cause_time = std::chrono::milliseconds{200};
     /// \brief A refused part that no request has had for this time may be sent again.
     static constexpr state::duration lifetime = std::chrono::minutes{10};
-    /// \brief Time from the last crash to a trial, for a part with the fewest crashes; with each
-    /// crash more the next, and after the last none.
-    static constexpr std::array<state::duration, 3> trial_delays{
-        std::chrono::seconds{1}, std::chrono::minutes{1}, std::chrono::minutes{10}};
+    /// \brief Times from a part's last crash to its next trial, by the trials that crashed; then
+    /// there are no more. One less than the requests that a known part may crash, as one may be on
+    /// its way.
+    static constexpr std::array<state::duration, 2> trial_delays{std::chrono::seconds{1},
+                                                                 std::chrono::minutes{1}};
     /// \brief Longest time that a trial takes to show whether its part is sound.
     static constexpr state::duration trial_time = std::chrono::seconds{5};
-    /// \brief Most crashes that are kept for a part; more make no difference.
+    /// \brief Time between two requests that a VM hands to the one that tries their part.
+    static constexpr state::duration hand_over_interval = std::chrono::seconds{1};
+    /// \brief Most crashes that are kept for a part, besides those of trials.
     static constexpr std::size_t max_crashes = 6;
     /// \brief Most parts that are kept: those of some hundred requests.
     static constexpr std::size_t capacity = 512;
@@ -143,6 +149,7 @@
         state::member_key member;
         state::request_digest request;
         state::time_point at{};
+        bool is_trial = false;
     };
 
     struct suspect
@@ -154,8 +161,12 @@
         bool is_refused = false;
     };
 
-    [[nodiscard]] static std::size_t
-    count_causes(suspect const& row, std::unordered_set<state::member_key> const& accounted);
+    using member_set = std::unordered_set<state::member_key>;
+
+    /// \brief Returns when the causes of a part's crashes became enough to refuse it, without those
+    /// that other parts account for; none if they are not.
+    [[nodiscard]] static std::optional<state::time_point>
+    refusable_since(suspect const& row, member_set const& accounted);
     [[nodiscard]] static std::optional<state::time_point> next_trial(suspect const& row);
     bool add(state::prompt_part part, crash const& seen, state::time_point last_seen);
     bool clear(state::prompt_part part);
--- a/src/coordination/call_quarantine.cpp
+++ b/src/coordination/call_quarantine.cpp
@@ -18,10 +18,11 @@
 }
 
 std::optional<state::prompt_part> call_quarantine::due_trial(call_content const& content,
-                                                             state::time_point now)
+                                                             state::time_point now) const
 {
-    return refuses_request(content.request, now) ? std::nullopt
-                                                 : prompts.due_trial(content.parts, now);
+    // What became of a request that may end upstreams itself would say nothing about the part.
+    bool const is_suspect = requests.ended_upstream_count(content.request) != 0;
+    return is_suspect ? std::nullopt : prompts.due_trial(content.parts, now);
 }
 
 state::duration call_quarantine::refused_for(call_content const& content,
--- a/src/coordination/connection_admission.cpp
+++ b/src/coordination/connection_admission.cpp
@@ -20,8 +20,8 @@
 
 std::string_view to_text(connection_refusal why) noexcept
 {
-    static constexpr std::array<std::string_view, 7> words{"",       "descriptors", "queue", "lag",
-                                                           "unread", "link",        "peers"};
+    static constexpr std::array<std::string_view, 7> words{"",        "descriptors", "queue", "lag",
+                                                           "reading", "link",        "peers"};
     return words[static_cast<std::size_t>(why)];
 }
 
@@ -62,9 +62,9 @@
     {
         return connection_refusal::lag;
     }
-    if (load.unread >= max_unread)
+    if (load.reading >= max_reading)
     {
-        return connection_refusal::unread;
+        return connection_refusal::reading;
     }
     if (is_link_full(now))
     {
--- a/src/coordination/prompt_quarantine.cpp
+++ b/src/coordination/prompt_quarantine.cpp
@@ -1,7 +1,6 @@
 #include <plumdale/coordination/prompt_quarantine.hpp>
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace plumdale::coordination
@@ -30,7 +29,8 @@
 // -- evidence -------------------------------------------------------------------------------------
 
 bool prompt_quarantine::upstream_crashed(part_list parts, state::request_digest request,
-                                         state::member_key member, state::time_point now)
+                                         state::member_key member, bool is_trial,
+                                         state::time_point now)
 {
     // A request with a refused part that was on its way as the part was found: its other parts
     // have not crashed the upstream.
@@ -40,10 +40,10 @@
     for (state::prompt_part const part : parts)
     {
         bool const counts = is_accounted_for ? is_refused(part) : !sound_.contains(part, now);
-        if (counts && add(part, {member, request, now}, now))
+        if (counts && add(part, {member, request, now, is_trial}, now))
         {
             is_new = true;
-            report({part, member, request, {}, {}}, now);
+            report({part, member, request, {}, {}, is_trial}, now);
         }
     }
     return is_new;
@@ -100,7 +100,8 @@
         replies_.try_emplace(reported.part, now + reply_delay);
         return false;
     }
-    return add(reported.part, {reported.crashed, reported.request, now - reported.age},
+    return add(reported.part,
+               {reported.crashed, reported.request, now - reported.age, reported.is_trial},
                now - reported.idle);
 }
 
@@ -112,10 +113,16 @@
     }
     suspect& row = suspects_[part];
     row.last_seen = std::max(row.last_seen, last_seen);
-    bool const is_known =
-        std::any_of(row.crashes.begin(), row.crashes.end(),
-                    [&seen](crash const& each) { return each.member == seen.member; });
-    if (is_known || row.crashes.size() >= max_crashes)
+    auto const known =
+        std::find_if(row.crashes.begin(), row.crashes.end(),
+                     [&seen](crash const& each) { return each.member == seen.member; });
+    if (known != row.crashes.end())
+    {
+        known->is_trial = known->is_trial || seen.is_trial;
+        return false;
+    }
+    // Without its trials, a part would be tried on and on.
+    if (row.crashes.size() >= max_crashes && !seen.is_trial)
     {
         return false;
     }
@@ -171,60 +178,71 @@
 
 // -- decisions ------------------------------------------------------------------------------------
 
-std::size_t prompt_quarantine::count_causes(suspect const& row,
-                                            std::unordered_set<state::member_key> const& accounted)
+std::optional<state::time_point> prompt_quarantine::refusable_since(suspect const& row,
+                                                                    member_set const& accounted)
 {
-    std::vector<crash> counted;
+    std::vector<crash> causes;
     for (crash const& each : row.crashes)
     {
         bool const is_same_request =
-            std::any_of(counted.begin(), counted.end(),
+            std::any_of(causes.begin(), causes.end(),
                         [&each](crash const& other) { return other.request == each.request; });
         bool const is_same_cause =
-            !counted.empty() && each.at < counted.back().at + common_cause_time;
+            !causes.empty() && each.at < causes.back().at + common_cause_time;
         if (!is_same_request && !is_same_cause && !accounted.contains(each.member))
         {
-            counted.push_back(each);
+            causes.push_back(each);
         }
     }
-    return counted.size();
+    return causes.size() < refusal_threshold ? std::nullopt
+                                             : std::optional{causes[refusal_threshold - 1].at};
 }
 
-// Requests that ran beside a crashing one share its crashes, and never have more of them. Parts
-// with equally many can't be told apart until one of them is answered, tried, or crashes alone.
+// Requests that ran beside a crashing one share some of its crashes: the part that explains most
+// comes first, then the one that was refusable first. Parts that are even in both can't be told
+// apart until one of them is answered, tried, or crashes alone.
 void prompt_quarantine::refresh()
 {
-    std::vector<std::pair<state::prompt_part, suspect*>> rows;
+    struct candidate
+    {
+        state::prompt_part part;
+        suspect* row = nullptr;
+        state::time_point since{};
+    };
+    std::vector<candidate> candidates;
     for (auto& [part, row] : suspects_)
     {
-        rows.emplace_back(part, &row);
+        row.is_refused = false;
+        if (auto const since = refusable_since(row, {}))
+        {
+            candidates.push_back({part, &row, *since});
+        }
     }
-    auto const has_more = [](auto const& one, auto const& other)
-    {
-        return one.second->crashes.size() > other.second->crashes.size();
-    };
-    std::sort(rows.begin(), rows.end(), has_more);
+    std::sort(candidates.begin(), candidates.end(),
+              [](candidate const& one, candidate const& other)
+              {
+                  return std::pair{other.row->crashes.size(), one.since} <
+                         std::pair{one.row->crashes.size(), other.since};
+              });
     digest_ = 0;
-    std::unordered_set<state::member_key> accounted;
-    for (auto next = rows.begin(); next != rows.end();)
+    member_set accounted;
+    for (auto next = candidates.begin(); next != candidates.end();)
     {
-        auto const group_end =
-            std::find_if(next, rows.end(),
-                         [&next, &has_more](auto const& each) { return has_more(*next, each); });
-        std::unordered_set<state::member_key> group_accounted;
-        for (; next != group_end; ++next)
+        candidate const first = *next;
+        member_set of_group;
+        for (; next != candidates.end() && next->row->crashes.size() == first.row->crashes.size() &&
+               next->since < first.since + common_cause_time;
+             ++next)
         {
-            auto& [part, row] = *next;
-            row->is_refused = count_causes(*row, accounted) >= refusal_threshold;
-            if (row->is_refused)
+            suspect& row = *next->row;
+            row.is_refused = refusable_since(row, accounted).has_value();
+            for (std::size_t i = 0; row.is_refused && i < row.crashes.size(); ++i)
             {
-                digest_ ^= state::mix(part.value, row->crashes.size());
-                std::transform(row->crashes.begin(), row->crashes.end(),
-                               std::inserter(group_accounted, group_accounted.end()),
-                               [](crash const& each) { return each.member; });
+                of_group.insert(row.crashes[i].member);
             }
+            digest_ ^= row.is_refused ? state::mix(next->part.value, row.crashes.size()) : 0;
         }
-        accounted.merge(group_accounted);
+        accounted.merge(of_group);
     }
 }
 
@@ -256,7 +274,8 @@
 
 std::optional<state::time_point> prompt_quarantine::next_trial(suspect const& row)
 {
-    std::size_t const trials = row.crashes.size() - refusal_threshold;
+    auto const trials = static_cast<std::size_t>(std::count_if(
+        row.crashes.begin(), row.crashes.end(), [](crash const& each) { return each.is_trial; }));
     return trials < trial_delays.size()
                ? std::optional{std::max(row.crashes.back().at + trial_delays[trials],
                                         row.trial_ends)}
@@ -285,14 +304,20 @@
     return found;
 }
 
-void prompt_quarantine::begin_trial(state::prompt_part part, state::time_point now)
+void prompt_quarantine::begin_trial(state::prompt_part part, state::duration time,
+                                    state::time_point now)
 {
     if (auto const found = suspects_.find(part); found != suspects_.end())
     {
-        found->second.trial_ends = now + trial_time;
+        found->second.trial_ends = now + time;
     }
 }
 
+void prompt_quarantine::end_trial(state::prompt_part part, state::time_point now)
+{
+    begin_trial(part, state::duration::zero(), now);
+}
+
 state::duration prompt_quarantine::refused_for(part_list parts, state::time_point now) const
 {
     state::duration longest{};
@@ -360,7 +385,7 @@
             ++next;
             continue;
         }
-        found.push_back({next->first, {}, {}, {}, {}});
+        found.push_back({next->first, {}, {}, {}, {}, false});
         next = replies_.erase(next);
     }
     return found;
@@ -376,7 +401,8 @@
         for (std::size_t i = 0; fits && i < row.crashes.size(); ++i)
         {
             crash const& each = row.crashes[i];
-            found.push_back({part, each.member, each.request, now - each.at, now - row.last_seen});
+            found.push_back({part, each.member, each.request, now - each.at, now - row.last_seen,
+                             each.is_trial});
         }
     }
     return found;
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -50,6 +50,7 @@
   request @2 :UInt64;
   ageMs @3 :UInt32;
   idleMs @4 :UInt32;
+  isTrial @5 :Bool;
 }
 
 struct StatedLimit {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -74,6 +74,7 @@
     to.setRequest(from.request.value);
     to.setAgeMs(milliseconds_of(from.age));
     to.setIdleMs(milliseconds_of(from.idle));
+    to.setIsTrial(from.is_trial);
 }
 
 void write(wire::StatedLimit::Builder to, state::stated_limit const& from)
@@ -145,9 +146,9 @@
 
 coordination::part_evidence read(wire::PartEvidence::Reader from)
 {
-    return {state::prompt_part{from.getPart()}, state::member_key{from.getCrashed()},
-            state::request_digest{from.getRequest()}, std::chrono::milliseconds{from.getAgeMs()},
-            std::chrono::milliseconds{from.getIdleMs()}};
+    return {state::prompt_part{from.getPart()},          state::member_key{from.getCrashed()},
+            state::request_digest{from.getRequest()},    std::chrono::milliseconds{from.getAgeMs()},
+            std::chrono::milliseconds{from.getIdleMs()}, from.getIsTrial()};
 }
 
 state::stated_limit read(wire::StatedLimit::Reader from)
--- a/src/transport/caller_channel.hpp
+++ b/src/transport/caller_channel.hpp
@@ -77,14 +77,10 @@
     /// \brief Closes the connection immediately, also during a call.
     void close_now();
 
-    /// \brief Returns whether a call was read completely, and whether that was the first.
-    [[nodiscard]] bool has_read_call() const noexcept
+    /// \brief Returns whether a call has begun to arrive and is not complete.
+    [[nodiscard]] bool is_reading() const noexcept
     {
-        return call_count_ != 0;
-    }
-    [[nodiscard]] bool is_first_call() const noexcept
-    {
-        return call_count_ == 1;
+        return stage_ == stage::reading;
     }
 
     // -- answers ------------------------------------------------------------
--- a/src/transport/caller_connections.cpp
+++ b/src/transport/caller_connections.cpp
@@ -4,6 +4,7 @@
 #include "forward_call.hpp"
 #include "milliseconds.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace plumdale::transport
@@ -35,6 +36,13 @@
 std::size_t caller_connections::begin_turn(state::time_point now)
 {
     admission_.begin_turn(now);
+    if (now >= counted_at_ + count_interval)
+    {
+        counted_at_ = now;
+        reading_count_ = static_cast<std::size_t>(std::count_if(channels_.begin(), channels_.end(),
+                                                                [](caller_channel const* each)
+                                                                { return each->is_reading(); }));
+    }
     return admission_.batch();
 }
 
@@ -56,27 +64,18 @@
 
 void caller_connections::take(tcp::socket socket)
 {
-    ++open_count_;
-    ++unread_count_;
-    open_(
+    channels_.insert(open_(
         std::move(socket),
         [this](std::shared_ptr<caller_channel> const& channel, received_call call)
-        {
-            unread_count_ -= channel->is_first_call() ? 1 : 0;
-            return start_call(core_, channel, std::move(call));
-        },
-        [this](caller_channel& closed)
-        {
-            --open_count_;
-            unread_count_ -= closed.has_read_call() ? 0 : 1;
-        });
+        { return start_call(core_, channel, std::move(call)); },
+        [this](caller_channel& closed) { channels_.erase(&closed); }));
 }
 
 coordination::connection_load caller_connections::load() const
 {
     coordination::connection_load load;
-    load.connections = open_count_;
-    load.unread = unread_count_;
+    load.connections = channels_.size();
+    load.reading = reading_count_;
     load.calls = core_.calls_in_progress;
     load.calls_through_peers = core_.calls_through_peers;
     load.peers = core_.fleet.peers().size();
@@ -97,8 +96,8 @@
     core_.log.write("connections", decision, {},
                     {{"why", why},
                      {"count", static_cast<std::int64_t>(std::exchange(untaken_, 0))},
-                     {"open", static_cast<std::int64_t>(open_count_)},
-                     {"unread", static_cast<std::int64_t>(unread_count_)},
+                     {"open", static_cast<std::int64_t>(channels_.size())},
+                     {"reading", static_cast<std::int64_t>(reading_count_)},
                      {"calls", core_.calls_in_progress},
                      {"batch", static_cast<std::int64_t>(admission_.batch())},
                      {"lag_ms", whole_milliseconds(core_.loop_lag)}});
--- a/src/transport/caller_connections.hpp
+++ b/src/transport/caller_connections.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <unordered_set>
 
 /// \file
 /// \brief Callers' new connections, of which a VM takes those that it can serve.
@@ -19,10 +20,10 @@
 class caller_connections final : public connection_sink
 {
 public:
-    /// \brief Opens the channel of a connection; calls `on_closed` at its end.
+    /// \brief Opens the channel of a connection and returns it; calls `on_closed` at its end.
     using channel_opener =
-        std::function<void(tcp::socket socket, call_handler_factory const& start,
-                           std::function<void(caller_channel&)> const& on_closed)>;
+        std::function<caller_channel*(tcp::socket socket, call_handler_factory const& start,
+                                      std::function<void(caller_channel&)> const& on_closed)>;
 
     caller_connections(forward_core& core, tcp::acceptor& acceptor,
                        coordination::connection_capacity const& capacity, channel_opener open);
@@ -37,6 +38,8 @@
 
     /// \brief Time between two log lines about connections that were not taken.
     static constexpr state::duration log_interval = std::chrono::seconds{1};
+    /// \brief Time between two counts of the channels whose call arrives.
+    static constexpr state::duration count_interval = std::chrono::milliseconds{10};
 
 private:
     void take(tcp::socket socket);
@@ -46,8 +49,10 @@
     forward_core& core_;
     coordination::connection_admission admission_;
     channel_opener open_;
-    std::size_t open_count_ = 0;
-    std::size_t unread_count_ = 0;
+    std::unordered_set<caller_channel const*> channels_;
+    /// \brief Channels whose call was arriving when that was last counted.
+    std::size_t reading_count_ = 0;
+    state::time_point counted_at_{};
     std::size_t untaken_ = 0;
     state::time_point logged_at_{};
     connection_acceptor acceptor_;
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -417,6 +417,10 @@
     --core_.calls_in_progress;
     core_.peer_calls_in_progress -= admitted_.origin.is_peer ? 1 : 0;
     timer_.cancel();
+    if (tried_part_)
+    {
+        core_.quarantine.end_trial(*tried_part_);
+    }
     leave_waiting(false);
     close_exchange();
 }
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -109,7 +109,7 @@
     static constexpr state::duration suspected_for = std::chrono::seconds{5};
     /// \brief An upstream that goes on for this time after an answer's first event was not ended by
     /// the request, nor is any other.
-    static constexpr state::duration proving_time = std::chrono::seconds{1};
+    static constexpr state::duration proving_time = std::chrono::milliseconds{500};
 
 protected:
     /// \brief Returns the headers to add to the next send.
@@ -270,6 +270,8 @@
     /// \brief Calls before it when it began to wait, and how long it was expected to.
     std::size_t calls_before_ = 0;
     std::optional<state::duration> expected_wait_;
+    /// \brief The part of the prompt that this call tries.
+    std::optional<state::prompt_part> tried_part_;
     /// \brief An upstream went on with the answer for `proving_time`.
     bool is_proven_ = false;
     /// \brief The upstream counted as cold when the call was sent.
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -176,7 +176,7 @@
 
 request_attempt forward_call::attempt() const noexcept
 {
-    return {admitted_.content(), admitted_.headers.id};
+    return {admitted_.content(), admitted_.headers.id, tried_part_.has_value()};
 }
 
 bool forward_call::is_quarantined() const
@@ -212,9 +212,15 @@
     {
         return refuse_quarantined();
     }
-    core_.quarantine.begin_trial(attempt(), *part);
     admitted_.origin.is_trial = true;
-    vm == core_.self ? dispatch() : hand_to_peer("one VM tries the part", {vm});
+    if (vm != core_.self)
+    {
+        core_.quarantine.hand_over_trial(*part);
+        return hand_to_peer("one VM tries the part", {vm});
+    }
+    core_.quarantine.begin_trial(attempt(), *part);
+    tried_part_ = part;
+    dispatch();
 }
 
 void forward_call::refuse_quarantined()
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -119,7 +119,8 @@
                                    [this](tcp::socket socket, call_handler_factory const& start,
                                           std::function<void(caller_channel&)> const& on_closed)
                                    {
-                                       open_channel(std::move(socket), false, start, on_closed);
+                                       return open_channel(std::move(socket), false, start,
+                                                           on_closed);
                                    }};
         listener_sink ready{
             *this, ready_, false,
@@ -176,8 +177,9 @@
         connection_acceptor acceptor_;
     };
 
-    void open_channel(tcp::socket socket, bool is_peer, call_handler_factory const& start,
-                      std::function<void(caller_channel&)> const& on_closed)
+    caller_channel* open_channel(tcp::socket socket, bool is_peer,
+                                 call_handler_factory const& start,
+                                 std::function<void(caller_channel&)> const& on_closed)
     {
         auto const channel = std::make_shared<caller_channel>(
             std::move(socket), [this, is_peer] { return options(is_peer); }, start,
@@ -188,6 +190,7 @@
             });
         channels_.insert(channel.get());
         channel->start();
+        return channel.get();
     }
 
     [[nodiscard]] channel_options options(bool is_peer) const
--- a/src/transport/quarantine_tracker.cpp
+++ b/src/transport/quarantine_tracker.cpp
@@ -33,8 +33,11 @@
         // Upstreams that live on reset connections too, or break off answers, so a crash counts
         // only if the upstream accepts no connection after it.
         auto& ends = in_doubt_[member];
-        ends.push_back(
-            {request, {parts.begin(), parts.end()}, std::string{attempt.id}, std::string{name}});
+        ends.push_back({request,
+                        {parts.begin(), parts.end()},
+                        std::string{attempt.id},
+                        std::string{name},
+                        attempt.is_trial});
         if (ends.size() == 1)
         {
             on_end_in_doubt(member);
@@ -73,7 +76,7 @@
 
 void quarantine_tracker::record_crash(end_in_doubt const& end, state::member_key member)
 {
-    if (!known_.prompts.upstream_crashed(end.parts, end.request, member, boot_now()))
+    if (!known_.prompts.upstream_crashed(end.parts, end.request, member, end.is_trial, boot_now()))
     {
         return;
     }
@@ -141,10 +144,12 @@
 void quarantine_tracker::apply_updates(std::span<coordination::part_evidence const> received,
                                        state::duration reply_delay)
 {
+    // One time for all rows: those of one crash stay at one time.
+    state::time_point const now = boot_now();
     for (coordination::part_evidence const& each : received)
     {
         bool const was_refused = known_.prompts.is_refused(each.part);
-        known_.prompts.apply_update(each, reply_delay, boot_now());
+        known_.prompts.apply_update(each, reply_delay, now);
         bool const is_refused = known_.prompts.is_refused(each.part);
         if (was_refused != is_refused)
         {
@@ -175,10 +180,21 @@
 void quarantine_tracker::begin_trial(request_attempt const& attempt, state::prompt_part part)
 {
     metrics_.add(forward_count::part_trials);
-    known_.prompts.begin_trial(part, boot_now());
+    known_.prompts.begin_trial(part, coordination::prompt_quarantine::trial_time, boot_now());
     log_part("part tried again", part, attempt.id, {}, own);
 }
 
+void quarantine_tracker::end_trial(state::prompt_part part)
+{
+    known_.prompts.end_trial(part, boot_now());
+}
+
+void quarantine_tracker::hand_over_trial(state::prompt_part part)
+{
+    known_.prompts.begin_trial(part, coordination::prompt_quarantine::hand_over_interval,
+                               boot_now());
+}
+
 // Requests and parts that were answered here are reported to peers with the next sweep, not at
 // once: all VMs that had them answered learn of an upstream's end under them at the same time, and
 // one report of an answer is enough.
--- a/src/transport/quarantine_tracker.hpp
+++ b/src/transport/quarantine_tracker.hpp
@@ -26,6 +26,8 @@
     coordination::call_content content;
     /// \brief Its id, for log lines.
     std::string_view id;
+    /// \brief It tries a refused part.
+    bool is_trial = false;
 };
 
 /// \brief Keeps the quarantine, logs its changes, and has them announced to peers; used on one
@@ -56,8 +58,11 @@
     /// \brief Returns the part that a refused call may be sent to try, if any.
     [[nodiscard]] std::optional<state::prompt_part>
     due_trial(coordination::call_content const& content);
-    /// \brief Records that this VM, or one that it hands the call to, tries a part.
+    /// \brief Records that this VM tries a part.
     void begin_trial(request_attempt const& attempt, state::prompt_part part);
+    void end_trial(state::prompt_part part);
+    /// \brief Records that a call goes to the VM that tries its part.
+    void hand_over_trial(state::prompt_part part);
     /// \brief Removes old evidence and announces what is not yet reported.
     void sweep();
 
@@ -86,6 +91,7 @@
         std::vector<state::prompt_part> parts;
         std::string id;
         std::string upstream;
+        bool is_trial = false;
     };
 
     void log_change(std::string_view decision, request_attempt const& attempt,
--- a/tests/soak/path_filter.py
+++ b/tests/soak/path_filter.py
@@ -28,6 +28,13 @@
     return [*code, instruction(RETURN, 0, 0, KEEP), instruction(RETURN, 0, 0, DROP)]
 
 
+def reset(writer):
+    """Ends a connection with a reset: closing it would look like the end of an answer without a length."""
+    if (sock := writer.get_extra_info("socket")) is not None and not writer.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def attach(sock, addresses):
     code = program_that_drops(addresses)
     buffer = ctypes.create_string_buffer(b"".join(code))
@@ -67,7 +74,7 @@
             if writer.is_closing() or peer[0] not in self.cut_addresses:
                 continue
             if how == "reset":
-                writer.transport.abort()
+                reset(writer)
             elif how == "silent":
                 attach(writer.get_extra_info("socket"), self.cut_addresses)
 
