--- a/src/transport/caller_connections.cpp
+++ b/src/transport/caller_connections.cpp
@@ -13,7 +13,8 @@
 caller_connections::caller_connections(forward_core& core, tcp::acceptor& acceptor,
                                        coordination::connection_capacity const& capacity,
                                        channel_opener open)
-    : core_{core}, admission_{capacity}, open_{std::move(open)}, acceptor_{acceptor, *this}
+    : core_{core}, admission_{capacity}, open_{std::move(open)}, acceptor_{core.context, acceptor,
+                                                                           *this}
 {
     core_.on_call_bytes = [this](std::size_t bytes)
     {
--- a/src/transport/connection_acceptor.cpp
+++ b/src/transport/connection_acceptor.cpp
@@ -2,6 +2,7 @@
 
 #include "boot_clock.hpp"
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
 namespace plumdale::transport
@@ -20,8 +21,9 @@
     return default_batch;
 }
 
-connection_acceptor::connection_acceptor(tcp::acceptor& acceptor, connection_sink& sink)
-    : acceptor_{acceptor}, sink_{sink}, retry_timer_{acceptor.get_executor()}
+connection_acceptor::connection_acceptor(net::io_context& context, tcp::acceptor& acceptor,
+                                         connection_sink& sink)
+    : context_{context}, acceptor_{acceptor}, sink_{sink}, retry_timer_{context}
 {
 }
 
@@ -51,7 +53,7 @@
     std::size_t const batch = sink_.begin_turn(now);
     for (std::size_t i = 0; i < batch; ++i)
     {
-        tcp::socket socket{acceptor_.get_executor()};
+        tcp::socket socket{context_};
         error_code error;
         acceptor_.accept(socket, error);
         if (error == net::error::would_block || error == net::error::try_again)
@@ -69,7 +71,7 @@
         }
         sink_.on_connection(socket, now);
     }
-    net::post(acceptor_.get_executor(), [this] { accept_batch(); });
+    net::post(context_, [this] { accept_batch(); });
 }
 
 void connection_acceptor::pause()
--- a/src/transport/connection_acceptor.hpp
+++ b/src/transport/connection_acceptor.hpp
@@ -39,7 +39,7 @@
 {
 public:
     /// \brief `acceptor` listens already.
-    connection_acceptor(tcp::acceptor& acceptor, connection_sink& sink);
+    connection_acceptor(net::io_context& context, tcp::acceptor& acceptor, connection_sink& sink);
 
     void start();
 
@@ -52,6 +52,7 @@
     void accept_batch();
     void pause();
 
+    net::io_context& context_;
     tcp::acceptor& acceptor_;
     connection_sink& sink_;
     net::steady_timer retry_timer_;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -156,7 +156,8 @@
     public:
         listener_sink(implementation& vm, tcp::acceptor& acceptor, bool is_peer,
                       call_handler_factory start)
-            : vm_{vm}, is_peer_{is_peer}, start_{std::move(start)}, acceptor_{acceptor, *this}
+            : vm_{vm}, is_peer_{is_peer}, start_{std::move(start)}, acceptor_{vm.context_, acceptor,
+                                                                              *this}
         {
             acceptor_.start();
         }
