A crash after many at one time still counts against a part

Found by reading: a part keeps six crashes, and those within 200 ms are one cause. Where the first requests with a part crash six upstreams at once, as at ten requests a second and more, no later crash was kept and the part was never refused. A crash now takes the place of the last one while those kept are not enough to refuse the part. Test red before (refuses: false), passes now; the other 22 of [prompt_quarantine] pass.

--- a/src/coordination/prompt_quarantine.cpp
+++ b/src/coordination/prompt_quarantine.cpp
@@ -121,10 +121,15 @@
         known->is_trial = known->is_trial || seen.is_trial;
         return false;
     }
-    // Without its trials, a part would be tried on and on.
+    // Without its trials, a part would be tried on and on; and without a later crash, one whose
+    // first requests crashed all at once would never be refused.
     if (row.crashes.size() >= max_crashes && !seen.is_trial)
     {
-        return false;
+        if (refusable_since(row, {}))
+        {
+            return false;
+        }
+        row.crashes.pop_back();
     }
     auto const next = std::find_if(row.crashes.begin(), row.crashes.end(),
                                    [&seen](crash const& each) { return each.at > seen.at; });
--- a/tests/coordination/test_prompt_quarantine.cpp
+++ b/tests/coordination/test_prompt_quarantine.cpp
@@ -64,6 +64,21 @@
     CHECK_FALSE(refuses(quarantine, {other}));
 }
 
+// Guards against a part that is never refused, as its first requests crashed more upstreams at one
+// time than are kept.
+TEST_CASE("a crash after many at one time still counts", "[prompt_quarantine]")
+{
+    prompt_quarantine quarantine;
+    for (std::uint64_t i = 1; i <= 2 * prompt_quarantine::max_crashes; ++i)
+    {
+        quarantine.upstream_crashed(parts{bad}, state::request_digest{i}, upstream(i), false,
+                                    start + static_cast<std::int64_t>(i) * 1ms);
+    }
+    CHECK_FALSE(refuses(quarantine, {bad}));
+    crash(quarantine, {bad}, 50);
+    CHECK(refuses(quarantine, {bad}));
+}
+
 // Guards against refusals of the parts of a request that ends its upstreams by itself.
 TEST_CASE("crashes of one request are one cause", "[prompt_quarantine]")
 {
