Log what a repeat's decision was made with

A line for each send of a call beyond its first: whether it is a resumption, the calls and retries counted in the window, the VMs known and the time since the start.

--- a/include/plumdale/coordination/fleet_retry_budget.hpp
+++ b/include/plumdale/coordination/fleet_retry_budget.hpp
@@ -21,6 +21,13 @@
     state::duration window = std::chrono::seconds{10};
 };
 
+/// \brief What a VM has counted of one service in the current window.
+struct retry_counts
+{
+    std::uint32_t calls = 0;
+    std::uint32_t retries = 0;
+};
+
 /// \brief Keeps retries of one service within the fleet's limit without messages between VMs.
 ///
 /// Each own call earns `ratio` over a sliding window. The slack is divided equally between the
@@ -40,6 +47,9 @@
     /// \brief Spends one retry if one is left; `members` is how many entry VMs share the slack.
     [[nodiscard]] bool take(state::time_point now, std::size_t members) noexcept;
 
+    /// \brief Returns what was counted in the window that ends now.
+    [[nodiscard]] retry_counts counts(state::time_point now) noexcept;
+
     /// \brief Fraction of the limit that is used. The rest covers differences between the VMs'
     /// counts, as windows slide and datagrams get lost.
     static constexpr double used_fraction = 0.7;
--- a/src/coordination/fleet_retry_budget.cpp
+++ b/src/coordination/fleet_retry_budget.cpp
@@ -30,11 +30,18 @@
     ++calls_[static_cast<std::size_t>(newest_slot_) % slot_count];
 }
 
-bool fleet_retry_budget::take(state::time_point now, std::size_t members) noexcept
+retry_counts fleet_retry_budget::counts(state::time_point now) noexcept
 {
     advance_to(now);
-    double const calls = std::accumulate(calls_.begin(), calls_.end(), 0U);
-    double const retries = std::accumulate(retries_.begin(), retries_.end(), 0U);
+    return {std::accumulate(calls_.begin(), calls_.end(), 0U),
+            std::accumulate(retries_.begin(), retries_.end(), 0U)};
+}
+
+bool fleet_retry_budget::take(state::time_point now, std::size_t members) noexcept
+{
+    retry_counts const counted = counts(now);
+    double const calls = counted.calls;
+    double const retries = counted.retries;
     double const share = limit_.slack / static_cast<double>(std::max<std::size_t>(1, members));
     if (retries + 1.0 > used_fraction * (limit_.ratio * calls + share))
     {
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -260,6 +260,11 @@
     core_.metrics.add(forward_count::sends);
     core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
                                           : forward_count::connections_opened);
+    if (sends_ > 1)
+    {
+        core_.log_repeat(admitted_.headers.id, admitted_.service->name,
+                         is_resumption() ? "resumption" : "retry");
+    }
     log("sent", exchange_->reused() ? "on a kept connection" : "on a new connection");
     std::string text = core_.dialect.forwarded_head(admitted_.call.head, make_system_headers(now),
                                                     admitted_.call.body.size());
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -70,7 +70,7 @@
                  {
                      apply_reported_start(member, started);
                  }},
-      change_log_{logger}
+      change_log_{logger}, started_at_{boot_now()}
 {
     quarantine.on_end_in_doubt = [this](state::member_key member)
     {
@@ -188,6 +188,20 @@
     return granted;
 }
 
+void forward_core::log_repeat(std::string_view id, std::string const& service,
+                              std::string_view kind)
+{
+    state::time_point const now = boot_now();
+    coordination::retry_counts const counted = retry_budget_of(service).counts(now);
+    log.write("call", "repeat", id,
+              {{"kind", kind},
+               {"service", service},
+               {"calls_in_window", counted.calls},
+               {"retries_in_window", counted.retries},
+               {"members", static_cast<std::int64_t>(fleet.peak_live())},
+               {"up_ms", whole_milliseconds(now - started_at_)}});
+}
+
 // -- paths to upstreams ---------------------------------------------------------------------------
 
 // Those that leave are neither probed nor sent to, and would keep the paths from counting as lost.
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -126,6 +126,8 @@
     /// \brief Spends one retry of a service's budget; returns false when none is left.
     [[nodiscard]] bool take_retry(std::string const& service);
     void note_call(std::string const& service);
+    /// \brief Logs that a call is sent once more, and what its service's budget was at that time.
+    void log_repeat(std::string_view id, std::string const& service, std::string_view kind);
 
     // -- paths to upstreams ------------------------------------------------------------
     /// \brief Records that a connection to an upstream was opened.
@@ -261,6 +263,7 @@
     void configure_parts(coordination::load_part_settings const& allowed);
 
     directory_change_log change_log_;
+    state::time_point started_at_;
     std::unordered_map<std::string, coordination::fleet_retry_budget> retry_budgets_;
     std::unordered_map<std::string, coordination::retry_detector> retry_detectors_;
 };
