--- a/tests/coordination/test_fleet_retry_budget.cpp
+++ b/tests/coordination/test_fleet_retry_budget.cpp
@@ -60,3 +60,41 @@
     CHECK_FALSE(budget.take(now + 5s, 1));
     CHECK(budget.take(now + 11s, 1));
 }
+
+// Guards against retries that are free again before the window that begins with them has passed.
+TEST_CASE("retries count for a whole window, wherever it begins", "[fleet_retry_budget]")
+{
+    for (state::duration const offset : {0ms, 500ms, 999ms})
+    {
+        fleet_retry_budget budget{{0.0, 10.0, 10s}};
+        state::time_point const now{100s + offset};
+        while (budget.take(now, 1))
+        {
+        }
+        CHECK_FALSE(budget.take(now + 9'999ms, 1));
+    }
+}
+
+// Guards against calls long before or after the window that pay for retries in it.
+TEST_CASE("only calls of the windows that the limit names pay for retries", "[fleet_retry_budget]")
+{
+    fleet_retry_budget budget{{0.2, 0.0, 10s}};
+    state::time_point const begin{100s};
+    int granted = 0;
+    auto const note_calls = [&](state::time_point now)
+    {
+        for (int i = 0; i < 100; ++i)
+        {
+            budget.note_call(now);
+        }
+    };
+    // A window that begins at 105 s has 100 calls, the one before it and the one half a window
+    // before it have 100 each: 20 retries are allowed in it.
+    note_calls(begin + 3s);
+    note_calls(begin + 12s);
+    for (state::duration at = 5s; at < 15s; at += 10ms)
+    {
+        granted += budget.take(begin + at, 1) ? 1 : 0;
+    }
+    CHECK(granted <= 20);
+}
