Each arrival beyond a request's first is paid for, by VMs that know what is spent

Callers saw nothing of it; upstreams of a service got more repeats than the fleet is allowed. Four causes, each with a test that was red: resumptions were sent, and sent again when refused, without a retry taken; a VM that starts spent the slack that its former process had spent; what it may spend was divided by the peers that it knew, none at first; the window dropped parts of a second as a whole, and counted calls that the limit doesn't name.

Now a send of any kind takes a retry, and one that never reached its upstream is kept. A VM has no part of the slack until a window after its start, once most seeds are reached and no peer is new (slack_sharing). Each window that holds the retry has to bear it. Half of what a VM may spend is left to resumptions, whose callers lose most; one that finds nothing left waits for as long as its caller. What each VM has left over below one retry is rounded by a draw that is fixed for VM and service, so that a slack divided by 584 VMs is used for 60 in 100 or more.

The fixture's calls now pay for their own retries, as its VM has just started.

--- a/include/plumdale/coordination/fleet_retry_budget.hpp
+++ b/include/plumdale/coordination/fleet_retry_budget.hpp
@@ -13,7 +13,8 @@
 {
 
 /// \brief The fleet's limit: over any window, retries (sends beyond the first of each call) are at
-/// most `ratio` of the calls plus `slack`.
+/// most `ratio` of the calls plus `slack`. The calls are those of that window, of the one before
+/// it, or of the one that begins half a window before it.
 struct fleet_retry_limit
 {
     double ratio = 0.0;
@@ -28,42 +29,65 @@
     std::uint32_t retries = 0;
 };
 
+/// \brief What a retry is for.
+enum class retry_use : std::uint8_t
+{
+    /// Another try of a call without an answer; its caller may retry by itself.
+    second_try,
+    /// A generation goes on elsewhere; its caller would lose all that was generated.
+    resumption
+};
+
 /// \brief Keeps retries of one service within the fleet's limit without messages between VMs.
 ///
-/// Each own call earns `ratio` over a sliding window. The slack is divided equally between the
-/// entry VMs that this one knows; while its view may be incomplete, callers pass the most it has
-/// known. Example:
+/// Each own call earns `ratio`, and the slack is divided equally between the VMs that share it. So
+/// the sum over all VMs, and over their incarnations, keeps the limit. Example:
 /// \code
 /// fleet_retry_budget budget{{0.2, 58, 10s}};
 /// budget.note_call(now);
-/// if (budget.take(now, members)) { /* send once more */ }
+/// if (budget.take(now, sharers)) { /* send once more */ }
 /// \endcode
 class fleet_retry_budget
 {
 public:
-    explicit fleet_retry_budget(fleet_retry_limit limit) noexcept;
+    /// \brief `rounding`, from 0 to 1, is added to what this VM may spend; a value that is uniform
+    /// over the VMs of a fleet keeps the parts of one retry that each has left from being lost.
+    explicit fleet_retry_budget(fleet_retry_limit limit, double rounding = 0.0) noexcept;
 
     void note_call(state::time_point now) noexcept;
-    /// \brief Spends one retry if one is left; `members` is how many entry VMs share the slack.
-    [[nodiscard]] bool take(state::time_point now, std::size_t members) noexcept;
-
+    /// \brief Spends one retry if one is left; `sharers` is how many VMs share the slack, 0 if this
+    /// one has no part of it.
+    [[nodiscard]] bool take(state::time_point now, std::size_t sharers,
+                            retry_use use = retry_use::resumption) noexcept;
     /// \brief Returns what was counted in the window that ends now.
     [[nodiscard]] retry_counts counts(state::time_point now) noexcept;
 
-    /// \brief Fraction of the limit that is used. The rest covers differences between the VMs'
-    /// counts, as windows slide and datagrams get lost.
+    /// \brief Fraction of the limit that is used. The rest covers arrivals that are delayed on
+    /// their way, and VMs that count each other differently.
     static constexpr double used_fraction = 0.7;
+    /// \brief Fraction of what a VM may spend that second tries leave to resumptions.
+    static constexpr double resumption_reserve = 0.5;
 
 private:
     /// \brief Parts of a window that are counted separately.
-    static constexpr std::size_t slot_count = 10;
+    static constexpr std::int64_t parts = 40;
+    /// \brief Parts that are kept: a window, half of one before it, and the current part.
+    static constexpr std::int64_t kept_parts = parts + parts / 2 + 1;
+
+    using part_counts = std::array<std::uint32_t, kept_parts>;
 
     void advance_to(state::time_point now) noexcept;
+    /// \brief Returns the sum of the kept parts from `first` to `last`.
+    [[nodiscard]] std::uint32_t sum(part_counts const& counted, std::int64_t first,
+                                    std::int64_t last) const noexcept;
+    /// \brief Returns the calls that pay for the retries of a window which begins in `part`.
+    [[nodiscard]] std::uint32_t paying_calls(std::int64_t part) const noexcept;
 
     fleet_retry_limit limit_;
-    std::array<std::uint32_t, slot_count> calls_{};
-    std::array<std::uint32_t, slot_count> retries_{};
-    std::int64_t newest_slot_ = 0;
+    double rounding_;
+    part_counts calls_{};
+    part_counts retries_{};
+    std::int64_t newest_part_ = 0;
 };
 
 } // namespace plumdale::coordination
--- a/include/plumdale/coordination/fwd.hpp
+++ b/include/plumdale/coordination/fwd.hpp
@@ -71,6 +71,7 @@
 class round_robin;
 class safeguard_set;
 class send_gate;
+class slack_sharing;
 class store_position_tracker;
 class duration_estimator;
 class two_choices;
--- a/include/plumdale/coordination/generation_failover.hpp
+++ b/include/plumdale/coordination/generation_failover.hpp
@@ -100,6 +100,8 @@
     void source_ended(state::time_point now, failover_actions& actions);
     /// \brief The first event after a resumption arrived.
     void resumed(state::time_point now) noexcept;
+    /// \brief The resumption can't be sent yet.
+    void resume_postponed(state::time_point now) noexcept;
     /// \brief The resumption did not run.
     void resume_refused(state::time_point now, failover_actions& actions);
     /// \brief The generation ended, or its caller no longer needs it.
@@ -147,6 +149,7 @@
     /// \brief Attempts to resume, at the destination or at the upstream that kept the memory.
     static constexpr std::uint32_t max_resume_attempts = 4;
     static constexpr state::duration resume_retry_delay = std::chrono::milliseconds{25};
+    static constexpr state::duration postponed_resume_delay = std::chrono::milliseconds{100};
 
 private:
     enum class phase : std::uint8_t
--- a/src/coordination/fleet_retry_budget.cpp
+++ b/src/coordination/fleet_retry_budget.cpp
@@ -1,53 +1,88 @@
 #include <plumdale/coordination/fleet_retry_budget.hpp>
 
 #include <algorithm>
-#include <numeric>
 
 namespace plumdale::coordination
 {
 
-fleet_retry_budget::fleet_retry_budget(fleet_retry_limit limit) noexcept : limit_{limit} {}
+fleet_retry_budget::fleet_retry_budget(fleet_retry_limit limit, double rounding) noexcept
+    : limit_{limit}, rounding_{rounding}
+{
+}
+
+// -- counting -------------------------------------------------------------------------------------
 
 void fleet_retry_budget::advance_to(state::time_point now) noexcept
 {
-    state::duration const part = limit_.window / static_cast<std::int64_t>(slot_count);
-    std::int64_t const index = now.time_since_epoch() / part;
-    std::int64_t const steps =
-        std::min<std::int64_t>(index - newest_slot_, static_cast<std::int64_t>(slot_count));
+    std::int64_t const part = now.time_since_epoch() / (limit_.window / parts);
+    std::int64_t const steps = std::min(part - newest_part_, kept_parts);
     for (std::int64_t i = 0; i < steps; ++i)
     {
-        auto const slot =
-            static_cast<std::size_t>((index - i) % static_cast<std::int64_t>(slot_count));
-        calls_[slot] = 0;
-        retries_[slot] = 0;
+        auto const index = static_cast<std::size_t>((part - i) % kept_parts);
+        calls_[index] = 0;
+        retries_[index] = 0;
     }
-    newest_slot_ = std::max(newest_slot_, index);
+    newest_part_ = std::max(newest_part_, part);
 }
 
-void fleet_retry_budget::note_call(state::time_point now) noexcept
+std::uint32_t fleet_retry_budget::sum(part_counts const& counted, std::int64_t first,
+                                      std::int64_t last) const noexcept
 {
-    advance_to(now);
-    ++calls_[static_cast<std::size_t>(newest_slot_) % slot_count];
+    std::uint32_t total = 0;
+    std::int64_t const oldest = std::max<std::int64_t>(0, newest_part_ - kept_parts + 1);
+    for (std::int64_t i = std::max(first, oldest); i <= std::min(last, newest_part_); ++i)
+    {
+        total += counted[static_cast<std::size_t>(i % kept_parts)];
+    }
+    return total;
 }
 
 retry_counts fleet_retry_budget::counts(state::time_point now) noexcept
 {
     advance_to(now);
-    return {std::accumulate(calls_.begin(), calls_.end(), 0U),
-            std::accumulate(retries_.begin(), retries_.end(), 0U)};
+    std::int64_t const first = newest_part_ - parts + 1;
+    return {sum(calls_, first, newest_part_), sum(retries_, first, newest_part_)};
 }
 
-bool fleet_retry_budget::take(state::time_point now, std::size_t members) noexcept
+void fleet_retry_budget::note_call(state::time_point now) noexcept
 {
-    retry_counts const counted = counts(now);
-    double const calls = counted.calls;
-    double const retries = counted.retries;
-    double const share = limit_.slack / static_cast<double>(std::max<std::size_t>(1, members));
-    if (retries + 1.0 > used_fraction * (limit_.ratio * calls + share))
+    advance_to(now);
+    ++calls_[static_cast<std::size_t>(newest_part_ % kept_parts)];
+}
+
+// -- spending -------------------------------------------------------------------------------------
+
+// Only calls that are inside wherever in `part` the window begins: those counted last came before
+// the retry that is asked for, so they are in each window that holds it. Of the windows that the
+// limit names, the one before is left out: VMs between which callers move would each count the same
+// callers, one before they moved and the other after it.
+std::uint32_t fleet_retry_budget::paying_calls(std::int64_t part) const noexcept
+{
+    constexpr std::int64_t half = parts / 2;
+    return std::max(sum(calls_, part + 1, part + parts),
+                    sum(calls_, part - half + 1, part + half - 1));
+}
+
+// Each window that has begun and may hold this retry has to bear it.
+bool fleet_retry_budget::take(state::time_point now, std::size_t sharers, retry_use use) noexcept
+{
+    advance_to(now);
+    bool const has_slack = sharers > 0;
+    double const slack = has_slack ? limit_.slack / static_cast<double>(sharers) : 0.0;
+    double const rounding = has_slack ? rounding_ : 0.0;
+    double const usable = use == retry_use::resumption ? 1.0 : 1.0 - resumption_reserve;
+    std::uint32_t retries = 0;
+    for (std::int64_t part = newest_part_; part >= newest_part_ - parts; --part)
     {
-        return false;
+        retries += sum(retries_, part, part);
+        double const earned = limit_.ratio * paying_calls(part);
+        double const allowed = used_fraction * (earned + slack) + rounding;
+        if (retries + 1.0 > usable * allowed)
+        {
+            return false;
+        }
     }
-    ++retries_[static_cast<std::size_t>(newest_slot_) % slot_count];
+    ++retries_[static_cast<std::size_t>(newest_part_ % kept_parts)];
     return true;
 }
 
--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -295,6 +295,15 @@
     resume_attempts_ = 0;
 }
 
+void generation_failover::resume_postponed(state::time_point now) noexcept
+{
+    if (phase_ == phase::resuming)
+    {
+        --resume_attempts_;
+        next_deadline_ = now + postponed_resume_delay;
+    }
+}
+
 void generation_failover::resume_refused(state::time_point now, failover_actions& actions)
 {
     if (phase_ != phase::resuming)
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -260,6 +260,7 @@
     core_.metrics.add(forward_count::sends);
     core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
                                           : forward_count::connections_opened);
+    has_unused_retry_ = false;
     if (sends_ > 1)
     {
         core_.log_repeat(admitted_.headers.id, admitted_.service->name,
@@ -290,7 +291,7 @@
         return may_have_run() ? refuse(state::error_kind::may_have_run, why)
                               : refuse(state::error_kind::overloaded, why);
     }
-    if (is_repeat && !core_.take_retry(admitted_.service->name))
+    if (is_repeat && !pay_for_repeat(coordination::retry_use::second_try))
     {
         return may_have_run() ? refuse(state::error_kind::may_have_run, "no repeat left")
                               : refuse(state::error_kind::overloaded, "no repeat left");
@@ -298,6 +299,12 @@
     dispatch();
 }
 
+bool forward_call::pay_for_repeat(coordination::retry_use use)
+{
+    has_unused_retry_ = has_unused_retry_ || core_.take_retry(admitted_.service->name, use);
+    return has_unused_retry_;
+}
+
 bool forward_call::has_connected_to_none() const noexcept
 {
     return tries_ > 0 && failed_connections_ == tries_;
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -196,6 +196,9 @@
     [[nodiscard]] bool may_use_peer() const;
     /// \brief Returns whether each try of the call ended without a connection.
     [[nodiscard]] bool has_connected_to_none() const noexcept;
+    /// \brief Spends a retry for the next send, unless one is left of a send that failed to reach
+    /// its upstream; returns false when there is none.
+    [[nodiscard]] bool pay_for_repeat(coordination::retry_use use);
     /// \brief Has a peer take the call, one of `peers` unless that is empty, or refuses it with
     /// `decline` if it is a peer's.
     void hand_over_or_refuse(std::string_view why, state::error_kind decline,
@@ -263,6 +266,8 @@
     std::uint32_t sends_ = 0;
     /// \brief Sends that may have run.
     std::uint32_t possible_runs_ = 0;
+    /// \brief A retry was spent, and nothing has been sent since.
+    bool has_unused_retry_ = false;
     bool is_waiting_ = false;
     bool is_connecting_ = false;
     /// \brief Its number among the waiting calls, while it waits there.
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -27,6 +27,16 @@
            settings.seeds.end();
 }
 
+std::vector<state::node_id> nodes_of(std::vector<state::endpoint> const& endpoints)
+{
+    std::vector<state::node_id> nodes;
+    for (state::endpoint const& each : endpoints)
+    {
+        nodes.push_back(state::id_from_name<state::node_id>(protocol::to_text(each)));
+    }
+    return nodes;
+}
+
 std::random_device::result_type random_seed()
 {
     std::random_device device;
@@ -70,7 +80,9 @@
                  {
                      apply_reported_start(member, started);
                  }},
-      change_log_{logger}, started_at_{boot_now()}
+      change_log_{logger}, started_at_{boot_now()},
+      slack_sharing_{fleet, self, nodes_of(process_settings.seeds), started_at_,
+                     process_settings.retry_limit.window}
 {
     quarantine.on_end_in_doubt = [this](state::member_key member)
     {
@@ -172,7 +184,10 @@
 
 coordination::fleet_retry_budget& forward_core::retry_budget_of(std::string const& service)
 {
-    return retry_budgets_.try_emplace(service, settings.retry_limit).first->second;
+    // The same after a restart, which would otherwise draw once more.
+    std::uint64_t const draw = state::mix(self.value, state::stable_hash(service));
+    double const rounding = static_cast<double>(draw) / static_cast<double>(UINT64_MAX);
+    return retry_budgets_.try_emplace(service, settings.retry_limit, rounding).first->second;
 }
 
 void forward_core::note_call(std::string const& service)
@@ -180,10 +195,10 @@
     retry_budget_of(service).note_call(boot_now());
 }
 
-bool forward_core::take_retry(std::string const& service)
+bool forward_core::take_retry(std::string const& service, coordination::retry_use use)
 {
-    // Peers that are cut off from this VM still spend their shares.
-    bool const granted = retry_budget_of(service).take(boot_now(), fleet.peak_live());
+    state::time_point const now = boot_now();
+    bool const granted = retry_budget_of(service).take(now, slack_sharing_.sharers(now), use);
     metrics.add(granted ? forward_count::repeats : forward_count::repeats_denied);
     return granted;
 }
@@ -198,7 +213,7 @@
                {"service", service},
                {"calls_in_window", counted.calls},
                {"retries_in_window", counted.retries},
-               {"members", static_cast<std::int64_t>(fleet.peak_live())},
+               {"sharers", static_cast<std::int64_t>(slack_sharing_.sharers(now))},
                {"up_ms", whole_milliseconds(now - started_at_)}});
 }
 
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -28,6 +28,7 @@
 #include <plumdale/coordination/selection_hints.hpp>
 #include <plumdale/coordination/send_gate.hpp>
 #include <plumdale/coordination/service_directory.hpp>
+#include <plumdale/coordination/slack_sharing.hpp>
 #include <plumdale/coordination/upstream_backoffs.hpp>
 #include <plumdale/coordination/upstream_reach.hpp>
 #include <plumdale/coordination/upstream_selector.hpp>
@@ -124,7 +125,7 @@
     /// \brief Returns the VM that tries a refused part of prompts again.
     [[nodiscard]] state::node_id choose_trial_vm(state::prompt_part part) const;
     /// \brief Spends one retry of a service's budget; returns false when none is left.
-    [[nodiscard]] bool take_retry(std::string const& service);
+    [[nodiscard]] bool take_retry(std::string const& service, coordination::retry_use use);
     void note_call(std::string const& service);
     /// \brief Logs that a call is sent once more, and what its service's budget was at that time.
     void log_repeat(std::string_view id, std::string const& service, std::string_view kind);
@@ -264,6 +265,7 @@
 
     directory_change_log change_log_;
     state::time_point started_at_;
+    coordination::slack_sharing slack_sharing_;
     std::unordered_map<std::string, coordination::fleet_retry_budget> retry_budgets_;
     std::unordered_map<std::string, coordination::retry_detector> retry_detectors_;
 };
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -173,6 +173,7 @@
                          {"after_event", static_cast<std::int64_t>(last_event_id_)}});
         failover_->resumed(now);
         has_noted_no_destination_ = false;
+        has_noted_no_retry_ = false;
     }
     if (is_first_of_run)
     {
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -123,6 +123,7 @@
     void carry_out(coordination::release_copy const& action);
     void carry_out(coordination::abandon_generation const& action);
     void on_copy_answer(bool last, state::result<fetch_answer> const& answer);
+    void postpone_resumption();
     void abort_answer(std::string_view why);
     void check_departure();
     [[nodiscard]] std::optional<state::member_key>
@@ -152,6 +153,8 @@
     bool begun_ = false;
     bool resuming_ = false;
     bool has_noted_no_destination_ = false;
+    /// \brief The log has the current wait for a retry.
+    bool has_noted_no_retry_ = false;
     /// \brief The stream was closed after an event while its upstream had the order to stop it.
     bool closed_while_stopping_ = false;
 };
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -391,6 +391,10 @@
         return abort_answer("upstreams ended under this request or a part of its prompt");
     }
     close_exchange();
+    if (!pay_for_repeat(retry_use::resumption))
+    {
+        return postpone_resumption();
+    }
     closed_while_stopping_ = false;
     resume_from_ = protocol::resume_point{
         holder->info.address, action.handle.empty() ? admitted_.headers.id : action.handle,
@@ -403,6 +407,17 @@
     open_exchange(action.at);
 }
 
+// The memory is kept elsewhere for some seconds, and retries are earned meanwhile: a late answer is
+// worth more than one that breaks off. The caller's patience ends the wait.
+void stream_call::postpone_resumption()
+{
+    if (!std::exchange(has_noted_no_retry_, true))
+    {
+        log("resumption waits", "no repeat left");
+    }
+    failover_->resume_postponed(boot_now());
+}
+
 void stream_call::carry_out(release_copy const& action)
 {
     core_.orders.send(
