Answers without an end are given up at once, and memory for answers is bounded

An upstream, a peer or the store may send bytes that are no answer until the reader closes. Callers and VMs would have seen: up to 64 MB a call and 16 MB a report held in a VM of 88 MB; a chunk's head, trailers or interim answers read until the call's time was over; a store that sends a byte now and then waited for without limit; a discarded answer's body kept until the next one's head.

The connection is closed, the upstream's failure counted, the call is sent elsewhere, resumed, or refused as one that may have run. Reads of the store end after 16 extensions.

--- a/src/protocol/http_reader.cpp
+++ b/src/protocol/http_reader.cpp
@@ -101,7 +101,7 @@
 class http_reader::implementation
 {
 public:
-    implementation(message_role role, limits bounds)
+    implementation(message_role role, limits bounds) : bounds_{bounds}
     {
         if (role == message_role::request)
         {
@@ -160,6 +160,13 @@
             progress_ = read_progress::malformed;
             return;
         }
+        // The parser waits for the end of a chunk's head or of trailers, however long it is.
+        if (!parser.is_done() && unconsumed_.size() > bounds_.head_bytes)
+        {
+            too_large_ = true;
+            progress_ = read_progress::malformed;
+            return;
+        }
         if (parser.is_header_done())
         {
             set_framing(parser);
@@ -184,6 +191,7 @@
         }
     }
 
+    limits bounds_;
     std::optional<message_parser<true>> request_;
     std::optional<message_parser<false>> answer_;
 };
--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -54,7 +54,7 @@
 call_through_peer::call_through_peer(forward_core& core, std::shared_ptr<caller_channel> channel,
                                      admitted_call admitted, std::vector<state::node_id> peers)
     : core_{core}, channel_{std::move(channel)}, admitted_{std::move(admitted)},
-      timer_{core.context}, peers_{std::move(peers)}
+      timer_{core.context}, peers_{std::move(peers)}, body_{core.answers_held}
 {
     ++core_.calls_in_progress;
     ++core_.calls_through_peers;
@@ -164,7 +164,10 @@
 {
     if (!begun_)
     {
-        body_ += bytes;
+        if (!body_.append(bytes))
+        {
+            fail("answer of the peer too large");
+        }
         return;
     }
     channel_->send_chunk(bytes);
@@ -229,7 +232,7 @@
         return channel->end();
     }
     core_.metrics.record_answer_time(boot_now() - admitted_.call.read_at);
-    channel->answer(head_.status, head_.reason, answer_fields(), body_);
+    channel->answer(head_.status, head_.reason, answer_fields(), body_.text());
 }
 
 void call_through_peer::forward_refusal(error_kind kind)
--- a/src/transport/call_through_peer.hpp
+++ b/src/transport/call_through_peer.hpp
@@ -80,7 +80,7 @@
     /// \brief The error with which the peer refused the call.
     std::optional<state::error_kind> refusal_;
     /// \brief Bytes of an answer that is forwarded when it is whole.
-    std::string body_;
+    held_answer body_;
     /// \brief The head of a stream was forwarded.
     bool begun_ = false;
     bool finished_ = false;
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -219,6 +219,8 @@
     /// \brief Ends the call; the channel has been answered or is gone.
     void finish();
     void close_exchange();
+    /// \brief Ends the exchange as one whose upstream sends no valid answer.
+    void end_invalid_answer(std::string_view why);
     void end_connecting();
     /// \brief Removes a load of this call from the ledger, if it was added.
     void drop_load(coordination::member_load& load);
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -6,6 +6,7 @@
 #include "directory_change_log.hpp"
 #include "fleet_traffic.hpp"
 #include "forward_metrics.hpp"
+#include "held_answer.hpp"
 #include "limit_tracker.hpp"
 #include "net.hpp"
 #include "quarantine_tracker.hpp"
@@ -218,6 +219,8 @@
     /// \brief Those of the list that was read at the start: all other VMs read one too.
     std::vector<state::service_member> unreported_at_start;
     std::uint32_t calls_in_progress = 0;
+    /// \brief Answers that are held until they are whole.
+    answer_memory answers_held;
     /// \brief Those that peers sent.
     std::uint32_t peer_calls_in_progress = 0;
     /// \brief Those that peers send to upstreams for this VM.
--- a/src/transport/http_fetch.cpp
+++ b/src/transport/http_fetch.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <utility>
@@ -19,7 +21,11 @@
 using beast::error_code;
 using connection = std::unique_ptr<beast::tcp_stream>;
 
-constexpr std::uint64_t max_answer_bytes = 16ULL * 1024 * 1024;
+// Bytes that are read ahead of the parser. It waits for the end of a chunk's head or of trailers,
+// however long it is.
+constexpr std::size_t max_unparsed_bytes = 128ULL * 1024;
+// Waits for more of one answer. A peer that sends a byte now and then would never be given up.
+constexpr int max_extensions = 16;
 
 /// \brief How an exchange ended: an answer, or why there is none.
 struct exchange_result
@@ -38,9 +44,11 @@
 public:
     exchange(connection socket, fetch_request const& wanted, bool keep, result_handler handler)
         : socket_{std::move(socket)}, handler_{std::move(handler)}, timeout_{wanted.timeout},
-          extends_on_progress_{wanted.extends_on_progress}, source_{wanted.source}
+          extends_on_progress_{wanted.extends_on_progress},
+          last_deadline_{std::chrono::steady_clock::now() + max_extensions * wanted.timeout},
+          source_{wanted.source}
     {
-        parser_.body_limit(max_answer_bytes);
+        parser_.body_limit(wanted.max_answer_bytes);
         parser_.eager(true);
         request_.version(11);
         request_.method_string(wanted.method);
@@ -87,6 +95,11 @@
 
     void read_some()
     {
+        // The stream's own timer doesn't end a read that finds bytes.
+        if (std::chrono::steady_clock::now() >= last_deadline_)
+        {
+            return fail(beast::error::timeout);
+        }
         socket_->expires_after(timeout_);
         http::async_read_some(*socket_, buffer_, parser_,
                               [self = shared_from_this()](error_code error, std::size_t)
@@ -132,10 +145,11 @@
     result_handler handler_;
     std::chrono::milliseconds timeout_;
     bool extends_on_progress_;
+    std::chrono::steady_clock::time_point last_deadline_;
     state::endpoint source_;
     http::request<http::string_body> request_;
     http::response_parser<http::string_body> parser_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
 };
 
 void report(fetch_handler const& handler, exchange_result& end)
--- a/src/transport/http_fetch.hpp
+++ b/src/transport/http_fetch.hpp
@@ -6,6 +6,7 @@
 #include <plumdale/state/result.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,6 +32,8 @@
     state::endpoint source{};
     /// \brief `timeout` bounds each wait for more of the answer instead of the whole exchange.
     bool extends_on_progress = false;
+    /// \brief Size of the largest answer.
+    std::uint64_t max_answer_bytes = 16ULL * 1024 * 1024;
 };
 
 /// \brief A whole answer.
--- a/src/transport/plain_call.cpp
+++ b/src/transport/plain_call.cpp
@@ -3,6 +3,7 @@
 #include "boot_clock.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace plumdale::transport
 {
@@ -14,6 +15,12 @@
 
 } // namespace
 
+plain_call::plain_call(forward_core& core, std::shared_ptr<caller_channel> channel,
+                       admitted_call admitted)
+    : forward_call{core, std::move(channel), std::move(admitted)}, body_{core.answers_held}
+{
+}
+
 void plain_call::on_head(protocol::message_head const& head, protocol::body_framing framing)
 {
     // The body of a discarded answer must not precede this one's.
@@ -23,13 +30,17 @@
 
 void plain_call::on_body(std::string bytes)
 {
-    body_ += bytes;
+    if (!body_.append(bytes))
+    {
+        end_invalid_answer("body too large");
+    }
 }
 
 void plain_call::answer_ended(exchange_end end)
 {
     if (end != exchange_end::complete)
     {
+        body_.clear();
         return retry_or_refuse("connection broke");
     }
     if (is_success() && (!answer_.is_signed || answer_.encoded))
@@ -70,7 +81,7 @@
     auto const channel = channel_;
     exchange_ = nullptr;
     finish();
-    channel->answer(head_.status, head_.reason, answer_fields(), body_);
+    channel->answer(head_.status, head_.reason, answer_fields(), body_.text());
 }
 
 state::time_point plain_call::next_deadline() const
--- a/src/transport/plain_call.hpp
+++ b/src/transport/plain_call.hpp
@@ -15,7 +15,7 @@
 class plain_call final : public forward_call
 {
 public:
-    using forward_call::forward_call;
+    plain_call(forward_core& core, std::shared_ptr<caller_channel> channel, admitted_call admitted);
 
     void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
     void on_body(std::string bytes) override;
@@ -29,7 +29,7 @@
     [[nodiscard]] bool may_send_again() const;
     void deliver_answer();
 
-    std::string body_;
+    held_answer body_;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -27,8 +27,8 @@
 
 stream_call::stream_call(forward_core& core, std::shared_ptr<caller_channel> channel,
                          admitted_call admitted)
-    : forward_call{core, std::move(channel), std::move(admitted)}, last_progress_{
-                                                                       admitted_.call.read_at}
+    : forward_call{core, std::move(channel), std::move(admitted)},
+      last_progress_{admitted_.call.read_at}, failure_body_{core.answers_held}
 {
     admitted_.demand.max_gap = admitted_.route->target_gap;
     core_.departures.add_listener(*this);
@@ -125,12 +125,19 @@
 {
     if (!streaming_)
     {
-        failure_body_ += bytes;
+        if (!failure_body_.append(bytes))
+        {
+            end_invalid_answer("body too large");
+        }
         return;
     }
     core_.note_answered(member_);
     events_.append(bytes);
     forward_events();
+    if (!finished_ && events_.buffered_bytes() > max_event_bytes)
+    {
+        end_invalid_answer("event too large");
+    }
 }
 
 void stream_call::forward_events()
@@ -324,6 +331,10 @@
 
 void stream_call::exchange_ended(exchange_end end)
 {
+    if (end == exchange_end::invalid_or_lost)
+    {
+        core_.health.note(member_, call_result::failed, boot_now());
+    }
     if (!resuming_)
     {
         return begun_ ? answer_ended(end) : forward_call::exchange_ended(end);
@@ -358,7 +369,7 @@
         auto const channel = channel_;
         exchange_ = nullptr;
         finish();
-        return channel->answer(head_.status, head_.reason, answer_fields(), failure_body_);
+        return channel->answer(head_.status, head_.reason, answer_fields(), failure_body_.text());
     }
     closed_while_stopping_ = framing_ == protocol::body_framing::until_close &&
                              events_.buffered_bytes() == 0 && failover_ && failover_->is_stopping();
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -51,6 +51,8 @@
     static constexpr state::duration min_silence_timeout = std::chrono::seconds{2};
     static constexpr int silence_timeout_objectives = 4;
     static constexpr int silence_timeout_gaps = 8;
+    /// \brief Bytes of the largest event.
+    static constexpr std::size_t max_event_bytes = 256 * 1024;
 
 private:
     [[nodiscard]] protocol::system_headers
@@ -133,10 +135,10 @@
     std::optional<coordination::generation_failover> failover_;
     std::optional<protocol::resume_point> resume_from_;
     protocol::raw_event_splitter events_;
-    std::string failure_body_;
     std::uint64_t last_event_id_ = 0;
     std::uint32_t events_forwarded_ = 0;
     state::time_point last_progress_{};
+    held_answer failure_body_;
     /// \brief Memory held for the backup, at the upstream that keeps it.
     coordination::member_load backup_load_;
     /// \brief Memory held for an ordered copy, at its destination.
--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -153,13 +153,9 @@
 void upstream_exchange::append_bytes(std::string_view bytes)
 {
     reader_.append(bytes);
-    while (reader_.progress() == protocol::read_progress::complete &&
-           reader_.head().status < first_final_status)
+    if (!skip_interim_answers())
     {
-        // An interim answer; the final one follows.
-        std::string const unconsumed{reader_.unconsumed()};
-        reader_ = new_reader(options_.without_body);
-        reader_.append(unconsumed);
+        return finish(exchange_end::invalid_or_lost);
     }
     report_progress();
     if (sink_ != nullptr && reader_.progress() == protocol::read_progress::malformed)
@@ -172,6 +168,22 @@
     }
 }
 
+bool upstream_exchange::skip_interim_answers()
+{
+    while (reader_.progress() == protocol::read_progress::complete &&
+           reader_.head().status < first_final_status)
+    {
+        if (++interim_answers_ > max_interim_answers)
+        {
+            return false;
+        }
+        std::string const unconsumed{reader_.unconsumed()};
+        reader_ = new_reader(options_.without_body);
+        reader_.append(unconsumed);
+    }
+    return true;
+}
+
 void upstream_exchange::report_progress()
 {
     using enum protocol::read_progress;
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -99,6 +99,8 @@
     /// \brief Largest head of an upstream's answer in bytes.
     static constexpr std::uint32_t head_limit = 16 * 1024;
     static constexpr std::uint64_t body_limit = 64ULL * 1024 * 1024;
+    /// \brief Interim answers before the final one; more are no answer.
+    static constexpr std::uint32_t max_interim_answers = 16;
 
 private:
     void connect();
@@ -107,6 +109,8 @@
     void read();
     void on_read(boost::system::error_code error, std::size_t bytes);
     void append_bytes(std::string_view bytes);
+    /// \brief Discards interim answers; returns false if there are too many.
+    [[nodiscard]] bool skip_interim_answers();
     void report_progress();
     void finish(exchange_end end);
 
@@ -121,6 +125,7 @@
     std::array<char, 4096> buffer_{};
     std::optional<state::duration> keep_alive_;
     connection_failure failure_ = connection_failure::none;
+    std::uint32_t interim_answers_ = 0;
     bool closes_ = false;
     bool sent_ = false;
     bool written_ = false;
--- a/src/transport/upstream_orders.cpp
+++ b/src/transport/upstream_orders.cpp
@@ -41,6 +41,7 @@
     request.body = std::move(order.body);
     request.timeout = timeout;
     request.source = source_;
+    request.max_answer_bytes = max_answer_bytes;
     fetch(context_, std::move(request),
           [this, member, handler = std::move(handler)](state::result<fetch_answer> const& answer)
           {
--- a/src/transport/upstream_orders.hpp
+++ b/src/transport/upstream_orders.hpp
@@ -36,6 +36,9 @@
     void send(state::member_key member, protocol::upstream_request order,
               std::chrono::milliseconds timeout, fetch_handler handler);
 
+    /// \brief Size of the largest answer to an order or a request for a report.
+    static constexpr std::uint64_t max_answer_bytes = 256 * 1024;
+
 private:
     void fail(state::error_kind kind, std::string_view why, fetch_handler handler);
 
