--- a/include/plumdale/coordination/fleet_retry_budget.hpp
+++ b/include/plumdale/coordination/fleet_retry_budget.hpp
@@ -29,13 +29,14 @@
     std::uint32_t retries = 0;
 };
 
-/// \brief What a retry is for.
-enum class retry_use : std::uint8_t
+/// \brief Which retries of a service go first.
+enum class retry_priority : std::uint8_t
 {
-    /// Another try of a call without an answer; its caller may retry by itself.
-    second_try,
-    /// A generation goes on elsewhere; its caller would lose all that was generated.
-    resumption
+    /// Second tries beside generations that may have to be resumed: their callers may retry.
+    yielding,
+    /// Resumptions, whose callers would lose all that was generated, and all retries of a service
+    /// that has none.
+    preferred
 };
 
 /// \brief Keeps retries of one service within the fleet's limit without messages between VMs.
@@ -58,15 +59,15 @@
     /// \brief Spends one retry if one is left; `sharers` is how many VMs share the slack, 0 if this
     /// one has no part of it.
     [[nodiscard]] bool take(state::time_point now, std::size_t sharers,
-                            retry_use use = retry_use::resumption) noexcept;
+                            retry_priority priority = retry_priority::preferred) noexcept;
     /// \brief Returns what was counted in the window that ends now.
     [[nodiscard]] retry_counts counts(state::time_point now) noexcept;
 
     /// \brief Fraction of the limit that is used. The rest covers arrivals that are delayed on
     /// their way, and VMs that count each other differently.
     static constexpr double used_fraction = 0.7;
-    /// \brief Fraction of what a VM may spend that second tries leave to resumptions.
-    static constexpr double resumption_reserve = 0.5;
+    /// \brief Fraction of what a VM may spend that yielding retries leave to preferred ones.
+    static constexpr double preferred_reserve = 0.5;
 
 private:
     /// \brief Parts of a window that are counted separately.
--- a/src/coordination/fleet_retry_budget.cpp
+++ b/src/coordination/fleet_retry_budget.cpp
@@ -64,13 +64,14 @@
 }
 
 // Each window that has begun and may hold this retry has to bear it.
-bool fleet_retry_budget::take(state::time_point now, std::size_t sharers, retry_use use) noexcept
+bool fleet_retry_budget::take(state::time_point now, std::size_t sharers,
+                              retry_priority priority) noexcept
 {
     advance_to(now);
     bool const has_slack = sharers > 0;
     double const slack = has_slack ? limit_.slack / static_cast<double>(sharers) : 0.0;
     double const rounding = has_slack ? rounding_ : 0.0;
-    double const usable = use == retry_use::resumption ? 1.0 : 1.0 - resumption_reserve;
+    double const usable = priority == retry_priority::preferred ? 1.0 : 1.0 - preferred_reserve;
     std::uint32_t retries = 0;
     for (std::int64_t part = newest_part_; part >= newest_part_ - parts; --part)
     {
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -291,7 +291,10 @@
         return may_have_run() ? refuse(state::error_kind::may_have_run, why)
                               : refuse(state::error_kind::overloaded, why);
     }
-    if (is_repeat && !pay_for_repeat(coordination::retry_use::second_try))
+    using coordination::retry_priority;
+    auto const priority =
+        admitted_.service->engine ? retry_priority::yielding : retry_priority::preferred;
+    if (is_repeat && !pay_for_repeat(priority))
     {
         return may_have_run() ? refuse(state::error_kind::may_have_run, "no repeat left")
                               : refuse(state::error_kind::overloaded, "no repeat left");
@@ -299,9 +302,9 @@
     dispatch();
 }
 
-bool forward_call::pay_for_repeat(coordination::retry_use use)
+bool forward_call::pay_for_repeat(coordination::retry_priority priority)
 {
-    has_unused_retry_ = has_unused_retry_ || core_.take_retry(admitted_.service->name, use);
+    has_unused_retry_ = has_unused_retry_ || core_.take_retry(admitted_.service->name, priority);
     return has_unused_retry_;
 }
 
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -198,7 +198,7 @@
     [[nodiscard]] bool has_connected_to_none() const noexcept;
     /// \brief Spends a retry for the next send, unless one is left of a send that failed to reach
     /// its upstream; returns false when there is none.
-    [[nodiscard]] bool pay_for_repeat(coordination::retry_use use);
+    [[nodiscard]] bool pay_for_repeat(coordination::retry_priority priority);
     /// \brief Has a peer take the call, one of `peers` unless that is empty, or refuses it with
     /// `decline` if it is a peer's.
     void hand_over_or_refuse(std::string_view why, state::error_kind decline,
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -195,10 +195,10 @@
     retry_budget_of(service).note_call(boot_now());
 }
 
-bool forward_core::take_retry(std::string const& service, coordination::retry_use use)
+bool forward_core::take_retry(std::string const& service, coordination::retry_priority priority)
 {
     state::time_point const now = boot_now();
-    bool const granted = retry_budget_of(service).take(now, slack_sharing_.sharers(now), use);
+    bool const granted = retry_budget_of(service).take(now, slack_sharing_.sharers(now), priority);
     metrics.add(granted ? forward_count::repeats : forward_count::repeats_denied);
     return granted;
 }
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -126,7 +126,8 @@
     /// \brief Returns the VM that tries a refused part of prompts again.
     [[nodiscard]] state::node_id choose_trial_vm(state::prompt_part part) const;
     /// \brief Spends one retry of a service's budget; returns false when none is left.
-    [[nodiscard]] bool take_retry(std::string const& service, coordination::retry_use use);
+    [[nodiscard]] bool take_retry(std::string const& service,
+                                  coordination::retry_priority priority);
     void note_call(std::string const& service);
     /// \brief Logs that a call is sent once more, and what its service's budget was at that time.
     void log_repeat(std::string_view id, std::string const& service, std::string_view kind);
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -391,7 +391,7 @@
         return abort_answer("upstreams ended under this request or a part of its prompt");
     }
     close_exchange();
-    if (!pay_for_repeat(retry_use::resumption))
+    if (!pay_for_repeat(retry_priority::preferred))
     {
         return postpone_resumption();
     }
--- a/tests/coordination/test_slack_sharing.cpp
+++ b/tests/coordination/test_slack_sharing.cpp
@@ -137,7 +137,7 @@
         for (auto const& each : members)
         {
             std::size_t const sharers = each->sharing.sharers(now);
-            while (each->budget.take(now, sharers, retry_use::resumption))
+            while (each->budget.take(now, sharers, retry_priority::preferred))
             {
                 seen.repeats.push_back(now);
             }
@@ -288,7 +288,7 @@
         double const rounding =
             static_cast<double>(state::mix(node(i).value, 1)) / static_cast<double>(UINT64_MAX);
         fleet_retry_budget budget{limit, rounding};
-        while (budget.take(begin, chosen.vms, retry_use::resumption))
+        while (budget.take(begin, chosen.vms, retry_priority::preferred))
         {
             usable += 1.0;
         }
@@ -298,19 +298,20 @@
 }
 
 // Guards against second tries, whose callers may come back, that leave nothing to broken drafts.
-TEST_CASE("second tries leave half of what a VM may spend to resumptions", "[fleet_retry_budget]")
+TEST_CASE("yielding retries leave half of what a VM may spend to preferred ones",
+          "[fleet_retry_budget]")
 {
     fleet_retry_budget budget{{0.0, 20.0, window}};
-    int second_tries = 0;
-    int resumptions = 0;
-    while (budget.take(begin, 1, retry_use::second_try))
+    int yielding = 0;
+    int preferred = 0;
+    while (budget.take(begin, 1, retry_priority::yielding))
     {
-        ++second_tries;
+        ++yielding;
     }
-    while (budget.take(begin, 1, retry_use::resumption))
+    while (budget.take(begin, 1, retry_priority::preferred))
     {
-        ++resumptions;
+        ++preferred;
     }
-    CHECK(second_tries == 7);
-    CHECK(resumptions == 7);
+    CHECK(yielding == 7);
+    CHECK(preferred == 7);
 }
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -12,6 +12,7 @@
 
 from path_filter import reset
 from prompt_parts import CrashingParts
+from repeats import RepeatCheck
 
 SEAL = "Plumdale-Response-Seal"
 # Rule of the users: after a generation resumes elsewhere, its former upstream may work on it for at most this long,
@@ -161,6 +162,10 @@
         self.copies, self.handles = {}, itertools.count(1)
         # Parts of prompts that crash upstreams, and calls with a whole answer that ended with its connection.
         self.crashing, self.closed_answers = CrashingParts(), set()
+        # Arrivals of requests, against the limit that all VMs have together.
+        self.repeats = RepeatCheck()
+        # Share of requests, also of resumptions, that upstreams refuse without running them.
+        self.shed_share = 0.0
         # Start time of the upstream at each address; a restart loses the memory that was held there.
         self.upstream_starts = {}
         # Time of each zone's evacuation order, number of active faults that keep VMs from receiving the order, and the
@@ -236,6 +241,7 @@
         self.zone = zone
         self.born, self.address, self.stale_writers = 1_784_177_000_000, None, set()
         self.name, self.record, self.random = name, record, random.Random(seed)
+        self.shed_random = random.Random(f"shed {seed}")
         self.writers, self.alive, self.unreachable_until, self.leaves_at = set(), True, 0.0, None
         self.on_end = self.crash
         # The upstream says in its answers that it leaves; until when it refuses calls, and for how long VMs shall back off.
@@ -319,6 +325,7 @@
         fields = [("Plumdale-Request-Id", call), *leaving_fields]
         if self.brittle is not None:
             fields.append(("Server-Brittle", str(self.brittle)))
+        self.record.repeats.arrived(call)
         self.record.call_senders[call].add(vm)
         self.check_request_rate(call)
         self.record.violations += self.statements.arrived(call, vm, self.name, self.unreachable_until)
@@ -340,6 +347,8 @@
             return await self.end_during_request(target, writer, fields)
         if part := self.record.crashing.find(headers.get("plumdale-prompt-prefix", "")):
             return await self.crash_of_part(part, call, headers, vm, target, writer, fields)
+        if self.record.shed_share > self.shed_random.random():
+            return writer.write(http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
         if target.startswith("/draft/"):
             return await self.generate(call, headers, writer, fields)
         if self.random.random() < 0.03:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,7 +6,7 @@
 Each seed starts three entry VMs and six upstreams on loopback addresses of its own, sends calls for some seconds and
 injects overlapping faults: connections delayed, reset or silenced by a proxy; entry VMs paused, killed, stopped and
 restarted; a request that ends each upstream that runs it; parts of prompts that crash each upstream; answers that end with
-their connection; crowds of new connections at one VM; an upstream that announces a limit; upstreams that leave, some of
+their connection; crowds of new connections at one VM; all VMs killed together in series while engines are reclaimed; an upstream that announces a limit; upstreams that leave, some of
 which say so in their answers alone, that ask for back-offs, crash or restart under the same name; brittle upstreams that
 end when they refuse too much; VMs whose paths to all upstreams are cut (silent, reset, or new connections only); entries of other
 writers; zones that are evacuated; configurations and settings that change; a store that is down or restored from a
@@ -32,6 +32,7 @@
 from path_filter import PathFilter, reset
 from platform_standin import CONFIGURATION, ENDING_BODY, LOAD_ROUTES, Record, Store, Upstream
 from prompt_parts import crashing_prompt, prompt_of
+from repeats import RATIO, SLACK, WINDOW_S, has_series
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 ZONES = ("a", "b")
@@ -48,6 +49,9 @@
 
 # Calls of LOAD_ROUTES, of all plain and streamed ones.
 LOAD_ROUTE_SHARE = 0.3
+# Share of requests that upstreams refuse while all VMs are killed in series.
+SHED_SHARE = 0.4
+KILLS_IN_SERIES = 2
 # Services of the upstreams that are reclaimed, in their order.
 RECLAIMED = ("engine", "plain", "engine")
 ALL_LOAD_PARTS = ("learned_speeds", "shared_suspicions", "ranked_waiting", "fitted_copies")
@@ -171,8 +175,8 @@
         settings = {"mode": "forward", "name": f"vm-{number}", "zone": "a", "callers": f"{address}:18080",
                     "ready": f"{address}:18081", "datagrams": f"{address}:18082", "streams": f"{address}:18082",
                     "seeds": [f"{self.host}.{n}:1" for n in (1, 2, 3)], "platform": "%s:%d" % self.platform, "upstream_source": f"{address}:0",
-                    "fleet_key": "soak, sixteen letters", "grace_s": 4, "event_delay_ms": 120, "repeat_ratio": 0.2,
-                    "repeat_slack": 50, "repeat_window_s": 10}
+                    "fleet_key": "soak, sixteen letters", "grace_s": 4, "event_delay_ms": 120, "repeat_ratio": RATIO,
+                    "repeat_slack": SLACK, "repeat_window_s": WINDOW_S}
         if has_crowd(self.seed) and self.seed not in REGRESSION_SEEDS:
             settings["descriptors"] = DESCRIPTORS
         if self.load_parts:
@@ -243,6 +247,7 @@
         if kind == "draft":
             fields |= {"Plumdale-Token-Usage": "3000,900", "Plumdale-Length-Hint": "300"}
         text = f"POST {path or self.draw_path(kind, call)} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n"
+        self.record.repeats.requested(call, "engine" if kind == "draft" else "plain")
         try:
             # A call of a crowd opens a new connection and draws nothing, as the seed's own calls do.
             is_of_crowd, vm = vm is not None, vm or self.random.randint(1, 3)
@@ -368,6 +373,32 @@
     async def stop_vm(self):
         await self.end_vm(signal.SIGTERM)
 
+    async def end_all_vms_in_series(self):
+        """Kills all VMs together, some times, before they have run for a window. Upstreams refuse much meanwhile."""
+        self.record.shed_share = SHED_SHARE
+        for _ in range(KILLS_IN_SERIES):
+            await asyncio.sleep(self.load_random.uniform(0.4, 0.6) * WINDOW_S)
+            self.note_vm_fault(4.0)
+            for number in (1, 2, 3):
+                process = self.vms[number]
+                if process.returncode is None and number not in self.starting:
+                    process.kill()
+                    self.starting.add(number)
+            for number in sorted(self.starting):
+                await self.vms[number].wait()
+                self.record.vm_disturbed_at[number] = asyncio.get_running_loop().time()
+                await self.start_vm(number)
+                self.starting.discard(number)
+
+    async def reclaim_in_series(self, until):
+        """Has engines leave one after the other, each with a notice that all copies fit into."""
+        while asyncio.get_running_loop().time() < until:
+            engines = [u for u in self.upstreams.values() if u.alive and u.entry["service"] == "engine" and u.limit is None]
+            upstream = self.load_random.choice(engines)
+            self.store.put(f"servers/{upstream.name}", {**upstream.entry, "state": "draining"})
+            await asyncio.sleep(self.load_random.uniform(0.3, 0.8))
+            await self.replace(upstream)
+
     def pick_upstream(self):
         """Returns a random upstream, except the one with a limit: it must live on so that its requests can be counted."""
         return self.random.choice([u for u in self.upstreams.values() if u.alive and u.limit is None])
@@ -636,6 +667,9 @@
                 tasks.append(asyncio.create_task(fleet.send_crashing_prompts(end, part)))
             if has_crowd(seed):
                 tasks.append(asyncio.create_task(fleet.crowd_vm()))
+            if has_series(seed):
+                tasks.append(asyncio.create_task(fleet.end_all_vms_in_series()))
+                tasks.append(asyncio.create_task(fleet.reclaim_in_series(end)))
             if has_reclaimed_upstreams(seed):
                 tasks.append(asyncio.create_task(fleet.reclaim_later()))
             fleet.upstreams["i-1"].announce_limit(fleet.random.uniform(0.5, 3.0))
@@ -649,7 +683,7 @@
         for task in pending:
             task.cancel()
         served = sum(1 for observed in fleet.calls.values() if observed["status"] == 200 and observed["whole"])
-        violations = fleet.violations()
+        violations = fleet.violations() + fleet.record.repeats.end()
         refused_by_order = fleet.count_refused_by_order()
         violations += fleet.service_violations(number, served)
     finally:
@@ -659,6 +693,7 @@
     print(f"seed {seed}: {number} calls, {served} served whole, {refused_by_order} refused with all zones evacuated, {state}", flush=True)
     print(f"  load parts {', '.join(load_parts) or 'off'}; {fleet.gone.summary(tries) if has_reclaimed_upstreams(seed) else 'no upstream reclaimed'}", flush=True)
     print(f"  {fleet.record.crashing.summary()}; {fleet.crowd.summary(fleet.calls)}", flush=True)
+    print(f"  {fleet.record.repeats.summary()}", flush=True)
     for line in violations[:5]:
         print(f"  {line}", flush=True)
     return not violations, tries
