--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -12,7 +12,6 @@
 
 from path_filter import reset
 from prompt_parts import CrashingParts
-from repeats import RepeatCheck
 
 SEAL = "Plumdale-Response-Seal"
 # Rule of the users: after a generation resumes elsewhere, its former upstream may work on it for at most this long,
@@ -157,15 +156,15 @@
 class Record:
     """The calls that all upstreams ran, and the violations of promises that the upstreams detected."""
 
-    def __init__(self):
+    def __init__(self, repeats):
         self.runs, self.plain_runs, self.refused_after, self.violations = {}, {}, set(), []
         self.copies, self.handles = {}, itertools.count(1)
         # Parts of prompts that crash upstreams, and calls with a whole answer that ended with its connection.
         self.crashing, self.closed_answers = CrashingParts(), set()
         # Arrivals of requests, against the limit that all VMs have together.
-        self.repeats = RepeatCheck()
-        # Share of requests, also of resumptions, that upstreams refuse without running them.
-        self.shed_share = 0.0
+        self.repeats = repeats
+        # Shares of requests and of resumptions that upstreams refuse without running them.
+        self.shed_share, self.shed_resumptions = 0.0, 0.0
         # Start time of the upstream at each address; a restart loses the memory that was held there.
         self.upstream_starts = {}
         # Time of each zone's evacuation order, number of active faults that keep VMs from receiving the order, and the
@@ -347,7 +346,8 @@
             return await self.end_during_request(target, writer, fields)
         if part := self.record.crashing.find(headers.get("plumdale-prompt-prefix", "")):
             return await self.crash_of_part(part, call, headers, vm, target, writer, fields)
-        if self.record.shed_share > self.shed_random.random():
+        shed_share = self.record.shed_resumptions if "kv-from" in headers else self.record.shed_share
+        if shed_share > self.shed_random.random():
             return writer.write(http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
         if target.startswith("/draft/"):
             return await self.generate(call, headers, writer, fields)
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -5,14 +5,23 @@
 import collections
 
 # The limit that all VMs have together: in any window, arrivals of a service beyond the first of each request are at most
-# RATIO of its requests and SLACK.
-RATIO, SLACK, WINDOW_S = 0.2, 10, 4.0
-# Seeds in which all VMs are killed together, again and again, while engines are reclaimed one after the other.
-SERIES_EVERY = 4
+# a ratio of its requests and a slack.
+WINDOW_S = 4.0
 
 
-def has_series(seed):
-    return seed % SERIES_EVERY == 0
+def has_kills_in_series(seed):
+    """Returns whether all VMs are killed together, some times within a window, while upstreams refuse much."""
+    return seed % 4 == 0
+
+
+def has_reclaims_in_series(seed):
+    """Returns whether engines are reclaimed one after the other while they refuse most resumptions."""
+    return seed % 4 == 2
+
+
+def limit_of(seed):
+    """Returns ratio and slack. In a series they are so low that repeats which nothing pays for exceed them."""
+    return (0.05, 3) if has_kills_in_series(seed) or has_reclaims_in_series(seed) else (0.2, 10)
 
 
 def count_between(times, begin, end):
@@ -22,7 +31,8 @@
 class RepeatCheck:
     """Counts arrivals by request, whatever a VM sent them for, and checks each window at each arrival beyond a first."""
 
-    def __init__(self):
+    def __init__(self, ratio, slack):
+        self.ratio, self.slack = ratio, slack
         self.requests, self.repeats = collections.defaultdict(list), collections.defaultdict(list)
         # Service of each request that a caller sent, and the requests of which one has arrived.
         self.services, self.arrived_once = {}, set()
@@ -47,7 +57,7 @@
     def allowed(self, service, begin):
         requests = self.requests[service]
         spans = (begin, begin - WINDOW_S, begin - WINDOW_S / 2)
-        return RATIO * max(count_between(requests, each, each + WINDOW_S) for each in spans) + SLACK
+        return self.ratio * max(count_between(requests, each, each + WINDOW_S) for each in spans) + self.slack
 
     def check(self, call, service, begin):
         found = count_between(self.repeats[service], begin, begin + WINDOW_S)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,7 +32,7 @@
 from path_filter import PathFilter, reset
 from platform_standin import CONFIGURATION, ENDING_BODY, LOAD_ROUTES, Record, Store, Upstream
 from prompt_parts import crashing_prompt, prompt_of
-from repeats import RATIO, SLACK, WINDOW_S, has_series
+from repeats import WINDOW_S, RepeatCheck, has_kills_in_series, has_reclaims_in_series, limit_of
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 ZONES = ("a", "b")
@@ -49,8 +49,9 @@
 
 # Calls of LOAD_ROUTES, of all plain and streamed ones.
 LOAD_ROUTE_SHARE = 0.3
-# Share of requests that upstreams refuse while all VMs are killed in series.
-SHED_SHARE = 0.4
+# Share of requests that upstreams refuse while all VMs are killed in series, and of resumptions while engines are
+# reclaimed in series.
+SHED_SHARE, SHED_RESUMPTIONS = 0.3, 0.6
 KILLS_IN_SERIES = 2
 # Services of the upstreams that are reclaimed, in their order.
 RECLAIMED = ("engine", "plain", "engine")
@@ -116,7 +117,7 @@
         # Draws for reclaimed upstreams and LOAD_ROUTES, so that all else is drawn as without them.
         self.load_parts, self.load_random, self.gone = load_parts, random.Random(f"load {seed}"), GoneUpstreams()
         self.host = f"127.{10 + seed % 200}.{1 + seed // 200 % 250}"
-        self.record, self.store, self.upstreams, self.proxies = Record(), Store(), {}, []
+        self.record, self.store, self.upstreams, self.proxies = Record(RepeatCheck(*limit_of(seed))), Store(), {}, []
         self.vms, self.calls, self.next_name, self.servers, self.stopping = {}, {}, 0, [], False
         self.started, self.starting = [], set()
         self.path_filter = PathFilter(self.host)
@@ -175,8 +176,8 @@
         settings = {"mode": "forward", "name": f"vm-{number}", "zone": "a", "callers": f"{address}:18080",
                     "ready": f"{address}:18081", "datagrams": f"{address}:18082", "streams": f"{address}:18082",
                     "seeds": [f"{self.host}.{n}:1" for n in (1, 2, 3)], "platform": "%s:%d" % self.platform, "upstream_source": f"{address}:0",
-                    "fleet_key": "soak, sixteen letters", "grace_s": 4, "event_delay_ms": 120, "repeat_ratio": RATIO,
-                    "repeat_slack": SLACK, "repeat_window_s": WINDOW_S}
+                    "fleet_key": "soak, sixteen letters", "grace_s": 4, "event_delay_ms": 120, "repeat_ratio": limit_of(self.seed)[0],
+                    "repeat_slack": limit_of(self.seed)[1], "repeat_window_s": WINDOW_S}
         if has_crowd(self.seed) and self.seed not in REGRESSION_SEEDS:
             settings["descriptors"] = DESCRIPTORS
         if self.load_parts:
@@ -378,20 +379,24 @@
         self.record.shed_share = SHED_SHARE
         for _ in range(KILLS_IN_SERIES):
             await asyncio.sleep(self.load_random.uniform(0.4, 0.6) * WINDOW_S)
-            self.note_vm_fault(4.0)
-            for number in (1, 2, 3):
-                process = self.vms[number]
-                if process.returncode is None and number not in self.starting:
-                    process.kill()
-                    self.starting.add(number)
-            for number in sorted(self.starting):
-                await self.vms[number].wait()
-                self.record.vm_disturbed_at[number] = asyncio.get_running_loop().time()
-                await self.start_vm(number)
-                self.starting.discard(number)
+            await self.delay_orders(self.end_all_vms)
+
+    async def end_all_vms(self):
+        self.note_vm_fault(4.0)
+        for number in (1, 2, 3):
+            process = self.vms[number]
+            if process.returncode is None and number not in self.starting:
+                process.kill()
+                self.starting.add(number)
+        for number in sorted(self.starting):
+            await self.vms[number].wait()
+            self.record.vm_disturbed_at[number] = asyncio.get_running_loop().time()
+            await self.start_vm(number)
+            self.starting.discard(number)
 
     async def reclaim_in_series(self, until):
-        """Has engines leave one after the other, each with a notice that all copies fit into."""
+        """Has engines leave one after the other, each with a short notice."""
+        self.record.shed_resumptions = SHED_RESUMPTIONS
         while asyncio.get_running_loop().time() < until:
             engines = [u for u in self.upstreams.values() if u.alive and u.entry["service"] == "engine" and u.limit is None]
             upstream = self.load_random.choice(engines)
@@ -667,8 +672,9 @@
                 tasks.append(asyncio.create_task(fleet.send_crashing_prompts(end, part)))
             if has_crowd(seed):
                 tasks.append(asyncio.create_task(fleet.crowd_vm()))
-            if has_series(seed):
+            if has_kills_in_series(seed):
                 tasks.append(asyncio.create_task(fleet.end_all_vms_in_series()))
+            if has_reclaims_in_series(seed):
                 tasks.append(asyncio.create_task(fleet.reclaim_in_series(end)))
             if has_reclaimed_upstreams(seed):
                 tasks.append(asyncio.create_task(fleet.reclaim_later()))
