--- a/src/transport/held_answer.hpp
+++ b/src/transport/held_answer.hpp
@@ -39,11 +39,11 @@
     }
 
     /// \brief Bytes that any answer may have.
-    static constexpr std::size_t small_answer = 256 * 1024;
+    static constexpr std::size_t small_answer = 256UL * 1024;
     /// \brief Bytes of the largest answer.
-    static constexpr std::size_t max_answer = 16 * 1024 * 1024;
+    static constexpr std::size_t max_answer = 16UL * 1024 * 1024;
     /// \brief Bytes of all answers beyond which none may grow to more than a small one.
-    static constexpr std::size_t max_held = 24 * 1024 * 1024;
+    static constexpr std::size_t max_held = 24UL * 1024 * 1024;
 
 private:
     std::size_t held_ = 0;
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -52,7 +52,7 @@
     static constexpr int silence_timeout_objectives = 4;
     static constexpr int silence_timeout_gaps = 8;
     /// \brief Bytes of the largest event.
-    static constexpr std::size_t max_event_bytes = 256 * 1024;
+    static constexpr std::size_t max_event_bytes = 256UL * 1024;
 
 private:
     [[nodiscard]] protocol::system_headers
--- a/src/transport/upstream_orders.hpp
+++ b/src/transport/upstream_orders.hpp
@@ -37,7 +37,7 @@
               std::chrono::milliseconds timeout, fetch_handler handler);
 
     /// \brief Size of the largest answer to an order or a request for a report.
-    static constexpr std::uint64_t max_answer_bytes = 256 * 1024;
+    static constexpr std::uint64_t max_answer_bytes = 256ULL * 1024;
 
 private:
     void fail(state::error_kind kind, std::string_view why, fetch_handler handler);
--- a/tests/platform/test_endless_answers.cpp
+++ b/tests/platform/test_endless_answers.cpp
@@ -29,7 +29,7 @@
 constexpr std::string_view signature_field = "Plumdale-Response-Seal: s\r\n";
 constexpr std::size_t piece_size = 16'384;
 /// \brief Bytes that sockets of the machine may hold beside those that were read.
-constexpr std::size_t socket_buffers = 8 * 1024 * 1024;
+constexpr std::size_t socket_buffers = 8UL * 1024 * 1024;
 /// \brief A reader that gives up closes its connection within this time, also on a busy machine.
 constexpr auto prompt = 3s;
 
@@ -157,7 +157,7 @@
     connection->send(stream_head("id-1") + event_chunk(1));
     fixture.run_until([&] { return caller->received.find("data: e1\n") != std::string::npos; });
     send_without_end(fixture, *connection, "", "4000\r\n" + std::string(piece_size, 'x') + "\r\n",
-                     512 * 1024);
+                     512UL * 1024);
     auto const resumed = fixture.upstream_connection("Kv-From: ");
     resumed->send(stream_head("id-1") + event_chunk(2) + "0\r\n\r\n");
     fixture.run_until([&] { return caller->received.ends_with("0\r\n\r\n"); });
@@ -171,7 +171,7 @@
     std::vector<endless_answer> const answers{
         {"a head", "HTTP/1.1 200 ", zeros, transport::upstream_exchange::head_limit},
         {"a failure", "HTTP/1.1 500 No\r\n\r\n", zeros, transport::answer_memory::max_answer},
-        {"an event", signed_head("id-1", "Connection: close\r\n"), zeros, 512 * 1024},
+        {"an event", signed_head("id-1", "Connection: close\r\n"), zeros, 512UL * 1024},
     };
     for (endless_answer const& each : answers)
     {
