--- a/tests/platform/test_endless_answers.cpp
+++ b/tests/platform/test_endless_answers.cpp
@@ -30,8 +30,8 @@
 constexpr std::size_t piece_size = 16'384;
 /// \brief Bytes that sockets of the machine may hold beside those that were read.
 constexpr std::size_t socket_buffers = 8UL * 1024 * 1024;
-/// \brief Ends a test whose reader neither reads nor closes; the bytes sent show whether it closes at
-/// once, also where a sanitizer makes reading slow.
+/// \brief Ends a test whose reader neither reads nor closes; the bytes sent show whether it closes
+/// at once, also where a sanitizer makes reading slow.
 constexpr auto longest_test = 10s;
 
 std::string signed_head(std::string_view id, std::string_view framing)
