--- a/review/5/case.py
+++ b/review/5/case.py
@@ -41,16 +41,16 @@
 
     async def handle(self, received, writer):
         start, headers, _ = received
-        call, target = headers.get("plumdale-request-id", ""), start.split(" ")[1]
+        call, target = headers.get(s.WIRE["request_id"].lower(), ""), start.split(" ")[1]
         if target.startswith("/v1/report"):
             return writer.write(s.message(200, b'{"phase":"both","busy":false,"sequence":1}', [("Content-Type", "application/json")]))
         if target.startswith("/v1/"):
             return writer.write(s.message(404))
-        fields = [("Plumdale-Request-Id", call), ("Plumdale-Instance-Id", self.name)]
-        if headers.get("plumdale-expect-instance") != self.name:
-            return writer.write(s.message(421, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
+        fields = [(s.WIRE["request_id"], call), (s.WIRE["runner"], self.name)]
+        if headers.get(s.WIRE["expected_runner"].lower()) != self.name:
+            return writer.write(s.message(421, b"", [*fields, (s.WIRE["not_run"], "1")]))
         self.arrived[call] = self.record.now()
-        fields.append(("Plumdale-Response-Seal", "seal"))
+        fields.append((s.WIRE["signature"], "seal"))
         kind = target.split("/")[1]
         if kind not in EVENTS:
             self.record.note(f"{self.name} runs {call}")
@@ -104,8 +104,8 @@
             if vm != self.suspended:
                 kind = "draft" if number * DRAFTS % 1 < DRAFTS else "check"
                 text = s.request_text("POST", f"/{kind}/{number}", f"a{number:015x}", 6000, b"{}", [
-                    ("Plumdale-Model", "m"), ("Plumdale-Token-Usage", TOKENS[kind]),
-                    ("Plumdale-Prompt-Prefix", f"5c1e07a2:79,{number:08x}:2471")])
+                    (s.WIRE["model"], "m"), (s.WIRE["token_demand"], TOKENS[kind]),
+                    (s.WIRE["prompt_parts"], f"5c1e07a2:79,{number:08x}:2471")])
                 task = asyncio.create_task(ask(self.deployment.address(vm), text, 6))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -14,26 +14,27 @@
 import random
 import re
 import signal
-import socket
-import struct
 import tempfile
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+FOLDER = pathlib.Path(__file__).resolve().parent
+ROOT = FOLDER.parents[1]
+WIRE = dict(re.findall(r"^- (\w+): `([^`]+)`$", (FOLDER / "WIRE.md").read_text(), re.M))
 HOST, KEY, TENANT = "ficu95.example", "xd9dnn2ctnfzs989anu6", "huka270"
 ZONES = ("ruwi-hall", "seeb-hall", "qurum-hall")
 BOUNDS = {"contactMs": 3000, "drainMs": 2000, "graceS": 8, "lossSlackMs": 200, "configApplyMs": 2000,
           "retryBudgetRatio": 0.2, "retryBudgetSlack": 52, "budgetWindowS": 10, "iterationMs": 120}
+ANSWER_S = 0.004
 LIMITS = {"maxFds": 4100, "linkMbps": 1000.0}
 CALLER_LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
-ENGINE = {"slots": 24, "kvCapacityTokens": 34288, "kvBytes": 131072, "linkMbps": 19000.0, "migrations": True,
+ENGINE = {"slots": 24, WIRE["memory_tokens"]: 34288, "kvBytes": 131072, "linkMbps": 19000.0, "migrations": True,
           "backups": True, "stride": 4, "most": 12, "pinMs": 4000.0, "holdTimeoutMs": 2000.0, "handleTtlS": 5.0,
           "models": [{"name": "m"}]}
 
 
 def route(name, prefix, kind, service, timeout_ms, target_ms, attempts=1, **more):
-    return {"name": name, "host": HOST, "prefix": prefix, "routeType": kind, "timeoutMs": timeout_ms,
+    return {"name": name, "host": HOST, "prefix": prefix, WIRE["kind"]: kind, "timeoutMs": timeout_ms,
             "targetLatencyMs": target_ms, "priority": 1, "service": service, "maxAttempts": attempts, "public": False,
             "sessionAffinity": kind == "streaming", "streamResume": False, **more}
 
@@ -42,18 +43,7 @@
     return {"version": version, "routes": routes, "services": [
         {"name": "api", "healthPath": "/health", "maxConnections": 96, "protocol": "h1", "tls": False},
         {"name": "pool", "healthPath": "/health", "maxConnections": 232, "protocol": "h1", "tls": False, "inferenceEngine": ENGINE}],
-        "limits": limits, "tenants": [{"name": TENANT, "apiKeys": [KEY]}]}
-
-
-def reset(writer):
-    """Closes a connection with a reset."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        except OSError:
-            pass
-    writer.transport.abort()
+        "limits": limits, "tenants": [{"name": TENANT, WIRE["keys"]: [KEY]}]}
 
 
 async def read_message(reader):
@@ -86,20 +76,20 @@
 
 
 class Store:
-    """The platform's store: ranges and watches of its items."""
+    """The platform's store: ranges and watches of its items. On the sheet an answer takes 4 ms."""
 
     def __init__(self):
         self.items, self.revision, self.log, self.changed = {}, 100, [], asyncio.Event()
 
     def put(self, key, value):
         self.revision += 1
-        item = {"key": key, "revision": self.revision, "createdRev": self.revision, "leaseId": 0}
+        item = {"key": key, "revision": self.revision, WIRE["created_revision"]: self.revision, "leaseId": 0}
         if value is None:
             self.items.pop(key, None)
             item["deleted"] = True
         else:
             item["value"] = base64.b64encode(json.dumps(value).encode()).decode()
-            item["createdRev"] = self.items.get(key, item)["createdRev"]
+            item[WIRE["created_revision"]] = self.items.get(key, item)[WIRE["created_revision"]]
             self.items[key] = item
         self.log.append(item)
         self.changed.set()
@@ -109,17 +99,21 @@
         path, _, query = target.partition("?")
         wanted = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
         prefix = wanted.get("prefix", "").replace("%2F", "/")
-        if path.endswith("kv-range"):
-            return {"items": [i for k, i in sorted(self.items.items()) if k.startswith(prefix)], "hasMore": False, "atRev": self.revision}
+        if path.endswith(WIRE["read_range"]):
+            found = [item for item_key, item in sorted(self.items.items()) if item_key.startswith(prefix)]
+            return {"items": found, "hasMore": False, WIRE["revision_now"]: self.revision}
         after = int(wanted["afterRev"])
-        found = lambda: [i for i in self.log if i["revision"] > after and i["key"].startswith(prefix)]
+
+        def changes():
+            return [item for item in self.log if item["revision"] > after and item["key"].startswith(prefix)]
+
         end = time.monotonic() + int(wanted["maxWaitMs"]) / 1000
-        while not found() and time.monotonic() < end:
+        while not changes() and time.monotonic() < end:
             try:
                 await asyncio.wait_for(self.changed.wait(), end - time.monotonic())
             except asyncio.TimeoutError:
                 break
-        return {"events": found(), "atRev": self.revision}
+        return {"events": changes(), WIRE["revision_now"]: self.revision}
 
     async def serve(self, reader, writer):
         with contextlib.suppress(asyncio.CancelledError, ConnectionError):
@@ -128,12 +122,14 @@
 
     async def answer(self, reader, writer):
         while received := await read_message(reader):
-            body = json.dumps(await self.page(received[0].split(" ")[1])).encode()
+            page = await self.page(received[0].split(" ")[1])
+            await asyncio.sleep(ANSWER_S)
+            body = json.dumps(page).encode()
             writer.write(message(200, body, [("Content-Type", "application/json")]))
 
 
 class Deployment:
-    """Three entry VMs on loopback addresses of their own, and the store that they read."""
+    """Entry VMs on loopback addresses of their own, and the store that they read."""
 
     def __init__(self, vms=3):
         self.net = f"127.{random.randint(20, 220)}.{random.randint(1, 250)}"
@@ -152,7 +148,7 @@
         seeds = ",".join(f'"{self.address(n)}:18748"' for n in self.numbers[:3])
         values = {"nodeName": f"front-{number}", "zone": ZONES[(number - 1) % 3], "listen.front": f"{ip}:18740",
                   "listen.ready": f"{ip}:18749", "ip": ip, "internalPorts.0": "17200",
-                  "platformSettings.address": "%s:%d" % self.platform,
+                  f"{WIRE['platform']}.address": "%s:%d" % self.platform,
                   **{f"bounds.{n}": v for n, v in BOUNDS.items()}, **{f"limits.{n}": v for n, v in LIMITS.items()}}
         text = re.sub(r"\{\{#seedNodes\}\}.*?\{\{/seedNodes\}\}", seeds, self.template)
         return re.sub(r"\{\{([\w.]+)\}\}", lambda found: str(values[found[1]]), text)
@@ -207,12 +203,12 @@
 
 def beat(service, address, zone, state="ready", slots=6):
     return {"service": service, "address": "%s:%d" % address, "zone": zone, "version": "v1", "slots": slots,
-            "state": state, "coldLeftMs": 0, "sequence": 1}
+            "state": state, WIRE["cold_ms"]: 0, "sequence": 1}
 
 
 def request_text(method, path, request_id, deadline_ms, body=b"", fields=()):
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Plumdale-Request-Id: {request_id}",
-             f"Plumdale-Request-Deadline-Ms: {deadline_ms}", f"Plumdale-Key: {KEY}", *(f"{n}: {v}" for n, v in fields)]
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"{WIRE['request_id']}: {request_id}",
+             f"{WIRE['time_left']}: {deadline_ms}", f"{WIRE['api_key']}: {KEY}", *(f"{n}: {v}" for n, v in fields)]
     if method == "POST":
         lines.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
