Incident: hypotheses of a missed removal, and lines that tell them apart

`reader's directory differs` says once a second at most that a reader has had another directory for longer than a change takes, and what it is taken for; `rows received` says what an answer of a peer brought.

--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -29,10 +29,23 @@
     /// \brief When it last read the platform itself, by this VM's clock.
     state::time_point last_platform_read{};
     state::time_point last_contact{};
+    /// \brief Since when its directory is not this VM's; `never` while it is.
+    state::time_point unequal_since = state::never;
     /// \brief Since when its directory is one that this VM never had; `never` otherwise.
     state::time_point differs_since = state::never;
 };
 
+/// \brief A reader whose directory has not been this VM's for longer than a change takes.
+struct lasting_difference
+{
+    state::node_id reader;
+    std::uint64_t directory = 0;
+    /// \brief Since when it has not been this VM's.
+    state::time_point since{};
+    /// \brief The reader counts as behind: its directory is a former one of this VM.
+    bool is_behind = false;
+};
+
 /// \brief State of a peer as a reader of the store, reported by itself or by others.
 struct reader_state
 {
@@ -98,6 +111,10 @@
     /// otherwise any; none if no reader's differs.
     [[nodiscard]] std::optional<state::endpoint>
     peer_with_newer_directory(std::uint64_t random_value, state::time_point now) const;
+    /// \brief Returns a live reader whose directory has not been this VM's for `propagation_time`;
+    /// none if there is none.
+    [[nodiscard]] std::optional<lasting_difference>
+    find_lasting_difference(state::time_point now) const;
     /// \brief Returns a random peer that follows a configuration and has a directory.
     [[nodiscard]] std::optional<state::endpoint> bootstrap_peer(std::uint64_t random_value,
                                                                 state::time_point now) const;
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -50,6 +50,8 @@
                                   : now - std::chrono::milliseconds{update.platform_age_ms};
     // A former digest of this VM: the peer is behind, and the change is in flight to it.
     bool const is_behind = own_digests_.contains(peer.directory);
+    peer.unequal_since =
+        peer.directory == own_digest ? state::never : std::min(peer.unequal_since, now);
     peer.differs_since = peer.directory == own_digest || is_behind
                              ? state::never
                              : std::min(peer.differs_since, now);
@@ -221,6 +223,7 @@
     {
         if (peer.directory == own_digest)
         {
+            peer.unequal_since = state::never;
             peer.differs_since = state::never;
         }
     }
@@ -329,6 +332,21 @@
                      { return is_live(peer, now) && peer.directory != 0; });
 }
 
+std::optional<lasting_difference> fleet_view::find_lasting_difference(state::time_point now) const
+{
+    for (auto const& [node, peer] : peers_)
+    {
+        bool const is_lasting = peer.unequal_since != state::never &&
+                                peer.unequal_since + propagation_time <= peer.last_contact;
+        if (is_lasting && is_live(peer, now) && is_reading(node, now))
+        {
+            return lasting_difference{node, peer.directory, peer.unequal_since,
+                                      peer.differs_since == state::never};
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<state::endpoint> fleet_view::bootstrap_peer(std::uint64_t random_value,
                                                           state::time_point now) const
 {
--- a/src/transport/directory_exchange.cpp
+++ b/src/transport/directory_exchange.cpp
@@ -1,6 +1,7 @@
 #include "directory_exchange.hpp"
 
 #include "boot_clock.hpp"
+#include "milliseconds.hpp"
 
 #include <plumdale/protocol/endpoint_text.hpp>
 #include <plumdale/protocol/fleet_codec.hpp>
@@ -19,6 +20,7 @@
 constexpr std::string_view part = "fleet";
 constexpr unsigned success = 200;
 constexpr std::chrono::milliseconds peer_timeout{700};
+constexpr std::chrono::seconds difference_log_interval{1};
 
 } // namespace
 
@@ -26,6 +28,7 @@
 
 void directory_exchange::advance(state::time_point now)
 {
+    log_lasting_difference(now);
     if (!sync_.is_due(now))
     {
         return;
@@ -39,6 +42,25 @@
     }
 }
 
+void directory_exchange::log_lasting_difference(state::time_point now)
+{
+    auto const found = core_.fleet.find_lasting_difference(now);
+    bool const is_due = found && (found->directory != logged_directory_ || !found->is_behind) &&
+                        difference_logged_at_ + difference_log_interval <= now;
+    if (!is_due)
+    {
+        return;
+    }
+    logged_directory_ = found->directory;
+    difference_logged_at_ = now;
+    core_.log.write(part, "reader's directory differs", {},
+                    {{"reader", static_cast<std::int64_t>(found->reader.value)},
+                     {"theirs", std::to_string(found->directory)},
+                     {"own", std::to_string(core_.directory.digest())},
+                     {"taken_for", found->is_behind ? "behind" : "ahead"},
+                     {"ms", whole_milliseconds(now - found->since)}});
+}
+
 // This VM lacks only some rows; hundreds that fetched the whole list from one peer filled its link
 // for longer than any of them waited.
 void directory_exchange::request_rows(state::endpoint peer)
@@ -60,6 +82,14 @@
                                     ? protocol::decode_directory_copy(answer.value().body)
                                     : state::result<directory_copy>{state::failure{}};
               bool const is_new = copy && apply(copy.value());
+              if (copy)
+              {
+                  core_.log.write(part, "rows received", {},
+                                  {{"peer", protocol::to_text(peer)},
+                                   {"rows", static_cast<std::int64_t>(copy.value().members.size())},
+                                   {"changed", is_new ? 1 : 0},
+                                   {"rest", copy.value().is_rest ? 1 : 0}});
+              }
               sync_.answered(is_new, boot_now());
               if (!copy)
               {
--- a/src/transport/directory_exchange.hpp
+++ b/src/transport/directory_exchange.hpp
@@ -32,12 +32,16 @@
 
 private:
     void request_rows(state::endpoint peer);
+    void log_lasting_difference(state::time_point now);
     [[nodiscard]] coordination::directory_copy copy_for(std::string_view request_body);
     /// \brief Applies a peer's answer; returns whether it brought anything new.
     bool apply(coordination::directory_copy const& copy);
 
     forward_core& core_;
     coordination::directory_sync sync_;
+    /// \brief The reader's directory of the last line about a difference, and when it was written.
+    std::uint64_t logged_directory_ = 0;
+    state::time_point difference_logged_at_{};
 };
 
 } // namespace plumdale::transport
