coordination: a directory that returned to a former state is no directory that is behind

Cause: peers tell their directory as a digest of what is listed. When an upstream joins and leaves, the digest after is the digest before; a VM took any of its own last 64 digests for one of a peer that is behind, without a limit of time, and requested nothing.

Change: messages have the number of states that the sender's directory has had in its incarnation. A peer is behind if it hasn't changed since it agreed with this VM, or if its digest was this VM's until 0.6 s ago. max_loads is 31, as the largest datagram has 5 bytes more.

The check `a reader that is behind is not asked` was wrong in one point: it wanted a reader that was never heard to agree to count as behind for a second by its digest alone, which is the fault. Its place is taken by three: a reader that agreed and did not change is never asked, in 60 messages instead of one; none is asked while changes are in flight both ways; and one whose directory returned is.

--- a/include/plumdale/coordination/fleet_update.hpp
+++ b/include/plumdale/coordination/fleet_update.hpp
@@ -35,7 +35,7 @@
 struct fleet_update
 {
     /// \brief Maximum rows of a message, so that a datagram is never fragmented.
-    static constexpr std::size_t max_loads = 32;
+    static constexpr std::size_t max_loads = 31;
     static constexpr std::size_t max_members = 7;
     static constexpr std::size_t max_readers = 2;
     static constexpr std::size_t max_evidence = 24;
@@ -54,6 +54,10 @@
     std::uint64_t configuration = 0;
     /// \brief Digest of the sender's directory of upstreams.
     std::uint64_t directory = 0;
+    /// \brief Number of states that this directory has had in this incarnation; zero if the sender
+    /// doesn't count them. A directory may return to a former digest, but never to a former
+    /// version.
+    std::uint32_t directory_version = 0;
     /// \brief Age of the sender's own last read from the platform, in milliseconds.
     std::uint32_t platform_age_ms = UINT32_MAX;
     /// \brief The sender's own heartbeat; `readers` holds those of readers that it relies on.
--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -26,12 +26,15 @@
     state::endpoint streams;
     std::uint64_t configuration = 0;
     std::uint64_t directory = 0;
+    std::uint32_t directory_version = 0;
+    /// \brief The last version of its directory that was this VM's as well; zero for none.
+    std::uint32_t agreed_version = 0;
     /// \brief When it last read the platform itself, by this VM's clock.
     state::time_point last_platform_read{};
     state::time_point last_contact{};
     /// \brief Since when its directory is not this VM's; `never` while it is.
     state::time_point unequal_since = state::never;
-    /// \brief Since when its directory is one that this VM never had; `never` otherwise.
+    /// \brief Since when it may have what this VM lacks; `never` while it is equal or behind.
     state::time_point differs_since = state::never;
 };
 
@@ -42,7 +45,7 @@
     std::uint64_t directory = 0;
     /// \brief Since when it has not been this VM's.
     state::time_point since{};
-    /// \brief The reader counts as behind: its directory is a former one of this VM.
+    /// \brief The reader counts as behind: what it lacks is on its way to it.
     bool is_behind = false;
 };
 
@@ -83,7 +86,7 @@
     /// \brief Applies a message; returns whether it is newer than the last one of its sender.
     bool apply_update(fleet_update const& update, state::endpoint streams, std::uint64_t own_digest,
                       state::time_point now);
-    /// \brief Records a change of the own directory: a peer with a former digest is only behind.
+    /// \brief Records a change of the own directory: a peer that stays as it was is only behind.
     void directory_changed(std::uint64_t own_digest, state::time_point now);
     void forget_silent(state::time_point now);
 
@@ -124,6 +127,11 @@
     [[nodiscard]] std::size_t live_count(state::time_point now) const;
     /// \brief Returns whether a peer was heard from recently enough to count as live.
     [[nodiscard]] bool is_live(peer_state const& peer, state::time_point now) const noexcept;
+    /// \brief Returns the number of states that the own directory has had, for messages to peers.
+    [[nodiscard]] std::uint32_t directory_version() const noexcept
+    {
+        return directory_version_;
+    }
     /// \brief Returns the time between two periodic messages of a reader in a fleet of this size.
     [[nodiscard]] state::duration reader_interval() const noexcept;
     /// \brief Returns the same for other VMs, whose messages only show that they are live.
@@ -178,6 +186,7 @@
     template <class Fits>
     [[nodiscard]] std::optional<state::endpoint> pick_peer(std::uint64_t random_value,
                                                            Fits const& fits) const;
+    void compare_directory(peer_state& peer, std::uint64_t own_digest, state::time_point now) const;
     void note_reader(fleet_update const& update, state::time_point now);
     void note_heartbeat(reader_heartbeat const& observed, state::time_point now);
     [[nodiscard]] bool is_fresh(reader_state const& reader, state::time_point now) const noexcept;
@@ -195,6 +204,7 @@
     std::unordered_map<state::node_id, peer_state> peers_;
     std::unordered_map<state::node_id, reader_state> readers_;
     recent_digests own_digests_;
+    std::uint32_t directory_version_ = 1;
     /// \brief Since when too few VMs of lower rank read; `never` while enough do.
     state::time_point too_few_readers_since_ = state::never;
     /// \brief Peers of lower rank that failed to read, as last counted.
--- a/include/plumdale/coordination/recent_digests.hpp
+++ b/include/plumdale/coordination/recent_digests.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <plumdale/state/time.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 /// \file
 /// \brief Recent digests of this entry VM's directory.
@@ -11,31 +14,50 @@
 namespace plumdale::coordination
 {
 
-/// \brief Remembers the latest digests, so that a peer that is behind can be distinguished from
-/// one that knows more.
+/// \brief Remembers the latest digests and until when they held, so that a peer to which a change
+/// is still on its way can be distinguished from one that knows more.
 class recent_digests
 {
 public:
-    constexpr void add(std::uint64_t digest) noexcept
+    /// \brief Records that the directory has had this digest since `now`.
+    constexpr void add(std::uint64_t digest, state::time_point now) noexcept
     {
-        digests_[next_] = digest;
-        next_ = (next_ + 1) % digests_.size();
-        size_ = std::min(size_ + 1, digests_.size());
+        rows_[newest_].left_at = now;
+        newest_ = (newest_ + 1) % rows_.size();
+        rows_[newest_] = {digest, state::never};
     }
 
-    [[nodiscard]] constexpr bool contains(std::uint64_t digest) const noexcept
+    /// \brief Returns until when the directory last had this digest; none if it never had, or too
+    /// many changes ago.
+    [[nodiscard]] constexpr std::optional<state::time_point>
+    left_at(std::uint64_t digest) const noexcept
     {
-        auto const end = digests_.begin() + static_cast<std::ptrdiff_t>(size_);
-        return std::find(digests_.begin(), end, digest) != end;
+        std::optional<state::time_point> latest;
+        for (row const& each : rows_)
+        {
+            bool const is_former =
+                each.left_at != state::time_point{} && each.left_at != state::never;
+            if (is_former && each.digest == digest)
+            {
+                latest = std::max(latest.value_or(each.left_at), each.left_at);
+            }
+        }
+        return latest;
     }
 
 private:
-    /// \brief Covers some seconds of a release in which ten upstreams change each second.
+    struct row
+    {
+        std::uint64_t digest = 0;
+        /// \brief The epoch in an unused row, `never` in the newest.
+        state::time_point left_at{};
+    };
+
+    /// \brief Covers the time that a change takes to spread, with a hundred changes a second.
     static constexpr std::size_t capacity = 64;
 
-    std::array<std::uint64_t, capacity> digests_{};
-    std::size_t next_ = 0;
-    std::size_t size_ = 0;
+    std::array<row, capacity> rows_{};
+    std::size_t newest_ = 0;
 };
 
 } // namespace plumdale::coordination
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -15,6 +15,13 @@
     return state::mix(node.value, reader_rank_seed);
 }
 
+void agree(peer_state& peer) noexcept
+{
+    peer.agreed_version = peer.directory_version;
+    peer.unequal_since = state::never;
+    peer.differs_since = state::never;
+}
+
 } // namespace
 
 bool fleet_view::apply_update(fleet_update const& update, state::endpoint streams,
@@ -38,23 +45,22 @@
     {
         return false;
     }
+    if (peer.incarnation_number != update.incarnation_number)
+    {
+        peer.agreed_version = 0;
+    }
     peer.incarnation_number = update.incarnation_number;
     peer.sequence = update.sequence;
     peer.streams = streams;
     peer.configuration = update.configuration;
     peer.directory = update.directory;
+    peer.directory_version = update.directory_version;
     peer.last_contact = now;
     constexpr std::uint32_t cannot_read = UINT32_MAX;
     peer.last_platform_read = update.platform_age_ms == cannot_read
                                   ? state::time_point{}
                                   : now - std::chrono::milliseconds{update.platform_age_ms};
-    // A former digest of this VM: the peer is behind, and the change is in flight to it.
-    bool const is_behind = own_digests_.contains(peer.directory);
-    peer.unequal_since =
-        peer.directory == own_digest ? state::never : std::min(peer.unequal_since, now);
-    peer.differs_since = peer.directory == own_digest || is_behind
-                             ? state::never
-                             : std::min(peer.differs_since, now);
+    compare_directory(peer, own_digest, now);
     note_reader(update, now);
     if (peers_.size() + 1 > peak_live_)
     {
@@ -63,6 +69,35 @@
     return true;
 }
 
+// A peer that is behind has nothing that this VM lacks. It is, if it agreed with this VM and hasn't
+// changed since, or if its directory was this VM's a moment ago. A digest of former times alone
+// says nothing: an upstream that joins and leaves takes a directory back to the digest before, and
+// a VM that missed the leaving would send calls there for good.
+void fleet_view::compare_directory(peer_state& peer, std::uint64_t own_digest,
+                                   state::time_point now) const
+{
+    if (peer.directory == own_digest)
+    {
+        return agree(peer);
+    }
+    peer.unequal_since = std::min(peer.unequal_since, now);
+    bool const is_unchanged =
+        peer.directory_version != 0 && peer.directory_version == peer.agreed_version;
+    auto const left_at = own_digests_.left_at(peer.directory);
+    if (is_unchanged)
+    {
+        peer.differs_since = state::never;
+    }
+    else if (left_at && *left_at + propagation_time > now)
+    {
+        peer.differs_since = *left_at;
+    }
+    else
+    {
+        peer.differs_since = std::min(peer.differs_since, now);
+    }
+}
+
 // -- readers --------------------------------------------------------------------------------------
 
 void fleet_view::note_reader(fleet_update const& update, state::time_point now)
@@ -216,15 +251,15 @@
 
 // -- the fleet ------------------------------------------------------------------------------------
 
-void fleet_view::directory_changed(std::uint64_t own_digest, state::time_point /*now*/)
+void fleet_view::directory_changed(std::uint64_t own_digest, state::time_point now)
 {
-    own_digests_.add(own_digest);
+    own_digests_.add(own_digest, now);
+    ++directory_version_;
     for (auto& [node, peer] : peers_)
     {
         if (peer.directory == own_digest)
         {
-            peer.unequal_since = state::never;
-            peer.differs_since = state::never;
+            agree(peer);
         }
     }
 }
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -117,6 +117,7 @@
   zoneReach @25 :List(ZoneReach);
   waiting @26 :List(WaitingCalls);
   parts @27 :List(PartEvidence);
+  directoryVersion @28 :UInt32;
 }
 
 struct ConfigurationOffer {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -260,6 +260,7 @@
     update.sequence = from.getSequence();
     update.configuration = from.getConfiguration();
     update.directory = from.getDirectory();
+    update.directory_version = from.getDirectoryVersion();
     update.platform_age_ms = from.getPlatformAgeMs();
     update.heartbeat = from.getBeat();
     update.broadcast_id = from.getSpread();
@@ -351,6 +352,7 @@
             to.setSequence(update.sequence);
             to.setConfiguration(update.configuration);
             to.setDirectory(update.directory);
+            to.setDirectoryVersion(update.directory_version);
             to.setPlatformAgeMs(update.platform_age_ms);
             to.setWhole(update.whole);
             write_rows(to.initLoads(static_cast<unsigned int>(update.loads.size())), update.loads);
--- a/src/transport/directory_exchange.cpp
+++ b/src/transport/directory_exchange.cpp
@@ -54,7 +54,7 @@
     logged_directory_ = found->directory;
     difference_logged_at_ = now;
     core_.log.write(part, "reader's directory differs", {},
-                    {{"reader", static_cast<std::int64_t>(found->reader.value)},
+                    {{"reader", std::to_string(found->reader.value)},
                      {"theirs", std::to_string(found->directory)},
                      {"own", std::to_string(core_.directory.digest())},
                      {"taken_for", found->is_behind ? "behind" : "ahead"},
--- a/src/transport/fleet_exchange_sending.cpp
+++ b/src/transport/fleet_exchange_sending.cpp
@@ -83,6 +83,7 @@
     update.incarnation_number = settings_.self.incarnation_number;
     update.configuration = core_.version();
     update.directory = core_.directory.digest();
+    update.directory_version = core_.fleet.directory_version();
     // A reader that lost the store reports it, and another replaces it at once.
     update.platform_age_ms = read ? age_in_ms(boot_now() - *read) : UINT32_MAX;
     // Starts at the incarnation's number, so that it also grows across restarts.
--- /dev/null
+++ b/tests/coordination/test_directory_repair.cpp
@@ -0,0 +1,250 @@
+#include "directory_fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plumdale;
+using namespace plumdale::coordination;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr double loss = 0.2;
+constexpr std::size_t upstreams = 40;
+constexpr std::uint64_t first_revision = 100;
+
+/// \brief A fleet of equal directories that loses datagrams and whose VMs stand still at times.
+class lossy_fleet : public directory_fleet
+{
+public:
+    lossy_fleet(std::size_t vms, unsigned seed) : directory_fleet{vms}, random_{seed}
+    {
+        std::vector<state::service_member> rows;
+        for (std::size_t i = 0; i < upstreams; ++i)
+        {
+            rows.push_back(listed_upstream(i, first_revision));
+        }
+        suspended_until_.resize(vms);
+        next_update_at_.resize(vms);
+        for (auto const& vm : this->vms())
+        {
+            vm->merge(rows, {});
+        }
+    }
+
+    /// \brief The readers learn rows from the store, and the first one tells the others.
+    void change(std::vector<state::service_member> const& rows)
+    {
+        for (std::size_t i = 0; i < vms().size(); ++i)
+        {
+            bool const reads = i < fleet_view::reader_count;
+            std::uniform_int_distribution<int> delay{5, 60};
+            if (reads || draw_arrival())
+            {
+                arrivals_.push_back({now_ + std::chrono::milliseconds{delay(random_)}, i, rows});
+            }
+        }
+    }
+
+    void suspend(std::size_t vm, state::duration time)
+    {
+        suspended_until_[vm] = now_ + time;
+    }
+
+    void run_until(state::time_point end)
+    {
+        for (; now_ < end; now_ += step)
+        {
+            advance();
+        }
+    }
+
+    /// \brief Runs until all directories are equal; returns how long that took, at most `limit`.
+    state::duration run_until_converged(state::duration limit)
+    {
+        state::time_point const begin = now_;
+        while (!is_converged() && now_ < begin + limit)
+        {
+            run_until(now_ + step);
+        }
+        return now_ - begin;
+    }
+
+    [[nodiscard]] state::time_point now() const noexcept
+    {
+        return now_;
+    }
+    [[nodiscard]] std::minstd_rand& random() noexcept
+    {
+        return random_;
+    }
+    /// \brief Returns a VM that doesn't read the store.
+    [[nodiscard]] std::size_t draw_follower()
+    {
+        return fleet_view::reader_count + random_() % (vms().size() - fleet_view::reader_count);
+    }
+
+private:
+    struct arrival
+    {
+        state::time_point at;
+        std::size_t vm = 0;
+        std::vector<state::service_member> rows;
+    };
+
+    [[nodiscard]] bool draw_arrival()
+    {
+        return std::uniform_real_distribution<double>{0.0, 1.0}(random_) >= loss;
+    }
+
+    [[nodiscard]] bool is_suspended(std::size_t vm) const
+    {
+        return now_ < suspended_until_[vm];
+    }
+
+    void advance()
+    {
+        deliver_changes();
+        for (std::size_t i = 0; i < vms().size(); ++i)
+        {
+            if (!is_suspended(i))
+            {
+                receive_answer(*vms()[i], now_);
+                send_update(i);
+            }
+            if (!is_suspended(i) && now_.time_since_epoch() % request_interval == 0s)
+            {
+                request(*vms()[i], now_);
+            }
+        }
+    }
+
+    // A receive buffer that filled up in the suspension drops what comes after.
+    void deliver_changes()
+    {
+        std::erase_if(arrivals_,
+                      [this](arrival const& each)
+                      {
+                          if (each.at <= now_ && !is_suspended(each.vm))
+                          {
+                              vms()[each.vm]->merge(each.rows, now_);
+                          }
+                          return each.at <= now_;
+                      });
+    }
+
+    void send_update(std::size_t from)
+    {
+        if (now_ < next_update_at_[from])
+        {
+            return;
+        }
+        bool const reads = from < fleet_view::reader_count;
+        fleet_view const& view = vms()[from]->view;
+        next_update_at_[from] = now_ + (reads ? view.reader_interval() : view.follower_interval());
+        fleet_update const update = vms()[from]->make_update(reads ? 50 : 60'000);
+        for (std::size_t to = 0; to < vms().size(); ++to)
+        {
+            if (to != from && !is_suspended(to) && draw_arrival())
+            {
+                vms()[to]->receive(update, now_);
+            }
+        }
+    }
+
+    static constexpr state::duration request_interval = 100ms;
+
+    std::minstd_rand random_;
+    state::time_point now_{10s};
+    std::vector<state::time_point> suspended_until_;
+    std::vector<state::time_point> next_update_at_;
+    std::vector<arrival> arrivals_;
+};
+
+std::vector<state::service_member> removed(std::vector<state::service_member> rows,
+                                           std::uint64_t revision)
+{
+    for (state::service_member& row : rows)
+    {
+        row.listed = false;
+        row.revision = revision;
+    }
+    return rows;
+}
+
+std::vector<state::service_member> relisted(std::vector<state::service_member> rows,
+                                            std::uint64_t revision)
+{
+    for (state::service_member& row : rows)
+    {
+        row.revision = revision;
+    }
+    return rows;
+}
+
+struct fleet_size
+{
+    std::size_t vms = 0;
+    /// \brief Within this time after a trouble, VMs that are in touch follow the store again.
+    state::duration contact;
+    unsigned draws = 0;
+};
+
+constexpr fleet_size small{6, 3s, 60};
+constexpr fleet_size large{300, 5s, 2};
+
+/// \brief Plays two changes that take the directory back to its former state; the second is missed
+/// by suspended VMs, and by those that lose its datagram.
+void play_return_to_former_state(fleet_size size, unsigned seed,
+                                 std::vector<state::service_member> const& first,
+                                 std::vector<state::service_member> const& second)
+{
+    lossy_fleet fleet{size.vms, seed};
+    fleet.run_until(fleet.now() + 8s);
+    fleet.change(first);
+    // From at once to later than all messages of the first change.
+    std::uniform_int_distribution<int> pause{0, 4'000};
+    fleet.run_until(fleet.now() + std::chrono::milliseconds{pause(fleet.random())});
+    std::uniform_int_distribution<int> suspension{1'000, 6'000};
+    state::duration longest{};
+    for (std::size_t i = 0; i < 1 + size.vms / 30; ++i)
+    {
+        state::duration const time = std::chrono::milliseconds{suspension(fleet.random())};
+        fleet.suspend(fleet.draw_follower(), time);
+        longest = std::max(longest, time);
+    }
+    state::duration const told_after = longest / 2;
+    fleet.run_until(fleet.now() + told_after);
+    fleet.change(second);
+    fleet.run_until(fleet.now() + longest - told_after);
+    INFO(size.vms << " VMs, seed " << seed);
+    CHECK(fleet.run_until_converged(size.contact) < size.contact);
+}
+
+} // namespace
+
+TEST_CASE("VMs that missed a removal find out though the directory returned to a former state",
+          "[directory_repair][load]")
+{
+    fleet_size const size = GENERATE(small, large);
+    for (unsigned seed = 1; seed <= size.draws; ++seed)
+    {
+        std::vector const added{listed_upstream(upstreams, first_revision + 1)};
+        play_return_to_former_state(size, seed, added, removed(added, first_revision + 2));
+    }
+}
+
+TEST_CASE("VMs that missed the return of expired entries find out", "[directory_repair][load]")
+{
+    fleet_size const size = GENERATE(small, large);
+    for (unsigned seed = 1; seed <= size.draws; ++seed)
+    {
+        std::vector<state::service_member> all;
+        for (std::size_t i = 0; i < upstreams; ++i)
+        {
+            all.push_back(listed_upstream(i, first_revision));
+        }
+        play_return_to_former_state(size, seed, removed(all, first_revision + 1),
+                                    relisted(all, first_revision + 2));
+    }
+}
--- a/tests/coordination/test_fleet_view.cpp
+++ b/tests/coordination/test_fleet_view.cpp
@@ -425,14 +425,82 @@
     fleet_view view{state::node_id{1}};
     state::time_point now{10s};
     view.directory_changed(7, now);
+    fleet_update message = update_from(2, 1, 50);
+    message.directory = 7;
+    message.directory_version = 4;
+    view.apply_update(message, streams_of(2), 7, now);
     view.directory_changed(8, now);
+    for (; now < state::time_point{40s}; now += 500ms)
+    {
+        ++message.sequence;
+        view.apply_update(message, streams_of(2), 8, now);
+        CHECK_FALSE(view.peer_with_newer_directory(1, now));
+    }
+}
+
+// In a release directories change all the time, and those that are compared are seldom equal.
+TEST_CASE("a reader is not asked while changes are in flight both ways", "[fleet_view]")
+{
+    fleet_view view{state::node_id{1}};
+    state::time_point now{10s};
+    fleet_update message = update_from(2, 1, 50);
+    for (std::uint64_t digest = 7; digest < 60; digest += 2)
+    {
+        // Its message from between two changes arrives after both, and the next one before both.
+        view.directory_changed(digest, now);
+        view.directory_changed(digest + 1, now);
+        message.directory = digest;
+        message.directory_version += 2;
+        ++message.sequence;
+        view.apply_update(message, streams_of(2), digest + 1, now + 10ms);
+        message.directory = digest + 1'000;
+        ++message.directory_version;
+        ++message.sequence;
+        view.apply_update(message, streams_of(2), digest + 1, now + 300ms);
+        CHECK_FALSE(view.peer_with_newer_directory(1, now + 300ms));
+        now += 350ms;
+    }
+}
+
+TEST_CASE("a reader whose directory changed and is a former one again is asked", "[fleet_view]")
+{
+    fleet_view view{state::node_id{1}};
+    state::time_point now{10s};
+    view.directory_changed(7, now);
     fleet_update message = update_from(2, 1, 50);
     message.directory = 7;
-    view.apply_update(message, streams_of(2), 8, now);
-    message.sequence = 2;
-    now += 1s;
-    view.apply_update(message, streams_of(2), 8, now);
-    CHECK_FALSE(view.peer_with_newer_directory(1, now));
+    message.directory_version = 4;
+    view.apply_update(message, streams_of(2), 7, now);
+    // Both changes at the reader, one here: the second one's datagram is lost.
+    view.directory_changed(8, now);
+    message.directory_version = 6;
+    for (int i = 0; i < 3; ++i)
+    {
+        now += 350ms;
+        ++message.sequence;
+        view.apply_update(message, streams_of(2), 8, now);
+    }
+    CHECK(view.peer_with_newer_directory(1, now));
+}
+
+TEST_CASE("a version of a peer's former incarnation says nothing of the next one", "[fleet_view]")
+{
+    fleet_view view{state::node_id{1}};
+    state::time_point now{10s};
+    view.directory_changed(7, now);
+    fleet_update message = update_from(2, 1, 50);
+    message.directory = 7;
+    message.directory_version = 4;
+    view.apply_update(message, streams_of(2), 7, now);
+    view.directory_changed(8, now);
+    ++message.incarnation_number.value;
+    for (int i = 0; i < 3; ++i)
+    {
+        now += 350ms;
+        ++message.sequence;
+        view.apply_update(message, streams_of(2), 8, now);
+    }
+    CHECK(view.peer_with_newer_directory(1, now));
 }
 
 // If this VM lacks an update that a reader has, most peers have the update as well.
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -40,6 +40,7 @@
     update.sequence = 3;
     update.configuration = 4;
     update.directory = 5;
+    update.directory_version = 70'000;
     update.platform_age_ms = 6;
     update.whole = true;
     update.loads = {{state::member_key{7}, 8, 9, 10, 11}};
@@ -64,6 +65,8 @@
     auto const read = decode_fleet_update(datagram, key);
     REQUIRE(read);
     CHECK(read.value().sequence == 3);
+    CHECK(read.value().directory == 5);
+    CHECK(read.value().directory_version == 70'000);
     CHECK(read.value().whole);
     CHECK(read.value().loads == update().loads);
     REQUIRE(read.value().members.size() == 1);
@@ -94,6 +97,16 @@
     CHECK(read.value().parts[0].is_trial);
 }
 
+// Each VM sends it to all others several times a second.
+TEST_CASE("what directories are compared by costs a few bytes in any fleet", "[fleet_codec]")
+{
+    fleet_update without = update();
+    without.directory_version = 0;
+    fleet_update with = update();
+    with.directory_version = UINT32_MAX;
+    CHECK(encode(with, key).size() <= encode(without, key).size() + sizeof(std::uint32_t) + 1);
+}
+
 TEST_CASE("rows of the load parts are unchanged by a round trip", "[fleet_codec]")
 {
     fleet_update sent;
@@ -138,6 +151,7 @@
 TEST_CASE("a fleet update of maximum size fits into a datagram", "[fleet_codec]")
 {
     fleet_update full = update();
+    full.directory_version = UINT32_MAX;
     full.loads.assign(fleet_update::max_loads,
                       {state::member_key{0x123456789abcdef0}, 24, 30'000, 34'000, 9'000});
     state::service_member long_named = member();
@@ -166,6 +180,7 @@
                             std::chrono::seconds{10}});
     CHECK(encode(full, key).size() < 1'400);
     full = update();
+    full.directory_version = UINT32_MAX;
     full.loads.assign(fleet_update::max_loads,
                       {state::member_key{0x123456789abcdef0}, 24, 30'000, 34'000, 9'000});
     // Evacuation orders are only sent together with load rows.
