coordination: directories that know an upstream elsewhere have other digests

Callers would have seen: calls at one VM that go to an upstream's former address for good. A VM misses, say suspended, that entries expired and came back with other addresses; its digest equals its peers', as the digest left out the address, the service and the zone.

Change: the place of a usable entry is in its digest. An entry that names another place is a change that readers tell (`upstream moved`), so that hundreds of VMs need not each request it; kept connections to the former place are closed.

New and green before as well: VMs that missed an answer refuse its request no longer than the contact timeout (red without the reply of those that know the answer).

--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -29,7 +29,8 @@
     removed,  ///< It is gone from the list.
     unusable, ///< Its entry is no longer valid: running calls continue, new ones go
               ///< elsewhere.
-    cold      ///< It became cold again without a new start.
+    cold,     ///< It became cold again without a new start.
+    moved     ///< Its entry names another address, service or zone.
 };
 
 /// \brief One row of the directory.
@@ -130,8 +131,8 @@
     {
         return entries_;
     }
-    /// \brief Returns a digest of which starts are listed, usable and leaving; equal ones mean that
-    /// nothing needs to be exchanged.
+    /// \brief Returns a digest of which starts are listed, usable and leaving, and where; equal
+    /// ones mean that nothing needs to be exchanged.
     [[nodiscard]] std::uint64_t digest() const noexcept
     {
         return digest_;
@@ -178,7 +179,8 @@
                             state::time_point now);
     static void note_cold(directory_entry& entry, state::service_member const& member,
                           state::time_point now);
-    void adopt(directory_entry& entry, state::service_member const& member);
+    /// \brief Takes over a newer entry; returns whether it names another place.
+    bool adopt(directory_entry& entry, state::service_member const& member);
     void supersede(state::member_key former, state::time_point now);
     void add_to_service(directory_entry const& entry, state::member_key key);
     void drop_from_service(directory_entry const& entry, state::member_key key);
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -42,6 +42,15 @@
     return found == members.end() ? std::span<member_key const>{} : found->second;
 }
 
+[[nodiscard]] std::uint64_t hash_of_place(state::service_member const& member) noexcept
+{
+    std::uint64_t const address =
+        std::uint64_t{member.address.address} << 16U | member.address.port;
+    std::uint64_t const group = state::mix(state::id_from_name<member_key>(member.service).value,
+                                           state::id_from_name<member_key>(member.zone).value);
+    return state::mix(address, group);
+}
+
 // State of the listing with the greatest revision, which determines how a row changes.
 struct listing_status
 {
@@ -178,11 +187,12 @@
     bool const started_leaving = member.leaving && !entry.info.leaving;
     listing_status const before{entry.info.listed, entry.info.usable};
     bool const was_cold = now < entry.cold_until;
+    bool has_moved = false;
     toggle_digest(entry.info);
     entry.info.leaving = entry.info.leaving || member.leaving;
     if (member.revision > entry.info.revision)
     {
-        adopt(entry, member);
+        has_moved = adopt(entry, member);
         note_cold(entry, member, now);
     }
     toggle_digest(entry.info);
@@ -209,38 +219,47 @@
     {
         return directory_change::leaving;
     }
-    // Only readers of the store see its entry: without this change each other VM would send it as
-    // many calls as the whole fleet may.
+    if (change != directory_change::none)
+    {
+        return change;
+    }
+    // Only readers of the store see its entry. Without these changes each other VM would go on
+    // sending it calls elsewhere, or as many as the whole fleet may.
     bool const became_cold = !was_cold && now < entry.cold_until;
-    return became_cold && change == directory_change::none ? directory_change::cold : change;
+    return has_moved     ? directory_change::moved
+           : became_cold ? directory_change::cold
+                         : directory_change::none;
 }
 
 // The newest entry counts as a whole, so that the upstream's next entry undoes one of another
 // writer.
-void service_directory::adopt(directory_entry& entry, state::service_member const& member)
+bool service_directory::adopt(directory_entry& entry, state::service_member const& member)
 {
     entry.info.revision = member.revision;
     entry.info.listed = member.listed;
     entry.info.usable = member.usable;
     if (!member.listed || !member.usable)
     {
-        return;
+        return false;
     }
     member_key const key = state::key_of(entry.info);
-    bool const has_moved = member.service != entry.info.service || member.zone != entry.info.zone;
-    if (has_moved)
+    bool const has_new_group =
+        member.service != entry.info.service || member.zone != entry.info.zone;
+    bool const has_moved = has_new_group || member.address != entry.info.address;
+    if (has_new_group)
     {
         drop_from_service(entry, key);
     }
     entry.info.service = member.service;
     entry.info.zone = member.zone;
-    if (has_moved)
+    if (has_new_group)
     {
         add_to_service(entry, key);
     }
     entry.info.address = member.address;
     entry.info.slots = member.slots;
     entry.info.cold_ms = member.cold_ms;
+    return has_moved;
 }
 
 void service_directory::supersede(member_key former, state::time_point now)
@@ -400,7 +419,10 @@
     if (member.listed)
     {
         std::uint64_t const status_bits = (member.leaving ? 2U : 1U) + (member.usable ? 0U : 2U);
-        std::uint64_t const row = state::mix(state::key_of(member).value, status_bits);
+        // An unusable entry doesn't say where its upstream is.
+        std::uint64_t const place = member.usable ? hash_of_place(member) : 0;
+        std::uint64_t const row =
+            state::mix(state::mix(state::key_of(member).value, status_bits), place);
         digest_ ^= row;
         digests_by_bucket_[bucket_of(member.name, max_buckets)] ^= row;
     }
--- a/src/transport/directory_change_log.cpp
+++ b/src/transport/directory_change_log.cpp
@@ -12,9 +12,9 @@
 constexpr std::string_view part = "directory";
 
 // In the order of `directory_change`.
-constexpr std::array<std::string_view, 6> decisions{
-    "upstream unchanged", "upstream listed",           "upstream leaving",
-    "upstream removed",   "upstream's entry unusable", "upstream cold again"};
+constexpr std::array<std::string_view, 7> decisions{
+    "upstream unchanged",        "upstream listed",     "upstream leaving", "upstream removed",
+    "upstream's entry unusable", "upstream cold again", "upstream moved"};
 
 } // namespace
 
--- a/src/transport/directory_change_log.hpp
+++ b/src/transport/directory_change_log.hpp
@@ -50,7 +50,7 @@
     void write(std::size_t kind, batch& from, std::uint64_t digest);
 
     static constexpr std::size_t kinds =
-        static_cast<std::size_t>(coordination::directory_change::cold) + 1;
+        static_cast<std::size_t>(coordination::directory_change::moved) + 1;
 
     decision_log& log_;
     std::array<batch, kinds> batches_;
--- a/src/transport/forward_core_upstreams.cpp
+++ b/src/transport/forward_core_upstreams.cpp
@@ -44,7 +44,8 @@
     change_log_.add(change, entry->info, source);
     unreported.push_back(entry->info);
     bool const departs = change == directory_change::removed || change == directory_change::leaving;
-    if (departs && departures.record_departure(member))
+    bool const is_new_departure = departs && departures.record_departure(member);
+    if (is_new_departure || change == directory_change::moved)
     {
         pool.drop(member);
     }
--- a/tests/coordination/test_directory_repair.cpp
+++ b/tests/coordination/test_directory_repair.cpp
@@ -13,22 +13,27 @@
 constexpr std::size_t upstreams = 40;
 constexpr std::uint64_t first_revision = 100;
 
+std::vector<state::service_member> all_upstreams()
+{
+    std::vector<state::service_member> all;
+    for (std::size_t i = 0; i < upstreams; ++i)
+    {
+        all.push_back(listed_upstream(i, first_revision));
+    }
+    return all;
+}
+
 /// \brief A fleet of equal directories that loses datagrams and whose VMs stand still at times.
 class lossy_fleet : public directory_fleet
 {
 public:
     lossy_fleet(std::size_t vms, unsigned seed) : directory_fleet{vms}, random_{seed}
     {
-        std::vector<state::service_member> rows;
-        for (std::size_t i = 0; i < upstreams; ++i)
-        {
-            rows.push_back(listed_upstream(i, first_revision));
-        }
         suspended_until_.resize(vms);
         next_update_at_.resize(vms);
         for (auto const& vm : this->vms())
         {
-            vm->merge(rows, {});
+            vm->merge(all_upstreams(), {});
         }
     }
 
@@ -70,6 +75,23 @@
         return now_ - begin;
     }
 
+    /// \brief Returns whether all VMs know these upstreams where the rows say that they are.
+    [[nodiscard]] bool has_places_of(std::vector<state::service_member> const& rows) const
+    {
+        return std::all_of(vms().begin(), vms().end(),
+                           [&rows](auto const& vm)
+                           {
+                               return std::all_of(rows.begin(), rows.end(),
+                                                  [&vm](state::service_member const& row)
+                                                  {
+                                                      auto const* const known =
+                                                          vm->directory.find(state::key_of(row));
+                                                      return known == nullptr ||
+                                                             known->info.address == row.address;
+                                                  });
+                           });
+    }
+
     [[nodiscard]] state::time_point now() const noexcept
     {
         return now_;
@@ -172,6 +194,15 @@
     return rows;
 }
 
+std::vector<state::service_member> moved(std::vector<state::service_member> rows)
+{
+    for (state::service_member& row : rows)
+    {
+        row.address = {0x0a000002, 80};
+    }
+    return rows;
+}
+
 std::vector<state::service_member> relisted(std::vector<state::service_member> rows,
                                             std::uint64_t revision)
 {
@@ -219,6 +250,7 @@
     fleet.run_until(fleet.now() + longest - told_after);
     INFO(size.vms << " VMs, seed " << seed);
     CHECK(fleet.run_until_converged(size.contact) < size.contact);
+    CHECK(fleet.has_places_of(second));
 }
 
 } // namespace
@@ -239,12 +271,17 @@
     fleet_size const size = GENERATE(small, large);
     for (unsigned seed = 1; seed <= size.draws; ++seed)
     {
-        std::vector<state::service_member> all;
-        for (std::size_t i = 0; i < upstreams; ++i)
-        {
-            all.push_back(listed_upstream(i, first_revision));
-        }
-        play_return_to_former_state(size, seed, removed(all, first_revision + 1),
-                                    relisted(all, first_revision + 2));
+        play_return_to_former_state(size, seed, removed(all_upstreams(), first_revision + 1),
+                                    relisted(all_upstreams(), first_revision + 2));
+    }
+}
+
+TEST_CASE("VMs that missed that upstreams came back elsewhere find out", "[directory_repair][load]")
+{
+    fleet_size const size = GENERATE(small, large);
+    for (unsigned seed = 1; seed <= size.draws; ++seed)
+    {
+        play_return_to_former_state(size, seed, removed(all_upstreams(), first_revision + 1),
+                                    moved(relisted(all_upstreams(), first_revision + 2)));
     }
 }
--- a/tests/coordination/test_evidence_exchange.cpp
+++ b/tests/coordination/test_evidence_exchange.cpp
@@ -73,12 +73,28 @@
         }
     }
 
+    void announce(entry_vm& from, state::time_point now)
+    {
+        for (request_evidence const& each : from.quarantine.unreported())
+        {
+            ++announced_count;
+            for (entry_vm& other : vms)
+            {
+                if (&other != &from && arrives())
+                {
+                    other.quarantine.apply_update(each, now);
+                }
+            }
+        }
+    }
+
     void run(state::duration time)
     {
         for (state::time_point now = start; now < start + time; now += 10ms)
         {
             for (entry_vm& vm : vms)
             {
+                announce(vm, now);
                 if (now >= vm.sends_at)
                 {
                     vm.sends_at += interval;
@@ -106,6 +122,7 @@
     state::duration interval{};
     std::size_t sent_count = 0;
     std::size_t request_count = 0;
+    std::size_t announced_count = 0;
 };
 
 } // namespace
@@ -139,6 +156,34 @@
     }
 }
 
+// Guards against VMs that refuse a request for ten minutes though an upstream answered it: they
+// were suspended as its evidence was cleared.
+TEST_CASE("VMs that missed an answer refuse its request no longer than the contact timeout",
+          "[quarantine][load]")
+{
+    for (std::size_t const count : {6U, 60U, 300U})
+    {
+        for (unsigned seed = 1; seed <= 5; ++seed)
+        {
+            lossy_fleet fleet{count, seed};
+            for (std::size_t i = 0; i < count; ++i)
+            {
+                request_quarantine& known = fleet.vms[i].quarantine;
+                known.apply_update({request, state::member_key{1}, 0s}, start);
+                known.apply_update({request, state::member_key{2}, 0s}, start);
+                if (i % 10 != 0)
+                {
+                    known.apply_update({request, {}, 0s}, start);
+                }
+            }
+            fleet.run(contact_timeout);
+            CAPTURE(count, seed, fleet.sent_count, fleet.announced_count);
+            CHECK(fleet.informed_count(start + contact_timeout) == 0);
+            CHECK(fleet.announced_count <= 8 * (count / 10 + 1) + 10);
+        }
+    }
+}
+
 TEST_CASE("a VM with the same evidence as its peers neither requests nor sends it", "[quarantine]")
 {
     evidence_exchange exchange;
--- a/tests/coordination/test_service_directory.cpp
+++ b/tests/coordination/test_service_directory.cpp
@@ -283,6 +283,33 @@
     CHECK(directory.members_of("unknown").empty());
 }
 
+// Guards against VMs that send calls to an upstream's former address for good: they missed the
+// entry with the new one, and their directory looked like their peers'.
+TEST_CASE("directories that know an upstream elsewhere differ, and a move is told", "[directory]")
+{
+    state::time_point const now{10s};
+    for (int field = 0; field < 3; ++field)
+    {
+        service_directory directory;
+        directory.merge(member_at("i-1", 5), now);
+        std::uint64_t const before = directory.digest();
+        state::service_member elsewhere = member_at("i-1", 6);
+        elsewhere.address.port += field == 0 ? 1 : 0;
+        elsewhere.service += field == 1 ? "2" : "";
+        elsewhere.zone += field == 2 ? "2" : "";
+        CHECK(directory.merge(elsewhere, now) == directory_change::moved);
+        CHECK(directory.digest() != before);
+        elsewhere.revision = 7;
+        CHECK(directory.merge(elsewhere, now) == directory_change::none);
+        // What an unusable entry says of the place doesn't count, so VMs that missed it agree.
+        directory.merge(unusable("i-1", 8), now);
+        service_directory other;
+        other.merge(member_at("i-1", 5), now);
+        other.merge(unusable("i-1", 8), now);
+        CHECK(directory.digest() == other.digest());
+    }
+}
+
 // The store, peers and upstreams report five names with up to four starts each, in random order.
 // All entry VMs must get the same directory, in which the latest start is as in its newest entry
 // and no former one takes work.
