coordination: one entry with a start takes no work from upstreams without one

Callers saw (three VMs, three upstreams that state no start): after one entry of another writer with any start, each VM refused every call as `no peer takes it`, 36 of 36, also for upstreams listed later, after the entry was removed, and at VMs that started again.

Cause: service_directory kept for good that some entry had stated a start, and refused every entry without one from then on.

Change: listed and usable rows with and without a start are counted; entries without one get no work where more have one. A row that leaves, or becomes unusable, is counted out.

--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -184,14 +184,17 @@
     void supersede(state::member_key former, state::time_point now);
     void add_to_service(directory_entry const& entry, state::member_key key);
     void drop_from_service(directory_entry const& entry, state::member_key key);
+    /// \brief Counts a row in, or out before it changes: for the digests and the starts.
+    void include(state::service_member const& member) noexcept;
+    void exclude(state::service_member const& member) noexcept;
     void toggle_digest(state::service_member const& member) noexcept;
 
     std::unordered_map<state::member_key, directory_entry> entries_;
     /// \brief By the key of the name alone.
     std::unordered_map<state::member_key, name_record> names_;
-    /// \brief Upstreams report their starts, so an entry without one was not written by an
-    /// upstream.
-    bool starts_reported_ = false;
+    /// \brief Listed and usable rows with and without a start.
+    std::size_t with_start_ = 0;
+    std::size_t without_start_ = 0;
     std::unordered_map<std::string, std::vector<state::member_key>> services_;
     /// \brief By service and zone.
     std::unordered_map<std::string, std::vector<state::member_key>> services_by_zone_;
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -105,7 +105,6 @@
     {
         supersede(state::key_of(resolved.name, name.latest), now);
         name.latest = resolved.started;
-        starts_reported_ = true;
     }
     auto const found = entries_.find(state::key_of(resolved));
     if (found != entries_.end())
@@ -127,7 +126,7 @@
     entry.listed_at = now;
     note_cold(entry, member, now);
     add_to_service(entry, key);
-    toggle_digest(entry.info);
+    include(entry.info);
     if (!entry.info.listed)
     {
         entry.leaving_since = now;
@@ -188,14 +187,14 @@
     listing_status const before{entry.info.listed, entry.info.usable};
     bool const was_cold = now < entry.cold_until;
     bool has_moved = false;
-    toggle_digest(entry.info);
+    exclude(entry.info);
     entry.info.leaving = entry.info.leaving || member.leaving;
     if (member.revision > entry.info.revision)
     {
         has_moved = adopt(entry, member);
         note_cold(entry, member, now);
     }
-    toggle_digest(entry.info);
+    include(entry.info);
     if (started_leaving)
     {
         entry.leaving_since = std::min(entry.leaving_since, now);
@@ -270,7 +269,7 @@
         return;
     }
     directory_entry& entry = found->second;
-    toggle_digest(entry.info);
+    exclude(entry.info);
     entry.info.listed = false;
     entry.superseded = true;
     entry.leaving_since = std::min(entry.leaving_since, now);
@@ -299,9 +298,9 @@
         return directory_change::none;
     }
     directory_entry& entry = found->second;
-    toggle_digest(entry.info);
+    exclude(entry.info);
     entry.info.leaving = true;
-    toggle_digest(entry.info);
+    include(entry.info);
     entry.leaving_since = std::min(entry.leaving_since, now);
     return directory_change::leaving;
 }
@@ -331,7 +330,7 @@
                                         entry.removal_effective_at + removed_retention < now;
                       if (drop)
                       {
-                          toggle_digest(entry.info);
+                          exclude(entry.info);
                           drop_from_service(entry, row.first);
                       }
                       return drop;
@@ -397,7 +396,9 @@
 bool service_directory::is_available(directory_entry const& entry,
                                      state::time_point now) const noexcept
 {
-    bool const is_own_entry = entry.info.started.value != 0 || !starts_reported_;
+    // Upstreams of one platform state their starts or don't. Where most do, an entry without one
+    // was not written by its upstream; one entry with a start says nothing of all others.
+    bool const is_own_entry = entry.info.started.value != 0 || with_start_ <= without_start_;
     return entry.info.usable && is_own_entry && !entry.info.leaving && !entry.replaced &&
            !entry.superseded && now < entry.removal_effective_at;
 }
@@ -413,6 +414,24 @@
     return find_members(services_by_zone_, key_of_zone(service, zone));
 }
 
+void service_directory::include(state::service_member const& member) noexcept
+{
+    toggle_digest(member);
+    if (member.listed && member.usable)
+    {
+        ++(member.started.value != 0 ? with_start_ : without_start_);
+    }
+}
+
+void service_directory::exclude(state::service_member const& member) noexcept
+{
+    toggle_digest(member);
+    if (member.listed && member.usable)
+    {
+        --(member.started.value != 0 ? with_start_ : without_start_);
+    }
+}
+
 void service_directory::toggle_digest(state::service_member const& member) noexcept
 {
     // Removed rows are left out, as peers erase them at different times.
