transport: entries that can't be read are logged once a revision, together

Operators saw a line for each unreadable entry with each full read of the list, and again at each VM that became a reader: with 500 such entries the bound of 400 lines a second drops lines of calls.

Change: unreadable_entry_log remembers what it wrote, and writes one line each two seconds at most, with the first names, the first one's field and the count.

Measured: 500 entries read 20 times, one of them changed, give 2 lines of under 1 KB together; before, a line for each reading of each entry (by reading, 10,000).

--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -80,7 +80,7 @@
                  {
                      apply_reported_start(member, started);
                  }},
-      change_log_{logger}, started_at_{boot_now()},
+      change_log_{logger}, unreadable_log_{logger}, started_at_{boot_now()},
       slack_sharing_{fleet, self, nodes_of(process_settings.seeds), started_at_,
                      process_settings.retry_limit.window}
 {
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -11,6 +11,7 @@
 #include "net.hpp"
 #include "quarantine_tracker.hpp"
 #include "reach_prober.hpp"
+#include "unreadable_entry_log.hpp"
 #include "upstream_orders.hpp"
 #include "upstream_pool.hpp"
 
@@ -247,6 +248,7 @@
 
 private:
     void apply_member(state::service_member const& member, std::string_view source);
+    void apply_unusable_entry(protocol::unusable_entry const& entry, std::string_view source);
     void mark_leaving(state::member_key member);
     void begin_backoff(state::member_key member, state::duration time);
     /// \brief Logs a change of an upstream, queues it for peers, and notifies calls of a departure.
@@ -268,6 +270,7 @@
     void configure_parts(coordination::load_part_settings const& allowed);
 
     directory_change_log change_log_;
+    unreadable_entry_log unreadable_log_;
     state::time_point started_at_;
     coordination::slack_sharing slack_sharing_;
     std::unordered_map<std::string, coordination::fleet_retry_budget> retry_budgets_;
--- a/src/transport/forward_core_upstreams.cpp
+++ b/src/transport/forward_core_upstreams.cpp
@@ -95,23 +95,25 @@
     std::uint64_t const before = directory.digest();
     for (protocol::unusable_entry const& each : entries)
     {
-        log.write(part, "entry unreadable", {},
-                  {{"upstream", each.name},
-                   {"field", each.reason},
-                   {"revision", static_cast<std::int64_t>(state::revision_in(each.revision))},
-                   {"source", source}});
-        if (!each.name.empty())
-        {
-            state::service_member member;
-            member.name = each.name;
-            member.revision = each.revision;
-            member.usable = false;
-            apply_member(member, source);
-        }
+        apply_unusable_entry(each, source);
     }
     note_directory_change(before);
 }
 
+void forward_core::apply_unusable_entry(protocol::unusable_entry const& entry,
+                                        std::string_view source)
+{
+    unreadable_log_.add(entry, source);
+    if (!entry.name.empty())
+    {
+        state::service_member member;
+        member.name = entry.name;
+        member.revision = entry.revision;
+        member.usable = false;
+        apply_member(member, source);
+    }
+}
+
 void forward_core::apply_members(std::span<state::service_member const> members,
                                  std::string_view source)
 {
@@ -241,6 +243,7 @@
 void forward_core::flush_change_log(state::time_point now)
 {
     change_log_.flush(directory.digest(), now);
+    unreadable_log_.flush(now);
 }
 
 state::duration forward_core::platform_age(state::time_point now) const
--- a/tests/platform/test_decision_log.cpp
+++ b/tests/platform/test_decision_log.cpp
@@ -1,5 +1,6 @@
 #include "transport/decision_log.hpp"
 #include "transport/directory_change_log.hpp"
+#include "transport/unreadable_entry_log.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -149,3 +150,29 @@
     CHECK(read.size() < 4'096);
     CHECK(read.find("\"count\":11000") != std::string::npos);
 }
+
+// Load pattern: another writer left 500 entries, and each VM that reads the list reads them again
+// and again. With a line for each, lines of calls are dropped.
+TEST_CASE("entries that can't be read are told once a revision, together",
+          "[decision_log][odd_entry]")
+{
+    line_pipe pipe;
+    decision_log log{pipe.writer(), "vm"};
+    unreadable_entry_log entries{log};
+    std::string read;
+    for (int round = 0; round < 20; ++round)
+    {
+        for (int i = 0; i < 500; ++i)
+        {
+            std::uint64_t const revision = round < 10 || i != 7 ? 40 : 41;
+            entries.add({"odd-" + std::to_string(i), revision, "slots"}, "store");
+        }
+        entries.flush(state::time_point{round * 3s});
+        log.flush();
+        read += pipe.read();
+    }
+    CHECK(line_count(read) == 2);
+    CHECK(read.size() < 1'024);
+    CHECK(read.find("\"count\":500") != std::string::npos);
+    CHECK(read.find("\"upstream\":\"odd-7\"") != std::string::npos);
+}
