coordination: a start of another writer counts until the upstream's next entry

Callers would have seen: an upstream that gets no calls any more, at any VM, though its entry is sound. Another writer's entry under its name stated a later start (2^64 - 1, or only a few milliseconds later); the upstream's own next entry counted as one of a former start, for good. Peers passed the start on.

Cause: of each name the latest start counted, whichever writer had stated it.

Change: of each name the start counts that the newest entry states; nothing below a start that the upstream stated itself (`start_confirmed`, told to peers), so that entries of a former start which are still on their way never count again. Where most entries have no start, one without replaces one with.

The check `an older start never overrides a newer one` gave the former start's entries greater revisions than the newer one's, which a list that lags or a peer can't have, but for a start that the upstream stated before its entry did. It is two checks now, with one more case each: entries that are older words, removals and entries without a start; and, after a start that the upstream stated, also greater revisions, in both orders.

--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -67,11 +67,9 @@
 
 /// \brief Merges updates of upstreams in any order to the same result.
 ///
-/// For each name the latest start counts. For one start, the listing with the greatest revision
-/// counts, and leaving is monotone. Example:
-/// \code
-/// service_directory directory;
-/// directory.merge(member, now);
+/// For each name the start counts that the newest entry states, and none before the last that the
+/// upstream stated itself. For one start, the listing with the greatest revision counts, and
+/// leaving is monotone. Example: \code service_directory directory; directory.merge(member, now);
 /// if (directory.may_take_work(key, now)) { ... }
 /// \endcode
 class service_directory
@@ -98,7 +96,7 @@
     void forget(state::time_point now);
 
     [[nodiscard]] directory_entry const* find(state::member_key key) const;
-    /// \brief Returns the key of the latest start known of a name; none if there is none.
+    /// \brief Returns the key of the start that counts for a name; none if there is none.
     [[nodiscard]] std::optional<state::member_key> latest(std::string_view name) const;
     /// \brief Returns whether new work may be sent to it.
     [[nodiscard]] bool may_take_work(directory_entry const& entry,
@@ -163,7 +161,12 @@
     /// \brief State of a name across its starts.
     struct name_record
     {
+        /// \brief The start that counts.
         state::incarnation latest;
+        /// \brief Revision of the newest entry that states it.
+        std::uint64_t stated_at = 0;
+        /// \brief The latest start that the upstream stated itself.
+        state::incarnation confirmed;
         /// \brief Revisions of the last removal and of the last unusable entry: an older listing,
         /// even of a start that isn't known yet, doesn't undo them.
         std::uint64_t removed_at = 0;
@@ -171,6 +174,15 @@
         state::time_point noted_at{};
     };
 
+    [[nodiscard]] bool may_replace_start(name_record const& name,
+                                         state::service_member const& member) const noexcept;
+    /// \brief Returns whether most listed rows have a start.
+    [[nodiscard]] bool states_starts() const noexcept
+    {
+        return with_start_ > without_start_;
+    }
+    void replace_start(name_record& name, state::service_member const& member,
+                       state::time_point now);
     directory_change insert(state::service_member const& member, name_record const& name,
                             state::time_point now);
     [[nodiscard]] bool is_available(directory_entry const& entry,
--- a/include/plumdale/state/service_member.hpp
+++ b/include/plumdale/state/service_member.hpp
@@ -3,6 +3,7 @@
 #include <plumdale/state/endpoint.hpp>
 #include <plumdale/state/identifier.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -20,6 +21,8 @@
     std::string name;
     /// \brief Start of the process, greater for a later one; zero if it isn't reported.
     incarnation started;
+    /// \brief The upstream itself stated its start, not only its entry.
+    bool start_confirmed = false;
     std::string service;
     std::string zone;
     endpoint address;
@@ -35,8 +38,25 @@
     std::uint64_t revision = 0;
     /// \brief How long it is still slow after its start, as of the listing.
     std::uint32_t cold_ms = 0;
+
+    /// \brief Longest name, in bytes.
+    static constexpr std::size_t max_name_bytes = 200;
+    /// \brief Far above the slots of any upstream; a greater number means a damaged entry.
+    static constexpr std::uint32_t max_slots = 100'000;
 };
 
+/// \brief Returns whether a row has what calls are sent by: a name and, if it says that its
+/// upstream may be used, also a place and slots.
+[[nodiscard]] inline bool is_complete(service_member const& member) noexcept
+{
+    bool const is_named =
+        !member.name.empty() && member.name.size() <= service_member::max_name_bytes;
+    bool const has_place = member.address.address != 0 && member.address.port != 0 &&
+                           !member.service.empty() && !member.zone.empty();
+    bool const has_slots = member.slots != 0 && member.slots <= service_member::max_slots;
+    return is_named && (!member.listed || !member.usable || (has_place && has_slots));
+}
+
 /// \brief Identifies one incarnation of an upstream in tables and datagrams.
 using member_key = identifier<struct member_key_tag>;
 
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -95,16 +95,21 @@
     bool const names_start = member.started.value != 0 || (member.listed && member.usable);
     state::service_member resolved = member;
     resolved.started = names_start ? member.started : name.latest;
-    if (resolved.started < name.latest)
+    if (resolved.started != name.latest)
     {
-        // The peer or list lags. If a former start counted, calls would go to a process that is
-        // gone, and the later one, which replaced it, would be treated as leaving.
-        return directory_change::none;
+        if (!may_replace_start(name, resolved))
+        {
+            return directory_change::none;
+        }
+        replace_start(name, resolved, now);
+    }
+    if (names_start)
+    {
+        name.stated_at = std::max(name.stated_at, member.revision);
     }
-    if (name.latest < resolved.started)
+    if (member.start_confirmed)
     {
-        supersede(state::key_of(resolved.name, name.latest), now);
-        name.latest = resolved.started;
+        name.confirmed = std::max(name.confirmed, member.started);
     }
     auto const found = entries_.find(state::key_of(resolved));
     if (found != entries_.end())
@@ -114,6 +119,41 @@
     return resolved.usable ? insert(resolved, name, now) : directory_change::none;
 }
 
+// What the upstream says itself of its start holds: a peer or list that lags would otherwise send
+// calls to a process that is gone. What only its entry says holds until a newer entry says
+// otherwise, as another writer's start would hide the upstream for good.
+bool service_directory::may_replace_start(name_record const& name,
+                                          state::service_member const& member) const noexcept
+{
+    if (member.started < name.confirmed)
+    {
+        return false;
+    }
+    if (name.latest < member.started)
+    {
+        return member.start_confirmed || name.latest.value == 0 || name.stated_at < member.revision;
+    }
+    bool const is_own_entry = member.started.value != 0 || !states_starts();
+    return is_own_entry && member.listed && member.usable && name.stated_at < member.revision;
+}
+
+void service_directory::replace_start(name_record& name, state::service_member const& member,
+                                      state::time_point now)
+{
+    supersede(state::key_of(member.name, name.latest), now);
+    name.latest = member.started;
+    name.stated_at = member.revision;
+    // A start that counted before and does again: what it said of its leaving still holds.
+    auto const former = entries_.find(state::key_of(member));
+    if (former != entries_.end() && former->second.superseded)
+    {
+        directory_entry& entry = former->second;
+        entry.superseded = false;
+        entry.leaving_since = entry.info.leaving ? entry.leaving_since : state::never;
+        add_to_service(entry, former->first);
+    }
+}
+
 directory_change service_directory::insert(state::service_member const& member,
                                            name_record const& name, state::time_point now)
 {
@@ -189,6 +229,7 @@
     bool has_moved = false;
     exclude(entry.info);
     entry.info.leaving = entry.info.leaving || member.leaving;
+    entry.info.start_confirmed = entry.info.start_confirmed || member.start_confirmed;
     if (member.revision > entry.info.revision)
     {
         has_moved = adopt(entry, member);
@@ -398,7 +439,7 @@
 {
     // Upstreams of one platform state their starts or don't. Where most do, an entry without one
     // was not written by its upstream; one entry with a start says nothing of all others.
-    bool const is_own_entry = entry.info.started.value != 0 || with_start_ <= without_start_;
+    bool const is_own_entry = entry.info.started.value != 0 || !states_starts();
     return entry.info.usable && is_own_entry && !entry.info.leaving && !entry.replaced &&
            !entry.superseded && now < entry.removal_effective_at;
 }
--- a/src/protocol/fleet.capnp
+++ b/src/protocol/fleet.capnp
@@ -26,6 +26,7 @@
   coldMs @9 :UInt32;
   started @10 :UInt64;
   usable @11 :Bool = true;
+  startConfirmed @12 :Bool;
 }
 
 struct ReaderBeat {
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -40,6 +40,7 @@
     to.setColdMs(from.cold_ms);
     to.setStarted(from.started.value);
     to.setUsable(from.usable);
+    to.setStartConfirmed(from.start_confirmed);
 }
 
 void write(wire::ReaderBeat::Builder to, coordination::reader_heartbeat const& from)
@@ -203,6 +204,7 @@
     member.cold_ms = from.getColdMs();
     member.started = state::incarnation{from.getStarted()};
     member.usable = from.getUsable();
+    member.start_confirmed = from.getStartConfirmed();
     return member;
 }
 
--- a/src/transport/forward_core_upstreams.cpp
+++ b/src/transport/forward_core_upstreams.cpp
@@ -2,9 +2,11 @@
 #include "forward_core.hpp"
 #include "milliseconds.hpp"
 
+#include <plumdale/coordination/start_check.hpp>
 #include <plumdale/state/store_position.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 // What a forwarding entry VM learns of upstreams and zones; forward_core.cpp has the rest.
 
@@ -17,6 +19,13 @@
 
 constexpr std::string_view part = "directory";
 
+[[nodiscard]] bool is_impossible_start(state::incarnation started)
+{
+    auto const unix_time = std::chrono::system_clock::now().time_since_epoch();
+    return coordination::is_impossible_start(
+        started, std::chrono::duration_cast<std::chrono::milliseconds>(unix_time));
+}
+
 } // namespace
 
 // -- upstreams ------------------------------------------------------------------------------------
@@ -76,12 +85,13 @@
 void forward_core::apply_reported_start(state::member_key member, state::incarnation started)
 {
     coordination::directory_entry const* const entry = directory.find(member);
-    if (entry == nullptr)
+    if (entry == nullptr || is_impossible_start(started))
     {
         return;
     }
     state::service_member later = entry->info;
     later.started = started;
+    later.start_confirmed = true;
     later.leaving = false;
     later.listed = true;
     std::uint64_t const before = directory.digest();
@@ -120,7 +130,9 @@
     std::uint64_t const before = directory.digest();
     for (state::service_member const& member : members)
     {
-        apply_member(member, source);
+        is_impossible_start(member.started)
+            ? apply_unusable_entry({member.name, member.revision, "start"}, source)
+            : apply_member(member, source);
     }
     note_directory_change(before);
 }
--- a/tests/coordination/test_service_directory.cpp
+++ b/tests/coordination/test_service_directory.cpp
@@ -217,14 +217,84 @@
     service_directory directory;
     state::time_point const now{10s};
     directory.merge(started(member_at("i-1", 8), 200), now);
-    CHECK(directory.merge(started(member_at("i-1", 20), 100), now) == directory_change::none);
-    CHECK(directory.merge(started(leaving(member_at("i-1", 21)), 100), now) ==
+    CHECK(directory.merge(started(member_at("i-1", 7), 100), now) == directory_change::none);
+    CHECK(directory.merge(started(leaving(member_at("i-1", 8)), 100), now) ==
           directory_change::none);
+    CHECK(directory.merge(started(removed(member_at("i-1", 8), 20), 100), now) ==
+          directory_change::none);
+    CHECK(directory.merge(member_at("i-1", 30), now) == directory_change::none);
     CHECK(directory.latest("i-1") == state::key_of("i-1", state::incarnation{200}));
     CHECK(latest_takes_work(directory, "i-1", now));
     CHECK(directory.find(state::key_of("i-1", state::incarnation{100})) == nullptr);
 }
 
+// An upstream's answer tells its start before its entry does; entries of the former start that were
+// written before are still on their way, with greater revisions than the one that is known here.
+TEST_CASE("a start that an upstream stated itself is never overridden by an older one",
+          "[directory]")
+{
+    state::time_point const now{10s};
+    for (bool const is_confirmed_last : {false, true})
+    {
+        service_directory directory;
+        state::service_member confirmed = started(member_at("i-1", 8), 200);
+        confirmed.start_confirmed = true;
+        directory.merge(started(member_at("i-1", 8), 100), now);
+        if (is_confirmed_last)
+        {
+            directory.merge(started(member_at("i-1", 20), 100), now);
+        }
+        directory.merge(confirmed, now);
+        CHECK(directory.merge(started(member_at("i-1", 20), 100), now) == directory_change::none);
+        CHECK(directory.merge(started(leaving(member_at("i-1", 21)), 100), now) ==
+              directory_change::none);
+        CHECK(directory.latest("i-1") == state::key_of("i-1", state::incarnation{200}));
+        CHECK(latest_takes_work(directory, "i-1", now));
+    }
+}
+
+// Guards against one writer that hides an upstream for good: its entry under that name states a
+// later start, and the upstream's own next entry would count as one of a former start.
+TEST_CASE("a start of another writer counts until the upstream's next entry",
+          "[directory][odd_entry]")
+{
+    state::time_point const now{10s};
+    std::vector<state::service_member> updates{started(member_at("i-1", 5), 100),
+                                               started(member_at("i-1", 8), 10'000),
+                                               started(member_at("i-1", 20), 100)};
+    std::sort(updates.begin(), updates.end(),
+              [](auto const& a, auto const& b) { return a.revision < b.revision; });
+    do
+    {
+        service_directory directory;
+        for (state::service_member const& each : updates)
+        {
+            directory.merge(each, now);
+        }
+        CHECK(directory.latest("i-1") == state::key_of("i-1", state::incarnation{100}));
+        CHECK(latest_takes_work(directory, "i-1", now));
+        CHECK(directory.members_of("lists").size() == 1);
+        // A restart after that still replaces it at once.
+        CHECK(directory.merge(started(member_at("i-1", 21), 300), now) == directory_change::listed);
+        CHECK(directory.latest("i-1") == state::key_of("i-1", state::incarnation{300}));
+    } while (std::next_permutation(updates.begin(), updates.end(),
+                                   [](auto const& a, auto const& b)
+                                   { return a.revision < b.revision; }));
+}
+
+// What an upstream said of its leaving is not undone by a writer that claims a start in between.
+TEST_CASE("an upstream that announced its leaving stays leaving after another writer's start",
+          "[directory][odd_entry]")
+{
+    service_directory directory;
+    state::time_point const now{10s};
+    directory.merge(started(leaving(member_at("i-1", 5)), 100), now);
+    directory.merge(started(member_at("i-1", 8), 10'000), now);
+    directory.merge(started(member_at("i-1", 20), 100), now);
+    CHECK(directory.latest("i-1") == state::key_of("i-1", state::incarnation{100}));
+    CHECK_FALSE(latest_takes_work(directory, "i-1", now));
+}
+
 // Another writer replaces an upstream's entry until the upstream writes again. New calls go
 // elsewhere meanwhile; the upstream doesn't count as leaving, so running calls continue.
 TEST_CASE("an upstream whose entry becomes unusable gets no new work until it is usable",
@@ -430,6 +500,32 @@
     }
 }
 
+// Entries of one name with starts of several writers: the newest entry says which start counts.
+TEST_CASE("entries of several writers merge to the newest one in any order",
+          "[directory][odd_entry][seeds]")
+{
+    state::time_point const now{10s};
+    for (unsigned seed = 1; seed <= 2'000; ++seed)
+    {
+        std::minstd_rand random{seed};
+        std::vector<state::service_member> updates;
+        for (std::uint64_t revision = 1; revision <= 6; ++revision)
+        {
+            updates.push_back(started(member_at("i-1", revision), 100 + 10 * (random() % 3)));
+        }
+        state::incarnation const newest = updates.back().started;
+        std::shuffle(updates.begin(), updates.end(), random);
+        service_directory directory;
+        for (state::service_member const& each : updates)
+        {
+            directory.merge(each, now);
+        }
+        REQUIRE(directory.latest("i-1") == state::key_of("i-1", newest));
+        REQUIRE(latest_takes_work(directory, "i-1", now));
+        REQUIRE(directory.members_of("lists").size() == 1);
+    }
+}
+
 namespace
 {
 
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -29,6 +29,7 @@
     member.cold_ms = 900;
     member.started = state::incarnation{1'784'177'076'285};
     member.usable = false;
+    member.start_confirmed = true;
     return member;
 }
 
@@ -73,6 +74,7 @@
     CHECK(read.value().members[0].address == member().address);
     CHECK(read.value().members[0].started == member().started);
     CHECK_FALSE(read.value().members[0].usable);
+    CHECK(read.value().members[0].start_confirmed);
     CHECK(read.value().members[0].leaving);
     CHECK_FALSE(read.value().members[0].listed);
     CHECK(read.value().evacuations.as_of == 12);
