platform: an odd item of the store costs no other one

Callers would have seen: VMs that no longer follow the list, or take upstreams for removed. A page was parsed as a whole: one item with a member nested deeper than 13 levels, a number that is none, or bytes that are no UTF-8 refused the page, for as long as the item was there. A last item without a readable key ended a list that goes on, and the pages behind it counted as removed. A revision far beyond the store's own made all later changes of its name older ones.

A list goes on after its last readable key, and is refused if there is none. A revision of zero, or a million beyond the page's, leaves what is known of its name; an order with one is in force as of the page.

The check that counts three unusable items of a page counts four: an item that is no object is one as well.

--- a/tests/platform/test_store_entries.cpp
+++ b/tests/platform/test_store_entries.cpp
@@ -155,7 +155,110 @@
     REQUIRE(page.members.size() == 1);
     CHECK(page.members[0].name == "i-9");
     CHECK_FALSE(page.members[0].listed);
-    CHECK(page.unusable.size() == 3);
+    CHECK(page.unusable.size() == 4);
+}
+
+namespace
+{
+
+// Items as a store hands them out that passes on what its writers sent.
+std::vector<std::string> odd_items()
+{
+    std::string const value = encode_base64(json::serialize(valid_entry()));
+    std::string const deep = std::string(200'000, '[') + std::string(200'000, ']');
+    std::string const sound = R"("key":"servers/odd","value":")" + value + R"(","revision":6)";
+    return {"{" + sound + R"(,"leaseId":)" + deep + "}",
+            "{" + sound + R"(,"leaseId":01})",
+            "{" + sound + R"(,"leaseId":1e400})",
+            "{" + sound + ",\"by\":\"\xff\"}",
+            "{" + sound + R"(,"by":"\ud800"})",
+            R"({"key":)" + deep + R"(,"value":")" + value + R"(","revision":6})",
+            "{\"key\":\"servers/\xff\",\"value\":\"" + value + "\",\"revision\":6}",
+            R"({"key":"servers/odd","value":)" + deep + R"(,"revision":6})",
+            R"({"key":"servers/odd","value":7,"revision":6})",
+            R"({"key":"servers/odd","value":")" + value + R"(","revision":18446744073709551615})",
+            R"({"key":"servers/odd","value":")" + value + R"(","revision":1e400})",
+            R"({"key":"servers/odd","value":")" + value + R"(","revision":-1})",
+            R"({"key":"servers/odd","value":")" + value + R"("})",
+            deep,
+            "null",
+            "7",
+            R"("text")",
+            "[]",
+            "{}"};
+}
+
+} // namespace
+
+// Guards against one item that takes the whole page with it: VMs would no longer follow the list,
+// or take all later upstreams for removed.
+TEST_CASE("an odd item costs no other one, in a list and in a watch", "[store_entries][odd_entry]")
+{
+    std::string const good = json::serialize(valid_entry());
+    std::string const first = json::serialize(item("servers/i-1", good, 5));
+    std::string const last = json::serialize(item("servers/i-3", good, 7));
+    for (std::string const& odd : odd_items())
+    {
+        INFO(odd.substr(0, 80));
+        for (std::string const& items :
+             {first + "," + odd + "," + last, odd + "," + first + "," + last,
+              first + "," + last + "," + odd})
+        {
+            std::string const tail = "],\"hasMore\":true,\"atRev\":40}";
+            auto const page = platform::platform_dialect{}.read_page("{\"items\":[" + items + tail);
+            REQUIRE(page);
+            auto const changes =
+                platform::platform_dialect{}.read_changes("{\"events\":[" + items + tail);
+            REQUIRE(changes);
+            for (protocol::store_page const& each : {page.value(), changes.value()})
+            {
+                CHECK(each.revision == 40);
+                CHECK(each.newest_revision == 7);
+                CHECK(each.members.size() + each.unusable.size() <= 3);
+                std::size_t sound = 0;
+                for (state::service_member const& member : each.members)
+                {
+                    sound += member.name == "i-1" || member.name == "i-3" ? 1 : 0;
+                    CHECK(member.revision <= 40);
+                }
+                CHECK(sound == 2);
+                CHECK_FALSE(each.next_page.empty());
+            }
+        }
+    }
+}
+
+TEST_CASE("a page of odd items alone is followed, or refused if it names no next one",
+          "[store_entries][odd_entry]")
+{
+    for (std::string const& odd : odd_items())
+    {
+        INFO(odd.substr(0, 80));
+        auto const last = platform::platform_dialect{}.read_page(
+            "{\"items\":[" + odd + "],\"hasMore\":false,\"atRev\":40}");
+        REQUIRE(last);
+        CHECK(last.value().members.size() <= 1);
+        auto const inner = platform::platform_dialect{}.read_page(
+            "{\"items\":[" + odd + "],\"hasMore\":true,\"atRev\":40}");
+        CHECK((!inner || inner.value().next_page == "servers/odd"));
+    }
+}
+
+// A damaged revision would make all later entries of its name older ones.
+TEST_CASE("a revision far beyond the store's own leaves its name as it was",
+          "[store_entries][odd_entry]")
+{
+    std::string const good = json::serialize(valid_entry());
+    protocol::store_page const page =
+        page_of({item("servers/i-1", good, 1ULL << 40U), item("op/evacuate/a", "", 1ULL << 40U),
+                 item("servers/i-2", good, 39)});
+    REQUIRE(page.unusable.size() == 1);
+    CHECK(page.unusable[0].name == "i-1");
+    CHECK(page.unusable[0].revision == 0);
+    CHECK(page.unusable[0].reason == "revision");
+    REQUIRE(page.orders.size() == 1);
+    CHECK(page.orders[0].change.order.revision == 40);
+    CHECK(page.newest_revision == 39);
 }
 
 // Pages with bytes of an entry changed, dropped or repeated: decoding doesn't throw, and each
