protocol: a peer's row that names no place is passed over

A row of a peer that says its upstream may be used, without an address, a port, a service, a zone or slots, would have had calls sent to no upstream, or to this VM itself (0.0.0.0). Found by looking at the ways by which an odd entry arrives; peers check what they read, so only an older or damaged one sends such a row.

--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -208,6 +208,21 @@
     return member;
 }
 
+// A row without a place would have calls sent to no upstream, or to this VM itself.
+std::vector<state::service_member> read_complete(capnp::List<wire::ServiceMember>::Reader from)
+{
+    std::vector<state::service_member> members;
+    for (auto const each : from)
+    {
+        state::service_member member = read(each);
+        if (state::is_complete(member))
+        {
+            members.push_back(std::move(member));
+        }
+    }
+    return members;
+}
+
 template <class Message>
 void write_evacuations(Message to, state::evacuations const& from)
 {
@@ -273,10 +288,7 @@
     {
         update.loads.push_back(read(each));
     }
-    for (auto const each : from.getMembers())
-    {
-        update.members.push_back(read(each));
-    }
+    update.members = read_complete(from.getMembers());
     for (auto const each : from.getReaders())
     {
         update.readers.push_back(read(each));
@@ -461,10 +473,7 @@
             coordination::directory_copy copy;
             copy.revision = from.getRevision();
             copy.is_rest = from.getIsRest();
-            for (auto const each : from.getMembers())
-            {
-                copy.members.push_back(read(each));
-            }
+            copy.members = read_complete(from.getMembers());
             copy.evacuations = read_evacuations(from);
             return copy;
         });
