tests: an answer that ends inside its head is passed on nowhere

It can't happen here; nothing in the product is changed.

Not tested: silence on a kept connection to an upstream, and a peer that ends itself inside a head.

--- a/tests/protocol/test_http_reader.cpp
+++ b/tests/protocol/test_http_reader.cpp
@@ -120,6 +120,22 @@
     CHECK(reader.append_eof() == read_progress::body);
 }
 
+// Guards against an answer that is whole though its head is not.
+TEST_CASE("an answer that ends inside its head is not complete", "[http_reader]")
+{
+    for (std::string const framing :
+         {"Content-Length: 0\r\n", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""})
+    {
+        std::string const head = "HTTP/1.1 200 OK\r\nServer: x\r\n" + framing + "\r\n";
+        for (std::size_t bytes = 0; bytes < head.size(); ++bytes)
+        {
+            http_reader reader = read(head.substr(0, bytes), message_role::answer);
+            CHECK(reader.progress() == read_progress::head);
+            CHECK(reader.append_eof() == read_progress::head);
+        }
+    }
+}
+
 TEST_CASE("damaged messages neither crash the reader nor grow its buffer", "[http_reader][seeds]")
 {
     std::string const valid =
--- a/tests/transport/test_http_fetch.cpp
+++ b/tests/transport/test_http_fetch.cpp
@@ -180,3 +180,56 @@
     REQUIRE(run_until(engine.context, [&] { return !engine.answers.empty(); }));
     CHECK_FALSE(engine.answers.front().has_value());
 }
+
+// The store's pages, upstreams' reports and answers to orders are all read this way. Guards against
+// a list that looks empty, after which all upstreams would count as removed.
+TEST_CASE("an answer that ends inside its head is an error, on new connections and kept ones")
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nContent-Type: x\r\nContent-Length: 0\r\n\r\n";
+    for (bool const is_kept : {false, true})
+    {
+        for (std::size_t bytes = 0; bytes < head.size(); ++bytes)
+        {
+            INFO(bytes << " bytes, kept " << is_kept);
+            fake_engine engine;
+            std::size_t connection = 0;
+            if (is_kept)
+            {
+                engine.read_and_answer(0);
+            }
+            engine.read();
+            REQUIRE(run_until(engine.context, [&] { return engine.request_arrived(0); }));
+            engine.connections[connection]->send(head.substr(0, bytes));
+            engine.connections[connection]->close();
+            if (is_kept)
+            {
+                // A read that fails on a kept connection is sent once more on a new one.
+                ++engine.sent;
+                ++connection;
+                REQUIRE(run_until(engine.context, [&] { return engine.request_arrived(1); }));
+                engine.connections[connection]->send(head.substr(0, bytes));
+                engine.connections[connection]->close();
+            }
+            std::size_t const expected = is_kept ? 2 : 1;
+            REQUIRE(run_until(engine.context, [&] { return engine.answers.size() == expected; }));
+            CHECK_FALSE(engine.answers.back());
+        }
+    }
+}
+
+TEST_CASE("an answer that falls silent inside its head is an error")
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nContent-Type: x\r\nContent-Length: 0\r\n\r\n";
+    fake_engine engine;
+    for (std::size_t i = 0; i < head.size(); ++i)
+    {
+        engine.read(std::chrono::milliseconds{300});
+        REQUIRE(run_until(engine.context, [&] { return engine.request_arrived(i); }));
+        engine.connections[i]->send(head.substr(0, i));
+    }
+    REQUIRE(run_until(engine.context, [&] { return engine.answers.size() == head.size(); }));
+    for (auto const& answer : engine.answers)
+    {
+        CHECK_FALSE(answer);
+    }
+}
