coordination: a draft whose stream is spoiled goes on once its upstream has stopped it

Cause: a stream that this VM gave up counted as one that its upstream ended.

Change: exchange_end tells invalid from lost. A stream that was given up, spoiled, oversized or without an end, goes on after its upstream was ordered to stop it with a last copy: from that copy, or from the backup if the upstream runs nothing or can't be reached. One that refuses four times ends the answer.

--- a/include/plumdale/coordination/generation_failover.hpp
+++ b/include/plumdale/coordination/generation_failover.hpp
@@ -57,6 +57,7 @@
     unknown_generation, ///< Not begun yet, or ended.
     in_progress,
     no_capacity, ///< At the destination, or it can't be reached.
+    rejected,    ///< For another reason.
     unreachable
 };
 
@@ -67,7 +68,7 @@
 /// \brief Moves a generation across upstreams: copy while it runs, a last copy, resumption.
 ///
 /// At most one upstream runs it at any time: it is resumed only after the source stopped it or
-/// the stream from the source ended. Example:
+/// ended the stream itself. Example:
 /// \code
 /// generation_failover failover{member, choose_destination};
 /// failover.source_leaves({refresh_at, last_at}, now, actions);
@@ -98,6 +99,9 @@
                       failover_actions& actions);
     /// \brief The stream from the source ended before the generation did.
     void source_ended(state::time_point now, failover_actions& actions);
+    /// \brief This VM gave up a stream that it can't use; the source may work on, and is stopped
+    /// before the generation goes on elsewhere.
+    void stream_given_up(state::time_point now, failover_actions& actions);
     /// \brief The first event after a resumption arrived.
     void resumed(state::time_point now) noexcept;
     /// \brief The resumption can't be sent yet.
@@ -146,6 +150,8 @@
     /// \brief Longest wait for the answer to the last copy after the source's stream ended: the
     /// answer comes when the copy is complete, behind other copies on the link.
     static constexpr state::duration last_copy_timeout = std::chrono::milliseconds{1'200};
+    /// \brief Orders to stop a source whose stream was given up.
+    static constexpr std::uint32_t max_stop_attempts = 4;
     /// \brief Attempts to resume, at the destination or at the upstream that kept the memory.
     static constexpr std::uint32_t max_resume_attempts = 4;
     static constexpr state::duration resume_retry_delay = std::chrono::milliseconds{25};
@@ -159,6 +165,7 @@
         copied,     ///< Waits for the time of the next copy.
         refresh,    ///< Ordered; the previous copy is still valid.
         last_copy,  ///< Ordered.
+        stop_due,   ///< The order to stop was refused; waits for the time of the next one.
         stopped,    ///< Last copy complete; waits for the stream's end.
         resuming,
         ended
@@ -172,6 +179,9 @@
     void wait_until_last_chance(state::time_point now, state::duration delay);
     void order_refresh(failover_actions& actions);
     void order_last(failover_actions& actions);
+    void order_stop(failover_actions& actions);
+    /// \brief The source refused to stop: goes on if it runs nothing, or tries again.
+    void stop_refused(copy_refusal reason, state::time_point now, failover_actions& actions);
     void wait_for_next_copy(state::time_point now);
     void resume(failover_actions& actions);
     void resume_from_backup(failover_actions& actions);
@@ -192,6 +202,9 @@
     state::duration unreachable_retry_delay_ = copy_retry_delay;
     std::uint32_t resume_attempts_ = 0;
     bool source_ended_ = false;
+    /// \brief Its stream was given up, and it has not said that it stopped.
+    bool source_may_run_ = false;
+    std::uint32_t stop_attempts_ = 0;
     bool source_leaves_ = false;
 };
 
--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -152,7 +152,12 @@
     holder_ = source_;
     resume_destination_ = destination_;
     bool const is_last = phase_ == phase::last_copy;
-    if (source_ended_)
+    source_may_run_ = source_may_run_ && !is_last;
+    if (source_may_run_)
+    {
+        order_stop(actions);
+    }
+    else if (source_ended_)
     {
         resume(actions);
     }
@@ -171,11 +176,13 @@
 void generation_failover::copy_refused(copy_refusal reason, std::string handle,
                                        state::time_point now, failover_actions& actions)
 {
-    if (phase_ == phase::refresh)
+    if (phase_ == phase::refresh && !source_may_run_)
     {
         return wait_for_next_copy(now);
     }
-    if (phase_ != phase::first_copy && phase_ != phase::last_copy)
+    bool const is_expected =
+        phase_ == phase::first_copy || phase_ == phase::refresh || phase_ == phase::last_copy;
+    if (!is_expected)
     {
         return;
     }
@@ -185,6 +192,7 @@
         handle_ = std::move(handle);
         holder_ = source_;
         resume_destination_ = source_;
+        source_may_run_ = false;
         phase_ = phase::stopped;
         next_deadline_ = now + last_copy_timeout;
         if (source_ended_)
@@ -193,6 +201,10 @@
         }
         return;
     }
+    if (source_may_run_)
+    {
+        return stop_refused(reason, now, actions);
+    }
     if (source_ended_)
     {
         handle_.empty() ? resume_from_backup(actions) : resume(actions);
@@ -210,7 +222,9 @@
     }
     next_deadline_ = now + copy_retry_delay;
     bool const may_have_ended = reason == copy_refusal::unknown_generation && times_.first;
-    if (reason == copy_refusal::unreachable || may_have_ended)
+    bool const is_unreachable =
+        reason == copy_refusal::unreachable || reason == copy_refusal::rejected;
+    if (is_unreachable || may_have_ended)
     {
         // A drained upstream closes its port and may run for another ten seconds. Each order
         // reports memory at a destination to all peers and withdraws it; without a growing delay
@@ -236,6 +250,7 @@
         resume_from_backup(actions);
         return;
     case phase::last_copy:
+    case phase::stop_due:
         next_deadline_ = now + last_copy_timeout;
         return;
     case phase::copied:
@@ -252,6 +267,51 @@
     }
 }
 
+void generation_failover::stream_given_up(state::time_point now, failover_actions& actions)
+{
+    bool const is_ordered = phase_ == phase::refresh || phase_ == phase::last_copy ||
+                            (phase_ == phase::first_copy && next_deadline_ == state::never);
+    bool const is_copied = phase_ == phase::copied;
+    bool const is_stopped = phase_ == phase::stopped || phase_ == phase::ended;
+    bool const has_backup = backup_ && backup_ != source_ && !is_stopped;
+    if (!is_ordered && !is_copied && !has_backup)
+    {
+        return source_ended(now, actions);
+    }
+    source_ended_ = true;
+    source_may_run_ = true;
+    next_deadline_ = state::never;
+    if (!is_ordered)
+    {
+        destination_ = is_copied ? destination_ : backup_;
+        order_stop(actions);
+    }
+}
+
+void generation_failover::order_stop(failover_actions& actions)
+{
+    if (++stop_attempts_ > max_stop_attempts)
+    {
+        return abandon(actions);
+    }
+    order_last(actions);
+}
+
+void generation_failover::stop_refused(copy_refusal reason, state::time_point now,
+                                       failover_actions& actions)
+{
+    bool const is_over =
+        reason == copy_refusal::unknown_generation || reason == copy_refusal::unreachable;
+    if (is_over)
+    {
+        source_may_run_ = false;
+        handle_.empty() ? resume_from_backup(actions) : resume(actions);
+        return;
+    }
+    phase_ = phase::stop_due;
+    next_deadline_ = now + copy_retry_delay;
+}
+
 void generation_failover::resume(failover_actions& actions)
 {
     if (handle_.empty() || ++resume_attempts_ > max_resume_attempts)
@@ -292,6 +352,8 @@
     // The backup belonged to the previous run; a resumed run requests a new one.
     backup_ = {};
     source_leaves_ = false;
+    source_may_run_ = false;
+    stop_attempts_ = 0;
     resume_attempts_ = 0;
 }
 
@@ -361,6 +423,9 @@
         // The source was gone before it answered.
         handle_.empty() ? resume_from_backup(actions) : resume(actions);
         return;
+    case phase::stop_due:
+        order_stop(actions);
+        return;
     case phase::stopped:
         resume(actions);
         return;
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -403,7 +403,7 @@
     log("answer without an end", why);
     core_.metrics.add(forward_count::answers_discarded);
     exchange_->cancel();
-    on_end(exchange_end::invalid_or_lost);
+    on_end(exchange_end::invalid);
 }
 
 void forward_call::note_outcome(coordination::call_outcome outcome)
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -346,7 +346,7 @@
 
 void stream_call::exchange_ended(exchange_end end)
 {
-    if (end == exchange_end::invalid_or_lost)
+    if (end == exchange_end::invalid || end == exchange_end::lost)
     {
         core_.health.note(member_, call_result::failed, boot_now());
     }
@@ -366,7 +366,15 @@
     core_.metrics.add(forward_count::resume_refused);
     log("resumption failed", not_run ? "not run" : "broke");
     close_exchange();
-    not_run ? failover_->resume_refused(now, actions) : failover_->source_ended(now, actions);
+    if (not_run)
+    {
+        failover_->resume_refused(now, actions);
+    }
+    else
+    {
+        end == exchange_end::invalid ? failover_->stream_given_up(now, actions)
+                                     : failover_->source_ended(now, actions);
+    }
     apply(actions);
 }
 
@@ -392,7 +400,7 @@
     }
     closed_while_stopping_ = framing_ == protocol::body_framing::until_close &&
                              events_.is_between_blocks() && failover_ && failover_->is_stopping();
-    source_ended("connection broke");
+    end == exchange_end::invalid ? give_up_stream() : source_ended("connection broke");
 }
 
 void stream_call::complete_stream()
@@ -473,6 +481,17 @@
     apply(actions);
 }
 
+// The upstream may work on though its connection is closed; the generation goes on elsewhere only
+// once that upstream has stopped it.
+void stream_call::give_up_stream()
+{
+    log("stream given up", "invalid answer");
+    close_exchange();
+    failover_actions actions;
+    failover().stream_given_up(boot_now(), actions);
+    apply(actions);
+}
+
 void stream_call::abort_answer(std::string_view why)
 {
     if (!begun_)
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -124,6 +124,7 @@
     void update_loads();
     void complete_stream();
     void source_ended(std::string_view why);
+    void give_up_stream();
     void apply(coordination::failover_actions const& actions);
     void carry_out(coordination::order_copy const& action);
     void carry_out(coordination::resume_generation const& action);
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -44,7 +44,7 @@
     case unavailable:
         return copy_refusal::no_capacity;
     default:
-        return copy_refusal::unreachable;
+        return copy_refusal::rejected;
     }
 }
 
--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -147,7 +147,7 @@
     }
     bool const by_upstream = error == net::error::eof || error == net::error::connection_reset ||
                              error == net::error::broken_pipe;
-    finish(by_upstream ? exchange_end::broken : exchange_end::invalid_or_lost);
+    finish(by_upstream ? exchange_end::broken : exchange_end::lost);
 }
 
 void upstream_exchange::append_bytes(std::string_view bytes)
@@ -155,12 +155,12 @@
     reader_.append(bytes);
     if (!skip_interim_answers())
     {
-        return finish(exchange_end::invalid_or_lost);
+        return finish(exchange_end::invalid);
     }
     report_progress();
     if (sink_ != nullptr && reader_.progress() == protocol::read_progress::malformed)
     {
-        return finish(exchange_end::invalid_or_lost);
+        return finish(exchange_end::invalid);
     }
     if (sink_ != nullptr && reader_.progress() == protocol::read_progress::complete)
     {
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -24,12 +24,13 @@
 /// \brief How an exchange ended.
 enum class exchange_end : std::uint8_t
 {
-    complete,        ///< The answer ended as its framing says.
-    closed,          ///< It has no length, and the upstream closed the connection in order.
-    unreachable,     ///< No connection: nothing was sent.
-    not_sent,        ///< `exchange_sink::request` declined: nothing was sent.
-    broken,          ///< The upstream ended the connection first.
-    invalid_or_lost, ///< It sent no valid answer, or the path to it is lost.
+    complete,    ///< The answer ended as its framing says.
+    closed,      ///< It has no length, and the upstream closed the connection in order.
+    unreachable, ///< No connection: nothing was sent.
+    not_sent,    ///< `exchange_sink::request` declined: nothing was sent.
+    broken,      ///< The upstream ended the connection first.
+    lost,        ///< The path to it is lost.
+    invalid,     ///< It sent no valid answer; it may be at work on the request.
 };
 
 /// \brief Provides the request of an exchange and receives its answer. Called on the loop, not
--- a/tests/coordination/test_generation_failover.cpp
+++ b/tests/coordination/test_generation_failover.cpp
@@ -253,13 +253,14 @@
         bool runs = true;
         bool stopped = false;
         bool last_ordered = false;
+        bool given_up = false;
         bool ended = false;
         failover_actions actions;
         for (int step = 0; step < 40 && !ended; ++step)
         {
             now += state::duration{std::chrono::milliseconds{random() % 400}};
             actions.clear();
-            switch (random() % 8)
+            switch (random() % 9)
             {
             case 0:
                 failover.source_leaves(
@@ -270,6 +271,9 @@
                 failover.copied("h", now, actions);
                 break;
             case 2:
+                // It says that nothing runs any more; that counts only if this VM gave the stream
+                // up.
+                runs = runs && !given_up;
                 failover.copy_refused(copy_refusal::unknown_generation, {}, now, actions);
                 break;
             case 3:
@@ -278,7 +282,7 @@
                 stopped = stopped || last_ordered;
                 break;
             case 4:
-                if (runs)
+                if (runs && !given_up)
                 {
                     runs = false;
                     failover.source_ended(now, actions);
@@ -290,6 +294,13 @@
             case 6:
                 failover.backup_leaves(second_choice, now, actions);
                 break;
+            case 7:
+                if (runs && !given_up)
+                {
+                    given_up = true;
+                    failover.stream_given_up(now, actions);
+                }
+                break;
             default:
                 failover.advance(now, actions);
                 break;
@@ -312,6 +323,77 @@
     }
 }
 
+namespace
+{
+
+generation_failover given_up_with_backup(failover_actions& actions)
+{
+    generation_failover failover{source, choose};
+    failover.set_backup(second_choice);
+    failover.stream_given_up(start, actions);
+    REQUIRE(actions.size() == 1);
+    REQUIRE(last<order_copy>(actions) != nullptr);
+    CHECK(last<order_copy>(actions)->source == source);
+    CHECK(last<order_copy>(actions)->destination == second_choice);
+    CHECK(last<order_copy>(actions)->last);
+    return failover;
+}
+
+} // namespace
+
+// Guards against two upstreams at work on one generation: this VM closed a spoiled stream, and its
+// upstream, which doesn't look at that, worked on beside the backup.
+TEST_CASE("a generation whose stream was given up goes on once its source has stopped it",
+          "[generation_failover]")
+{
+    failover_actions actions;
+    generation_failover failover = given_up_with_backup(actions);
+    SECTION("it stopped and copied")
+    {
+        failover.copied("h", start + 100ms, actions);
+        REQUIRE(last<resume_generation>(actions) != nullptr);
+        CHECK(last<resume_generation>(actions)->at == second_choice);
+        CHECK(last<resume_generation>(actions)->handle == "h");
+    }
+    SECTION("it stopped and kept the memory")
+    {
+        failover.copy_refused(copy_refusal::no_capacity, "h", start + 100ms, actions);
+        REQUIRE(last<resume_generation>(actions) != nullptr);
+        CHECK(last<resume_generation>(actions)->at == source);
+    }
+    SECTION("it runs nothing")
+    {
+        failover.copy_refused(copy_refusal::unknown_generation, {}, start + 5ms, actions);
+        REQUIRE(last<resume_generation>(actions) != nullptr);
+        CHECK(last<resume_generation>(actions)->holder == second_choice);
+        CHECK(last<resume_generation>(actions)->handle.empty());
+    }
+    SECTION("it can't be reached")
+    {
+        failover.copy_refused(copy_refusal::unreachable, {}, start + 5ms, actions);
+        CHECK(last<resume_generation>(actions) != nullptr);
+    }
+}
+
+TEST_CASE("a source that can't be stopped ends the answer", "[generation_failover]")
+{
+    failover_actions actions;
+    generation_failover failover = given_up_with_backup(actions);
+    auto const reason =
+        GENERATE(copy_refusal::no_capacity, copy_refusal::in_progress, copy_refusal::rejected);
+    state::time_point now = start;
+    while (last<abandon_generation>(actions) == nullptr)
+    {
+        now += 5ms;
+        failover.copy_refused(reason, {}, now, actions);
+        now = failover.next_deadline();
+        REQUIRE(now < start + 1s);
+        failover.advance(now, actions);
+    }
+    CHECK(actions.size() == 1 + generation_failover::max_stop_attempts);
+    CHECK(last<resume_generation>(actions) == nullptr);
+}
+
 // Load pattern: an upstream that was drained while the store was unreachable has closed its port
 // and runs its drafts for another ten seconds, while their callers still receive events. Each order
 // to copy is refused at once; repeated every 40 ms, one draft caused 227 orders, each of which is
