tests: entries of the store stand once, a reader that agreed stands once; a code block as it was

Reading the change: test_odd_entries wrote again how an upstream's entry is made and encoded (store_items.hpp now), three tests of fleet_view set up the same view (agreeing_view), and the formatter had joined the example of service_directory into its text. No check is changed; [fleet_view], [store_entries] and [odd_entry] passed.

--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -69,7 +69,10 @@
 ///
 /// For each name the start counts that the newest entry states, and none before the last that the
 /// upstream stated itself. For one start, the listing with the greatest revision counts, and
-/// leaving is monotone. Example: \code service_directory directory; directory.merge(member, now);
+/// leaving is monotone.
+/// \code
+/// service_directory directory;
+/// directory.merge(member, now);
 /// if (directory.may_take_work(key, now)) { ... }
 /// \endcode
 class service_directory
--- a/tests/coordination/test_fleet_view.cpp
+++ b/tests/coordination/test_fleet_view.cpp
@@ -70,6 +70,30 @@
     std::uint64_t sequence_ = 0;
 };
 
+/// \brief A VM's view of a reader whose directory has just been its own, of digest 7.
+struct agreeing_view
+{
+    agreeing_view()
+    {
+        view.directory_changed(7, now);
+        message.directory_version = 4;
+        receive(7, 7, 0ms);
+    }
+
+    /// \brief Receives the reader's next message, `pause` after the one before.
+    void receive(std::uint64_t directory, std::uint64_t own_directory, state::duration pause)
+    {
+        now += pause;
+        ++message.sequence;
+        message.directory = directory;
+        view.apply_update(message, streams_of(2), own_directory, now);
+    }
+
+    fleet_view view{state::node_id{1}};
+    state::time_point now{10s};
+    fleet_update message = update_from(2, 1, 50);
+};
+
 void send_all_updates(small_fleet& fleet, std::size_t size, state::time_point now)
 {
     for (std::uint64_t node = 1; node <= size; ++node)
@@ -422,19 +446,12 @@
 // from the two readers.
 TEST_CASE("a reader that is behind is not asked for its directory", "[fleet_view]")
 {
-    fleet_view view{state::node_id{1}};
-    state::time_point now{10s};
-    view.directory_changed(7, now);
-    fleet_update message = update_from(2, 1, 50);
-    message.directory = 7;
-    message.directory_version = 4;
-    view.apply_update(message, streams_of(2), 7, now);
-    view.directory_changed(8, now);
-    for (; now < state::time_point{40s}; now += 500ms)
+    agreeing_view vm;
+    vm.view.directory_changed(8, vm.now);
+    for (int i = 0; i < 60; ++i)
     {
-        ++message.sequence;
-        view.apply_update(message, streams_of(2), 8, now);
-        CHECK_FALSE(view.peer_with_newer_directory(1, now));
+        vm.receive(7, 8, 500ms);
+        CHECK_FALSE(vm.view.peer_with_newer_directory(1, vm.now));
     }
 }
 
@@ -464,43 +481,27 @@
 
 TEST_CASE("a reader whose directory changed and is a former one again is asked", "[fleet_view]")
 {
-    fleet_view view{state::node_id{1}};
-    state::time_point now{10s};
-    view.directory_changed(7, now);
-    fleet_update message = update_from(2, 1, 50);
-    message.directory = 7;
-    message.directory_version = 4;
-    view.apply_update(message, streams_of(2), 7, now);
+    agreeing_view vm;
     // Both changes at the reader, one here: the second one's datagram is lost.
-    view.directory_changed(8, now);
-    message.directory_version = 6;
+    vm.view.directory_changed(8, vm.now);
+    vm.message.directory_version += 2;
     for (int i = 0; i < 3; ++i)
     {
-        now += 350ms;
-        ++message.sequence;
-        view.apply_update(message, streams_of(2), 8, now);
+        vm.receive(7, 8, 350ms);
     }
-    CHECK(view.peer_with_newer_directory(1, now));
+    CHECK(vm.view.peer_with_newer_directory(1, vm.now));
 }
 
 TEST_CASE("a version of a peer's former incarnation says nothing of the next one", "[fleet_view]")
 {
-    fleet_view view{state::node_id{1}};
-    state::time_point now{10s};
-    view.directory_changed(7, now);
-    fleet_update message = update_from(2, 1, 50);
-    message.directory = 7;
-    message.directory_version = 4;
-    view.apply_update(message, streams_of(2), 7, now);
-    view.directory_changed(8, now);
-    ++message.incarnation_number.value;
+    agreeing_view vm;
+    vm.view.directory_changed(8, vm.now);
+    ++vm.message.incarnation_number.value;
     for (int i = 0; i < 3; ++i)
     {
-        now += 350ms;
-        ++message.sequence;
-        view.apply_update(message, streams_of(2), 8, now);
+        vm.receive(7, 8, 350ms);
     }
-    CHECK(view.peer_with_newer_directory(1, now));
+    CHECK(vm.view.peer_with_newer_directory(1, vm.now));
 }
 
 // If this VM lacks an update that a reader has, most peers have the update as well.
--- a/tests/platform/test_odd_entries.cpp
+++ b/tests/platform/test_odd_entries.cpp
@@ -1,10 +1,9 @@
 #include "starting_vm.hpp"
+#include "store_items.hpp"
 #include "transport/boot_clock.hpp"
 
 #include <plumdale/protocol/fleet_codec.hpp>
 
-#include <boost/beast/core/detail/base64.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
@@ -23,24 +22,9 @@
 namespace
 {
 
-std::string encode_base64(std::string_view bytes)
-{
-    namespace base64 = boost::beast::detail::base64;
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
 std::string entry_text(std::uint64_t started)
 {
-    json::object entry{
-        {"service", "s"}, {"address", "10.0.0.9:80"}, {"zone", "a"},     {"version", "v1"},
-        {"slots", 24},    {"state", "ready"},         {"coldLeftMs", 0}, {"sequence", 4}};
-    if (started != 0)
-    {
-        entry["born"] = started;
-    }
-    return json::serialize(entry);
+    return json::serialize(valid_entry(started));
 }
 
 std::string item_text(std::string_view name, std::string_view value, std::uint64_t revision)
--- a/tests/platform/test_store_entries.cpp
+++ b/tests/platform/test_store_entries.cpp
@@ -1,6 +1,6 @@
 #include "platform/platform_dialect.hpp"
+#include "store_items.hpp"
 
-#include <boost/beast/core/detail/base64.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
@@ -10,6 +10,7 @@
 #include <vector>
 
 using namespace plumdale;
+using test::encode_base64;
 namespace json = boost::json;
 
 // Load pattern: a store with other writers. Valid entries are as upstreams write them; damaged ones
@@ -18,25 +19,9 @@
 namespace
 {
 
-std::string encode_base64(std::string_view bytes)
-{
-    namespace base64 = boost::beast::detail::base64;
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
 json::object valid_entry()
 {
-    return {{"service", "engine"},
-            {"address", "10.0.0.9:80"},
-            {"zone", "a"},
-            {"version", "v1"},
-            {"slots", 24},
-            {"state", "ready"},
-            {"coldLeftMs", 0},
-            {"sequence", 4},
-            {"born", 1'784'177'076'285}};
+    return test::valid_entry(1'784'177'076'285);
 }
 
 json::object item(std::string_view key, std::string_view value, std::uint64_t revision)
