tests: the odd entries of the watch wait until the reader has applied them

Under the thread sanitizer, beside load of 13, `sound upstreams serve on while odd entries come and go` failed 7 checks: an item of 100,000 brackets was still being read 10 ms after its answer was handed out. The test waits for the reader's next watch now, which comes once an answer is applied; no check is changed.

--- a/tests/platform/test_odd_entries.cpp
+++ b/tests/platform/test_odd_entries.cpp
@@ -120,7 +120,8 @@
         events_ = std::move(events);
         ++revision_;
         run_until([this] { return events_.empty(); });
-        vm_.run(10ms);
+        // The reader watches again once it has applied them.
+        run_until([this, handed_out = watches_] { return watches_ > handed_out; });
     }
 
     [[nodiscard]] bool takes_work(std::string_view name) const
@@ -144,12 +145,14 @@
         {
             return ok_answer(R"({"items":[)" + list + revision + "}");
         }
+        ++watches_;
         return ok_answer(R"({"events":[)" + std::exchange(events_, {}) + revision + "}");
     }
 
     starting_vm& vm_;
     std::string events_;
     std::uint64_t revision_ = 40;
+    std::size_t watches_ = 0;
 };
 
 std::string sound_list()
