coordination: a VM compares its directory with those of all peers, not with readers alone

What callers see: calls go to an upstream that is gone or said that it leaves, for as long as the VM that they reached stays as it is. Cause: rows were requested only once a reader that this VM hears itself differs. A VM that knows of the readers by forwarded heartbeats alone compared itself with nobody, and the readers, which agree with each other, never asked for what all others know. Change: a VM whose directory no peer's message agreed with for 1.2 s, or that more peers have differed from for 1.2 s than agree, requests rows from a peer that may have more. Peers that are known to be behind are not asked, as before; the same pacing bounds the requests. Bytes of a message are unchanged.

--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -111,9 +111,16 @@
                                   state::time_point now) const;
     /// \brief Returns a random peer to request rows of the directory from if a reader's directory
     /// has differed for `propagation_time`: one that agrees with such a reader if enough do,
-    /// otherwise any; none if no reader's differs.
+    /// otherwise any. If this VM is alone with its directory, or most peers have differed for
+    /// longer, one that may have what it lacks; none otherwise.
     [[nodiscard]] std::optional<state::endpoint>
     peer_with_newer_directory(std::uint64_t random_value, state::time_point now) const;
+    /// \brief Returns whether no peer's message has agreed with this VM's directory for
+    /// `max_time_alone`.
+    [[nodiscard]] bool is_alone() const noexcept
+    {
+        return alone_since_ != state::never && alone_since_ + max_time_alone <= disagreed_at_;
+    }
     /// \brief Returns a live reader whose directory has not been this VM's for `propagation_time`;
     /// none if there is none.
     [[nodiscard]] std::optional<lasting_difference>
@@ -181,12 +188,19 @@
     static constexpr std::size_t max_requesters_per_peer = 32;
     /// \brief A change reaches all VMs within this time; a longer difference means a lost message.
     static constexpr state::duration propagation_time = std::chrono::milliseconds{600};
+    /// \brief Two changes in a row reach all VMs within this time.
+    static constexpr state::duration max_time_alone = 2 * propagation_time;
 
 private:
     template <class Fits>
     [[nodiscard]] std::optional<state::endpoint> pick_peer(std::uint64_t random_value,
                                                            Fits const& fits) const;
-    void compare_directory(peer_state& peer, std::uint64_t own_digest, state::time_point now) const;
+    void compare_directory(peer_state& peer, std::uint64_t own_digest, state::time_point now);
+    [[nodiscard]] std::optional<state::endpoint> peer_beside_readers(std::uint64_t random_value,
+                                                                     state::time_point now) const;
+    [[nodiscard]] bool is_outnumbered(state::time_point now) const;
+    [[nodiscard]] bool may_have_more(peer_state const& peer, state::time_point now) const;
+    void note_agreement() noexcept;
     void note_reader(fleet_update const& update, state::time_point now);
     void note_heartbeat(reader_heartbeat const& observed, state::time_point now);
     [[nodiscard]] bool is_fresh(reader_state const& reader, state::time_point now) const noexcept;
@@ -205,6 +219,11 @@
     std::unordered_map<state::node_id, reader_state> readers_;
     recent_digests own_digests_;
     std::uint32_t directory_version_ = 1;
+    /// \brief When the first message came that did not agree with the own directory, since the last
+    /// one that did; `never` if there is none.
+    state::time_point alone_since_ = state::never;
+    /// \brief When the last such message came.
+    state::time_point disagreed_at_{};
     /// \brief Since when too few VMs of lower rank read; `never` while enough do.
     state::time_point too_few_readers_since_ = state::never;
     /// \brief Peers of lower rank that failed to read, as last counted.
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -74,21 +74,32 @@
 // says nothing: an upstream that joins and leaves takes a directory back to the digest before, and
 // a VM that missed the leaving would send calls there for good.
 void fleet_view::compare_directory(peer_state& peer, std::uint64_t own_digest,
-                                   state::time_point now) const
+                                   state::time_point now)
 {
     if (peer.directory == own_digest)
     {
+        note_agreement();
         return agree(peer);
     }
     peer.unequal_since = std::min(peer.unequal_since, now);
     bool const is_unchanged =
         peer.directory_version != 0 && peer.directory_version == peer.agreed_version;
     auto const left_at = own_digests_.left_at(peer.directory);
+    bool const is_in_flight = left_at && *left_at + propagation_time > now;
+    if (is_in_flight)
+    {
+        note_agreement();
+    }
+    else
+    {
+        alone_since_ = std::min(alone_since_, now);
+        disagreed_at_ = now;
+    }
     if (is_unchanged)
     {
         peer.differs_since = state::never;
     }
-    else if (left_at && *left_at + propagation_time > now)
+    else if (is_in_flight)
     {
         peer.differs_since = *left_at;
     }
@@ -98,6 +109,11 @@
     }
 }
 
+void fleet_view::note_agreement() noexcept
+{
+    alone_since_ = state::never;
+}
+
 // -- readers --------------------------------------------------------------------------------------
 
 void fleet_view::note_reader(fleet_update const& update, state::time_point now)
@@ -260,6 +276,7 @@
         if (peer.directory == own_digest)
         {
             agree(peer);
+            note_agreement();
         }
     }
 }
@@ -350,7 +367,7 @@
     }
     if (wanted.empty())
     {
-        return std::nullopt;
+        return peer_beside_readers(random_value, now);
     }
     auto const has_it = [this, now, &wanted](peer_state const& peer)
     {
@@ -367,6 +384,40 @@
                      { return is_live(peer, now) && peer.directory != 0; });
 }
 
+bool fleet_view::may_have_more(peer_state const& peer, state::time_point now) const
+{
+    return is_live(peer, now) && peer.directory != 0 && peer.differs_since != state::never;
+}
+
+// In a large fleet a peer's next message comes after many seconds: there `is_alone` shows it
+// sooner.
+bool fleet_view::is_outnumbered(state::time_point now) const
+{
+    std::size_t agreeing = 0;
+    std::size_t differing = 0;
+    for (auto const& [node, peer] : peers_)
+    {
+        bool const is_lasting =
+            may_have_more(peer, now) && peer.differs_since + max_time_alone <= peer.last_contact;
+        differing += is_lasting ? 1 : 0;
+        agreeing += is_live(peer, now) && peer.unequal_since == state::never ? 1 : 0;
+    }
+    return differing > agreeing;
+}
+
+// Readers miss datagrams as well, and a VM may know of them by hearsay alone: one that compared
+// itself only with readers that it hears would keep what it missed for good.
+std::optional<state::endpoint> fleet_view::peer_beside_readers(std::uint64_t random_value,
+                                                               state::time_point now) const
+{
+    if (!is_alone() && !is_outnumbered(now))
+    {
+        return std::nullopt;
+    }
+    return pick_peer(random_value,
+                     [this, now](peer_state const& peer) { return may_have_more(peer, now); });
+}
+
 std::optional<lasting_difference> fleet_view::find_lasting_difference(state::time_point now) const
 {
     for (auto const& [node, peer] : peers_)
--- a/tests/coordination/directory_fleet.hpp
+++ b/tests/coordination/directory_fleet.hpp
@@ -25,9 +25,12 @@
     }
 
     /// \brief Returns a message of this VM; `platform_age_ms` is small for readers only.
-    [[nodiscard]] fleet_update make_update(std::uint32_t platform_age_ms)
+    [[nodiscard]] fleet_update make_update(std::uint32_t platform_age_ms,
+                                           state::time_point now = {})
     {
         fleet_update update;
+        update.heartbeat = platform_age_ms < max_reader_age_ms ? ++heartbeat : 0;
+        update.readers = view.reader_heartbeats(now);
         update.sender = id;
         update.incarnation_number = state::incarnation{1};
         update.sequence = ++sequence;
@@ -57,12 +60,15 @@
         }
     }
 
+    static constexpr std::uint32_t max_reader_age_ms = 1'000;
+
     state::node_id id;
     std::minstd_rand random;
     fleet_view view;
     service_directory directory;
     directory_sync sync;
     std::uint64_t sequence = 0;
+    std::uint64_t heartbeat = 0;
     /// \brief When its link will have sent all answers that it owes.
     state::time_point link_free_at{};
     double bytes_sent = 0.0;
--- a/tests/coordination/test_directory_repair.cpp
+++ b/tests/coordination/test_directory_repair.cpp
@@ -51,6 +51,20 @@
         }
     }
 
+    /// \brief All VMs but the readers learn rows from each other.
+    void tell_followers(std::vector<state::service_member> const& rows)
+    {
+        for (std::size_t i = fleet_view::reader_count; i < vms().size(); ++i)
+        {
+            vms()[i]->merge(rows, now_);
+        }
+    }
+    /// \brief From now on no message of `from` reaches `to`.
+    void cut(std::size_t from, std::size_t to)
+    {
+        cut_.emplace_back(from, to);
+    }
+
     void suspend(std::size_t vm, state::duration time)
     {
         suspended_until_[vm] = now_ + time;
@@ -164,10 +178,12 @@
         bool const reads = from < fleet_view::reader_count;
         fleet_view const& view = vms()[from]->view;
         next_update_at_[from] = now_ + (reads ? view.reader_interval() : view.follower_interval());
-        fleet_update const update = vms()[from]->make_update(reads ? 50 : 60'000);
+        fleet_update const update = vms()[from]->make_update(reads ? 50 : 60'000, now_);
         for (std::size_t to = 0; to < vms().size(); ++to)
         {
-            if (to != from && !is_suspended(to) && draw_arrival())
+            bool const is_cut =
+                std::find(cut_.begin(), cut_.end(), std::pair{from, to}) != cut_.end();
+            if (to != from && !is_cut && !is_suspended(to) && draw_arrival())
             {
                 vms()[to]->receive(update, now_);
             }
@@ -181,6 +197,8 @@
     std::vector<state::time_point> suspended_until_;
     std::vector<state::time_point> next_update_at_;
     std::vector<arrival> arrivals_;
+    /// \brief Pairs of a sender and a receiver.
+    std::vector<std::pair<std::size_t, std::size_t>> cut_;
 };
 
 std::vector<state::service_member> removed(std::vector<state::service_member> rows,
@@ -285,3 +303,43 @@
                                     moved(relisted(all_upstreams(), first_revision + 2)));
     }
 }
+
+// Guards against a VM that knows of the readers by hearsay alone, and compares itself with nobody.
+TEST_CASE("VMs that hear no reader find out from other peers", "[directory_repair][load]")
+{
+    fleet_size const size = GENERATE(small, large);
+    for (unsigned seed = 1; seed <= size.draws; ++seed)
+    {
+        lossy_fleet fleet{size.vms, seed};
+        std::size_t const deaf = fleet.draw_follower();
+        for (std::size_t reader = 0; reader < fleet_view::reader_count; ++reader)
+        {
+            fleet.cut(reader, deaf);
+        }
+        fleet.run_until(fleet.now() + 8s);
+        std::vector const added{listed_upstream(upstreams, first_revision + 1)};
+        fleet.change(added);
+        fleet.run_until(fleet.now() + 4s);
+        fleet.suspend(deaf, 1s);
+        fleet.change(removed(added, first_revision + 2));
+        fleet.run_until(fleet.now() + 1s);
+        INFO(size.vms << " VMs, seed " << seed);
+        CHECK(fleet.run_until_converged(size.contact) < size.contact);
+    }
+}
+
+// Guards against a mark that the readers miss: only peers compare themselves with readers.
+TEST_CASE("readers that missed that an upstream leaves find out", "[directory_repair][load]")
+{
+    fleet_size const size = GENERATE(small, large);
+    for (unsigned seed = 1; seed <= size.draws; ++seed)
+    {
+        lossy_fleet fleet{size.vms, seed};
+        fleet.run_until(fleet.now() + 8s);
+        std::vector leaving{listed_upstream(0, first_revision)};
+        leaving.front().leaving = true;
+        fleet.tell_followers(leaving);
+        INFO(size.vms << " VMs, seed " << seed);
+        CHECK(fleet.run_until_converged(size.contact) < size.contact);
+    }
+}
