transport: any peer is checked from time to time, for what no datagram brought

What callers see: calls go by what a VM knew before (upstreams, orders of evacuation, refused requests, a configuration) for as long as the datagrams that would show the difference are lost. Cause: every comparison between VMs rests on digests and versions in datagrams. Where they don't arrive, and the VM noticed no pause, nothing was compared. Change: every 1.2 to 2.4 s a random peer is asked for four digests over TCP (`GET /fleet/digests`, 32 bytes). Another directory or other orders have its rows and orders requested; a newer configuration and other refusals take the ways that datagrams start. Live peers are asked first. The digests of buckets and of VMs have one way into bytes. Bytes: some 300 a check with the head of its request, whatever the fleet's size.

--- a/include/plumdale/coordination/directory_repair.hpp
+++ b/include/plumdale/coordination/directory_repair.hpp
@@ -7,6 +7,8 @@
 #include <plumdale/state/endpoint.hpp>
 #include <plumdale/state/time.hpp>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -21,16 +23,19 @@
 /// \brief Why rows are requested.
 enum class repair_reason : std::uint8_t
 {
-    refresh,   ///< This VM did not run, or heard no peer for a while.
-    difference ///< Its directory differs from its peers', or it has none yet.
+    refresh,    ///< This VM did not run, or heard no peer for a while.
+    difference, ///< Its directory differs from its peers', or it has none yet.
+    check       ///< None; a peer is asked for its digest from time to time.
 };
 
 [[nodiscard]] constexpr std::string_view to_text(repair_reason reason) noexcept
 {
-    return reason == repair_reason::refresh ? "refresh" : "difference";
+    constexpr std::array<std::string_view, 3> texts{"refresh", "difference", "check"};
+    return texts[static_cast<std::size_t>(reason)];
 }
 
-/// \brief What to do now: request rows from `peer`, or read the store.
+/// \brief What to do now: request rows from `peer`, or read the store. For a check, rows are
+/// requested only if the peer's digest is another one.
 struct repair_step
 {
     repair_reason reason = repair_reason::difference;
@@ -39,7 +44,8 @@
 };
 
 /// \brief Chooses whom to ask: a peer whose directory differs, two peers after a pause whatever
-/// their digests say, and the store if peers don't answer or have nothing that helps.
+/// their digests say, and the store if peers don't answer or have nothing that helps. Any peer is
+/// checked from time to time, so that nothing rests on datagrams alone.
 ///
 /// Example:
 /// \code
@@ -59,15 +65,22 @@
     /// \brief Records the end of a request to a peer.
     void answered(repair_reason reason, bool succeeded, bool brought_news, state::time_point now);
 
+    /// \brief Time between two checks, of some 300 bytes each: a VM is in touch again after a few
+    /// seconds. Drawn between half of it and all.
+    static constexpr state::duration check_interval = std::chrono::milliseconds{2'400};
+
 private:
     [[nodiscard]] std::optional<repair_step> next_for_difference(bool has_list,
                                                                  state::time_point now);
+    [[nodiscard]] std::optional<repair_step> next_check(state::time_point now);
 
     fleet_view const& fleet_;
     std::minstd_rand& random_;
     directory_sync sync_;
     refresh_requests refresh_;
     store_fallback fallback_;
+    state::time_point check_at_{};
+    bool is_checking_ = false;
 };
 
 } // namespace plumdale::coordination
--- a/include/plumdale/coordination/evacuation_orders.hpp
+++ b/include/plumdale/coordination/evacuation_orders.hpp
@@ -46,6 +46,9 @@
         return known_;
     }
 
+    /// \brief Returns a digest of the orders in force; equal ones mean the same orders.
+    [[nodiscard]] std::uint64_t digest() const noexcept;
+
     /// \brief Maximum number of orders, above the zones of any fleet; the oldest ones are kept.
     static constexpr std::size_t capacity = 32;
 
--- a/include/plumdale/coordination/fleet_view.hpp
+++ b/include/plumdale/coordination/fleet_view.hpp
@@ -117,9 +117,10 @@
     [[nodiscard]] std::optional<state::endpoint>
     peer_with_newer_directory(std::uint64_t random_value, state::time_point now) const;
     /// \brief Returns a random peer to request rows of the directory from, other than those in
-    /// `asked`, whether it counts as live or not: after a pause of this VM none does.
+    /// `asked`: a live one if there is any. After a pause of this VM there is none.
     [[nodiscard]] std::optional<state::endpoint>
-    peer_to_refresh_from(std::uint64_t random_value, std::span<state::endpoint const> asked) const;
+    peer_to_refresh_from(std::uint64_t random_value, std::span<state::endpoint const> asked,
+                         state::time_point now) const;
     /// \brief Returns whether no peer's message has agreed with this VM's directory for
     /// `max_time_alone`.
     [[nodiscard]] bool is_alone() const noexcept
--- a/include/plumdale/protocol/fleet_codec.hpp
+++ b/include/plumdale/protocol/fleet_codec.hpp
@@ -3,6 +3,7 @@
 #include <plumdale/coordination/configuration_offer.hpp>
 #include <plumdale/coordination/fleet_update.hpp>
 #include <plumdale/coordination/service_directory.hpp>
+#include <plumdale/coordination/vm_digests.hpp>
 #include <plumdale/state/result.hpp>
 
 #include <span>
@@ -47,4 +48,10 @@
 [[nodiscard]] state::result<coordination::bucket_digests>
 decode_bucket_digests(std::string_view body);
 
+/// \brief Returns the body of an answer to a peer that checks what it knows.
+[[nodiscard]] std::string encode(coordination::vm_digests const& digests);
+
+/// \brief Reads such a body; fails with `invalid_request` if its length is wrong.
+[[nodiscard]] state::result<coordination::vm_digests> decode_vm_digests(std::string_view body);
+
 } // namespace plumdale::protocol
--- a/src/coordination/directory_repair.cpp
+++ b/src/coordination/directory_repair.cpp
@@ -17,7 +17,7 @@
 {
     if (has_list && refresh_.is_due(now))
     {
-        if (auto const peer = fleet_.peer_to_refresh_from(random_(), refresh_.asked()))
+        if (auto const peer = fleet_.peer_to_refresh_from(random_(), refresh_.asked(), now))
         {
             refresh_.requested(*peer);
             return repair_step{repair_reason::refresh, peer};
@@ -27,7 +27,25 @@
     {
         return repair_step{repair_reason::refresh, std::nullopt};
     }
-    return next_for_difference(has_list, now);
+    if (auto const step = next_for_difference(has_list, now))
+    {
+        return step;
+    }
+    return has_list ? next_check(now) : std::nullopt;
+}
+
+std::optional<repair_step> directory_repair::next_check(state::time_point now)
+{
+    if (is_checking_ || now < check_at_)
+    {
+        return std::nullopt;
+    }
+    constexpr state::duration longest = check_interval;
+    std::uniform_int_distribution<state::duration::rep> wait{longest.count() / 2, longest.count()};
+    check_at_ = now + state::duration{wait(random_)};
+    auto const peer = fleet_.peer_to_refresh_from(random_(), {}, now);
+    is_checking_ = peer.has_value();
+    return peer ? std::optional{repair_step{repair_reason::check, peer}} : std::nullopt;
 }
 
 // A VM whose peers all lack a row that it has may be the one that is wrong: a removal that they
@@ -60,11 +78,15 @@
     {
         fallback_.progressed(now);
     }
-    if (reason == repair_reason::refresh)
+    switch (reason)
     {
+    case repair_reason::refresh:
         return refresh_.answered(succeeded);
+    case repair_reason::difference:
+        return sync_.answered(brought_news, now);
+    case repair_reason::check:
+        is_checking_ = false;
     }
-    sync_.answered(brought_news, now);
 }
 
 } // namespace plumdale::coordination
--- a/src/coordination/evacuation_orders.cpp
+++ b/src/coordination/evacuation_orders.cpp
@@ -124,6 +124,16 @@
     return contains_zone(known_.in_force, zone);
 }
 
+std::uint64_t evacuation_orders::digest() const noexcept
+{
+    std::uint64_t digest = 0;
+    for (evacuation const& each : known_.in_force)
+    {
+        digest ^= state::mix(each.zone.value, each.revision);
+    }
+    return digest;
+}
+
 state::time_point evacuation_orders::ended_at(state::zone_id zone) const
 {
     auto const found = ended_at_.find(zone);
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -385,15 +385,17 @@
 }
 
 std::optional<state::endpoint>
-fleet_view::peer_to_refresh_from(std::uint64_t random_value,
-                                 std::span<state::endpoint const> asked) const
+fleet_view::peer_to_refresh_from(std::uint64_t random_value, std::span<state::endpoint const> asked,
+                                 state::time_point now) const
 {
-    return pick_peer(random_value,
-                     [asked](peer_state const& peer)
-                     {
-                         return peer.directory != 0 &&
-                                std::find(asked.begin(), asked.end(), peer.streams) == asked.end();
-                     });
+    auto const has_rows = [asked](peer_state const& peer)
+    {
+        return peer.directory != 0 &&
+               std::find(asked.begin(), asked.end(), peer.streams) == asked.end();
+    };
+    auto const live = pick_peer(random_value, [this, now, &has_rows](peer_state const& peer)
+                                { return is_live(peer, now) && has_rows(peer); });
+    return live ? live : pick_peer(random_value, has_rows);
 }
 
 bool fleet_view::may_have_more(peer_state const& peer, state::time_point now) const
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -5,6 +5,7 @@
 #include <plumdale/protocol/fleet_codec.hpp>
 
 #include <algorithm>
+#include <array>
 #include <bit>
 
 namespace plumdale::protocol
@@ -16,6 +17,32 @@
 
 constexpr unsigned digest_bits = 64;
 constexpr unsigned bits_per_byte = 8;
+constexpr std::size_t digest_bytes = digest_bits / bits_per_byte;
+
+// The least significant byte first, on every kind of machine.
+std::string to_bytes(std::span<std::uint64_t const> digests)
+{
+    std::string bytes;
+    for (std::uint64_t const digest : digests)
+    {
+        for (unsigned shift = 0; shift < digest_bits; shift += bits_per_byte)
+        {
+            bytes += static_cast<char>((digest >> shift) & 0xffU);
+        }
+    }
+    return bytes;
+}
+
+std::vector<std::uint64_t> from_bytes(std::string_view bytes)
+{
+    std::vector<std::uint64_t> digests(bytes.size() / digest_bytes);
+    for (std::size_t i = 0; i < bytes.size(); ++i)
+    {
+        auto const byte = static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[i]));
+        digests[i / digest_bytes] |= byte << (bits_per_byte * (i % digest_bytes));
+    }
+    return digests;
+}
 
 void write(wire::MemberLoad::Builder to, coordination::member_load const& from)
 {
@@ -481,20 +508,11 @@
 
 std::string encode(coordination::bucket_digests const& digests)
 {
-    std::string body;
-    for (std::uint64_t const digest : digests)
-    {
-        for (unsigned shift = 0; shift < digest_bits; shift += bits_per_byte)
-        {
-            body += static_cast<char>((digest >> shift) & 0xffU);
-        }
-    }
-    return body;
+    return to_bytes(digests);
 }
 
 state::result<coordination::bucket_digests> decode_bucket_digests(std::string_view body)
 {
-    constexpr std::size_t digest_bytes = digest_bits / bits_per_byte;
     std::size_t const count = body.size() / digest_bytes;
     bool const is_valid = body.size() % digest_bytes == 0 && std::has_single_bit(count) &&
                           count >= coordination::service_directory::min_buckets &&
@@ -503,13 +521,24 @@
     {
         return malformed("digests of another length");
     }
-    coordination::bucket_digests digests(count);
-    for (std::size_t i = 0; i < body.size(); ++i)
+    return from_bytes(body);
+}
+
+std::string encode(coordination::vm_digests const& digests)
+{
+    return to_bytes(std::array{digests.directory, digests.evacuations, digests.quarantine,
+                               digests.configuration});
+}
+
+state::result<coordination::vm_digests> decode_vm_digests(std::string_view body)
+{
+    constexpr std::size_t count = 4;
+    if (body.size() != count * digest_bytes)
     {
-        auto const byte = static_cast<std::uint64_t>(static_cast<unsigned char>(body[i]));
-        digests[i / digest_bytes] |= byte << (bits_per_byte * (i % digest_bytes));
+        return malformed("digests of another length");
     }
-    return digests;
+    std::vector<std::uint64_t> const read = from_bytes(body);
+    return coordination::vm_digests{read[0], read[1], read[2], read[3]};
 }
 
 } // namespace plumdale::protocol
--- a/src/transport/directory_exchange.cpp
+++ b/src/transport/directory_exchange.cpp
@@ -17,6 +17,7 @@
 
 using coordination::directory_copy;
 using coordination::repair_reason;
+using coordination::vm_digests;
 
 constexpr std::string_view part = "fleet";
 constexpr unsigned success = 200;
@@ -39,8 +40,8 @@
 
 } // namespace
 
-directory_exchange::directory_exchange(forward_core& core, std::function<void()> read_store)
-    : core_{core}, read_store_{std::move(read_store)}, repair_{core.fleet, core.random}
+directory_exchange::directory_exchange(forward_core& core, directory_callbacks callbacks)
+    : core_{core}, callbacks_{std::move(callbacks)}, repair_{core.fleet, core.random}
 {
 }
 
@@ -56,10 +57,65 @@
     bool const has_list = core_.coverage == list_coverage::whole;
     while (auto const due = repair_.next(has_list, now))
     {
-        due->peer ? request_rows(*due->peer, due->reason) : read_store(due->reason);
+        perform(*due);
     }
 }
 
+void directory_exchange::perform(coordination::repair_step const& step)
+{
+    if (!step.peer)
+    {
+        return read_store(step.reason);
+    }
+    step.reason == repair_reason::check ? check(*step.peer) : request_rows(*step.peer, step.reason);
+}
+
+void directory_exchange::check(state::endpoint peer)
+{
+    fetch_request request;
+    request.address = peer;
+    request.target = check_target;
+    request.timeout = peer_timeout;
+    fetch(core_.context, std::move(request),
+          [this, peer](state::result<fetch_answer> const& answer)
+          {
+              core_.traffic.add_received(message_kind::directory,
+                                         answer ? answer.value().body.size() : 0);
+              bool const is_success = answer && answer.value().status == success;
+              auto const theirs = is_success ? protocol::decode_vm_digests(answer.value().body)
+                                             : state::result<vm_digests>{state::failure{}};
+              if (theirs)
+              {
+                  return compare(peer, theirs.value());
+              }
+              repair_.answered(repair_reason::check, false, false, boot_now());
+          });
+}
+
+void directory_exchange::compare(state::endpoint peer, vm_digests const& theirs)
+{
+    vm_digests const own = own_digests();
+    callbacks_.on_checked(peer, theirs);
+    if (theirs.directory != own.directory || theirs.evacuations != own.evacuations)
+    {
+        return request_rows(peer, repair_reason::check);
+    }
+    repair_.answered(repair_reason::check, true, false, boot_now());
+}
+
+vm_digests directory_exchange::own_digests() const
+{
+    return {core_.directory.digest(), core_.directory.evacuations().digest(),
+            core_.quarantine.known().digest(), core_.version()};
+}
+
+std::string directory_exchange::answer_to_check() const
+{
+    std::string answer = protocol::encode(own_digests());
+    core_.traffic.add_sent(message_kind::directory, answer.size());
+    return answer;
+}
+
 // A reader follows the store anyway.
 void directory_exchange::read_store(repair_reason reason)
 {
@@ -70,7 +126,7 @@
     core_.metrics.add(forward_count::store_fallbacks);
     core_.log.write(part, "reads the store", {},
                     {{"why", to_text(reason)}, {"own", std::to_string(core_.directory.digest())}});
-    read_store_();
+    callbacks_.read_store();
 }
 
 void directory_exchange::log_lasting_difference(state::time_point now)
--- a/src/transport/fleet_exchange.cpp
+++ b/src/transport/fleet_exchange.cpp
@@ -79,7 +79,13 @@
                        [this](std::string datagram, state::endpoint to)
                        { send(message_kind::configuration, std::move(datagram), to); },
                        store_.read_configuration}},
-      directories_{core, store_.read_all}, speeds_{core}
+      directories_{core,
+                   {store_.read_all,
+                    [this](state::endpoint peer, vm_digests const& theirs)
+                    {
+                        apply_check(peer, theirs);
+                    }}},
+      speeds_{core}
 {
 }
 
@@ -243,6 +249,21 @@
     return configurations_.answer_to(target);
 }
 
+std::string fleet_exchange::answer_to_check() const
+{
+    return directories_.answer_to_check();
+}
+
+// Datagrams show the same, unless they are lost.
+void fleet_exchange::apply_check(state::endpoint peer, vm_digests const& theirs)
+{
+    configurations_.note_peer_version(theirs.configuration);
+    if (theirs.quarantine != core_.quarantine.known().digest())
+    {
+        ask_for_evidence({peer.address, settings_.self.datagrams.port});
+    }
+}
+
 std::string fleet_exchange::directory_for(std::string_view request_body)
 {
     return directories_.answer_to(request_body);
--- a/src/transport/fleet_exchange.hpp
+++ b/src/transport/fleet_exchange.hpp
@@ -58,6 +58,8 @@
     [[nodiscard]] std::string configuration_for(std::string_view target);
     /// \brief Returns the response body for a peer that requests upstreams with `request_body`.
     [[nodiscard]] std::string directory_for(std::string_view request_body);
+    /// \brief Returns the response body for a peer that checks what it knows.
+    [[nodiscard]] std::string answer_to_check() const;
     /// \brief Sends this VM's changed load at an upstream at once, as far as the budget allows.
     void announce_load(state::member_key member);
     /// \brief Broadcasts new evidence on requests that end upstreams, if there is any.
@@ -97,6 +99,9 @@
     void record_sent_status(coordination::fleet_update const& update);
     /// \brief Exchanges evidence on requests that end upstreams with a peer whose evidence differs.
     void exchange_evidence(coordination::fleet_update const& received, state::endpoint to);
+    void ask_for_evidence(state::endpoint peer);
+    /// \brief Catches up with what a peer's answer to a check shows besides the directory.
+    void apply_check(state::endpoint peer, coordination::vm_digests const& theirs);
     void send_evidence(state::endpoint to, state::time_point now);
     /// \brief Starts a broadcast, along as many trees as make up for a lost datagram.
     void broadcast(coordination::fleet_update& update);
--- a/src/transport/fleet_exchange_sending.cpp
+++ b/src/transport/fleet_exchange_sending.cpp
@@ -286,9 +286,7 @@
                            now);
     if (answer.should_request)
     {
-        fleet_update request = make_update();
-        request.requests_evidence = true;
-        send(request, std::array{to});
+        ask_for_evidence(to);
     }
     if (answer.should_send)
     {
@@ -296,6 +294,13 @@
     }
 }
 
+void fleet_exchange::ask_for_evidence(state::endpoint peer)
+{
+    fleet_update request = make_update();
+    request.requests_evidence = true;
+    send(request, std::array{peer});
+}
+
 void fleet_exchange::send_evidence(state::endpoint to, state::time_point now)
 {
     std::vector<request_evidence> const known =
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -309,6 +309,11 @@
         {
             channel.answer(ok, "OK", {}, fleet_->directory_for(call.body));
         }
+        else if (call.head.target == directory_exchange::check_target &&
+                 core_.coverage != list_coverage::none)
+        {
+            channel.answer(ok, "OK", {}, fleet_->answer_to_check());
+        }
         else
         {
             channel.answer(not_found, "Not Found", {}, {});
--- a/tests/coordination/directory_fleet.hpp
+++ b/tests/coordination/directory_fleet.hpp
@@ -140,8 +140,16 @@
     {
         while (auto const due = vm.repair.next(true, now))
         {
-            due->peer ? request_rows(vm, *vms_[due->peer->address], due->reason, now)
-                      : read_store(vm, now);
+            if (!due->peer)
+            {
+                read_store(vm, now);
+                continue;
+            }
+            syncing_vm& peer = *vms_[due->peer->address];
+            bool const is_equal = due->reason == repair_reason::check && &vm != refused_ &&
+                                  peer.directory.digest() == vm.directory.digest();
+            is_equal ? vm.repair.answered(due->reason, true, false, now)
+                     : request_rows(vm, peer, due->reason, now);
         }
     }
 
--- a/tests/coordination/test_directory_repair.cpp
+++ b/tests/coordination/test_directory_repair.cpp
@@ -420,6 +420,28 @@
     }
 }
 
+// Guards against a VM whose repair needs a digest in a datagram, or that notices that it stood
+// still.
+TEST_CASE("VMs that lost a datagram ask for what they missed though no other reaches them",
+          "[directory_repair][load]")
+{
+    fleet_size const size = GENERATE(small, large_once);
+    for (unsigned seed = 1; seed <= size.draws; ++seed)
+    {
+        lossy_fleet fleet{size.vms, seed};
+        fleet.run_until(fleet.now() + 8s);
+        std::size_t const vm = fleet.draw_follower();
+        std::vector const added{listed_upstream(upstreams, first_revision + 1)};
+        fleet.change(added);
+        fleet.run_until(fleet.now() + 4s);
+        fleet.cut_from_all(vm);
+        fleet.suspend(vm, 100ms);
+        fleet.change(removed(added, first_revision + 2));
+        INFO(size.vms << " VMs, seed " << seed);
+        CHECK(fleet.run_until_converged(size.contact) < size.contact);
+    }
+}
+
 // Guards against a VM whose repair needs its peers' answers.
 TEST_CASE("VMs that missed a removal read the store if no peer answers", "[directory_repair][load]")
 {
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -243,3 +243,16 @@
     CHECK_FALSE(decode_bucket_digests(encode(bucket_digests(32))));
     CHECK_FALSE(decode_bucket_digests(encode(bucket_digests(8192))));
 }
+
+TEST_CASE("what a VM knows is read as it was written, on any kind of machine", "[fleet_codec]")
+{
+    coordination::vm_digests const written{0x0102030405060708, 0xf1f2f3f4f5f6f7f8, 3, UINT64_MAX};
+    std::string const body = protocol::encode(written);
+    REQUIRE(body.size() == 32);
+    CHECK(body.substr(0, 2) == "\x08\x07");
+    auto const read = protocol::decode_vm_digests(body);
+    REQUIRE(read);
+    CHECK(read.value() == written);
+    CHECK_FALSE(protocol::decode_vm_digests(body.substr(1)));
+    CHECK_FALSE(protocol::decode_vm_digests(body + body));
+}
