--- a/tests/coordination/test_directory_repair.cpp
+++ b/tests/coordination/test_directory_repair.cpp
@@ -437,6 +437,7 @@
         fleet.cut_from_all(vm);
         fleet.suspend(vm, 100ms);
         fleet.change(removed(added, first_revision + 2));
+        fleet.run_until(fleet.now() + 100ms);
         INFO(size.vms << " VMs, seed " << seed);
         CHECK(fleet.run_until_converged(size.contact) < size.contact);
     }
