coordination: an answer to a request of before a pause says nothing of after it

Cause: found by reading. A request that was under way as the VM stood still could end right after it, with an answer of before; it counted as one of the two that are wanted after the pause. Change: requests of before the beginning are counted apart. Parameters that were called like a namespace, and two functions of one name, have other names.

--- a/include/plumdale/coordination/refresh_requests.hpp
+++ b/include/plumdale/coordination/refresh_requests.hpp
@@ -3,7 +3,6 @@
 #include <plumdale/state/endpoint.hpp>
 #include <plumdale/state/time.hpp>
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <random>
@@ -73,6 +72,8 @@
     state::time_point begins_at_{};
     std::uint32_t answers_ = 0;
     std::uint32_t outstanding_ = 0;
+    /// \brief Requests of the time before the last beginning that have not ended.
+    std::uint32_t outdated_ = 0;
     bool is_stores_turn_ = false;
     std::vector<state::endpoint> asked_;
 };
--- a/src/coordination/refresh_requests.cpp
+++ b/src/coordination/refresh_requests.cpp
@@ -1,5 +1,8 @@
 #include <plumdale/coordination/refresh_requests.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace plumdale::coordination
 {
 
@@ -16,6 +19,7 @@
     began_at_ = now;
     begins_at_ = now + state::duration{delay(random_)};
     answers_ = 0;
+    outdated_ += std::exchange(outstanding_, 0);
     is_stores_turn_ = true;
     asked_.clear();
 }
@@ -28,6 +32,12 @@
 
 void refresh_requests::answered(bool succeeded) noexcept
 {
+    // Its answer may be older than the pause.
+    if (outdated_ != 0)
+    {
+        --outdated_;
+        return;
+    }
     --outstanding_;
     answers_ += succeeded ? 1 : 0;
 }
--- a/src/transport/store_page_merge.hpp
+++ b/src/transport/store_page_merge.hpp
@@ -12,9 +12,9 @@
 namespace plumdale::transport
 {
 
-// Pages are not one snapshot: the watch reports changes since the first.
-/// \brief Adds the next page of operators' entries.
-inline void add_page(protocol::store_page& whole, protocol::store_page page)
+/// \brief Adds the next page of operators' entries. Pages are not one snapshot: the watch reports
+/// changes since the first.
+inline void add_operator_page(protocol::store_page& whole, protocol::store_page page)
 {
     whole.revision = whole.revision == 0 ? page.revision : whole.revision;
     whole.newest_revision = std::max(whole.newest_revision, page.newest_revision);
@@ -26,10 +26,9 @@
     whole.orders.insert(whole.orders.end(), page.orders.begin(), page.orders.end());
 }
 
-// A lagging page states the store's current revision, but its content is some seconds old. Dated by
-// that revision, it would undo an order received from peers; the newest revision in its content is
-// not too new.
-/// \brief Returns the orders of evacuation in force by `page`.
+/// \brief Returns the orders of evacuation in force by `page`. A lagging one states the store's
+/// current revision, but its content is some seconds old: dated by that revision, it would undo an
+/// order received from peers. The newest revision in its content is not too new.
 [[nodiscard]] inline state::evacuations evacuations_in(protocol::store_page const& page,
                                                        protocol::read_consistency consistency)
 {
--- a/src/transport/store_reader.cpp
+++ b/src/transport/store_reader.cpp
@@ -292,7 +292,7 @@
                  return failed("configuration", answer);
              }
              succeeded(consistency);
-             transport::add_page(operator_entries_, std::move(answered).value());
+             add_operator_page(operator_entries_, std::move(answered).value());
              operator_entries_.next_page.empty()
                  ? apply_operator_entries(consistency)
                  : read_operator_entries(consistency, operator_entries_.next_page);
--- a/src/transport/store_reader.hpp
+++ b/src/transport/store_reader.hpp
@@ -97,10 +97,10 @@
     void watch();
     /// \brief The pages of a read of everything by a VM that is no reader.
     struct single_read;
-    void read_operator_entries_once(std::shared_ptr<single_read> const& state,
+    void read_operator_entries_once(std::shared_ptr<single_read> const& progress,
                                     std::string const& page);
-    void read_list_once(std::shared_ptr<single_read> const& state, std::string const& page);
-    void apply_single_read(single_read& state);
+    void read_list_once(std::shared_ptr<single_read> const& progress, std::string const& page);
+    void apply_single_read(single_read& progress);
     void end_single_read(std::string_view decision, std::size_t rows);
     void read_newer(protocol::read_consistency consistency,
                     std::function<void()> const& on_not_newer);
--- a/src/transport/store_reader_once.cpp
+++ b/src/transport/store_reader_once.cpp
@@ -33,56 +33,56 @@
     }
 }
 
-void store_reader::read_operator_entries_once(std::shared_ptr<single_read> const& state,
+void store_reader::read_operator_entries_once(std::shared_ptr<single_read> const& progress,
                                               std::string const& page)
 {
     call(core_.dialect.operator_entries_target(read_consistency::current, page), answer_timeout,
-         [this, state](state::result<fetch_answer> const& answer)
+         [this, progress](state::result<fetch_answer> const& answer)
          {
              auto read = parse_page(answer, read_consistency::current);
              if (!read)
              {
                  return end_single_read("not read once", 0);
              }
-             transport::add_page(state->operator_entries, std::move(read).value());
-             state->operator_entries.next_page.empty()
-                 ? read_list_once(state, {})
-                 : read_operator_entries_once(state, state->operator_entries.next_page);
+             add_operator_page(progress->operator_entries, std::move(read).value());
+             progress->operator_entries.next_page.empty()
+                 ? read_list_once(progress, {})
+                 : read_operator_entries_once(progress, progress->operator_entries.next_page);
          });
 }
 
-void store_reader::read_list_once(std::shared_ptr<single_read> const& state,
+void store_reader::read_list_once(std::shared_ptr<single_read> const& progress,
                                   std::string const& page)
 {
     call(core_.dialect.member_list_target(read_consistency::current, page), answer_timeout,
-         [this, state](state::result<fetch_answer> const& answer)
+         [this, progress](state::result<fetch_answer> const& answer)
          {
              auto const read = parse_page(answer, read_consistency::current);
              if (!read)
              {
                  return end_single_read("not read once", 0);
              }
-             add_page(state->list, read.value());
-             state->list.next_page.empty() ? apply_single_read(*state)
-                                           : read_list_once(state, state->list.next_page);
+             add_page(progress->list, read.value());
+             progress->list.next_page.empty() ? apply_single_read(*progress)
+                                              : read_list_once(progress, progress->list.next_page);
          });
 }
 
-void store_reader::apply_single_read(single_read& state)
+void store_reader::apply_single_read(single_read& progress)
 {
-    core_.apply_evacuations(evacuations_in(state.operator_entries, read_consistency::current),
+    core_.apply_evacuations(evacuations_in(progress.operator_entries, read_consistency::current),
                             part);
-    if (!state.operator_entries.configuration.empty())
+    if (!progress.operator_entries.configuration.empty())
     {
-        core_.apply_configuration(std::move(state.operator_entries.configuration), part);
+        core_.apply_configuration(std::move(progress.operator_entries.configuration), part);
     }
     std::size_t const unreported = core_.unreported.size();
     bool const is_complete = reread_at_ == state::never;
-    core_.apply_list(state.list.members, state.list.unusable, is_complete ? state.list.revision : 0,
-                     part);
+    core_.apply_list(progress.list.members, progress.list.unusable,
+                     is_complete ? progress.list.revision : 0, part);
     // Its peers know them, or read them as well.
     core_.unreported.resize(unreported);
-    end_single_read("read once", state.list.members.size());
+    end_single_read("read once", progress.list.members.size());
 }
 
 void store_reader::end_single_read(std::string_view decision, std::size_t rows)
