--- a/include/plumdale/coordination/directory_repair.hpp
+++ b/include/plumdale/coordination/directory_repair.hpp
@@ -25,7 +25,7 @@
 {
     refresh,    ///< This VM did not run, or heard no peer for a while.
     difference, ///< Its directory differs from its peers', or it has none yet.
-    check       ///< None; a peer is asked for its digest from time to time.
+    check       ///< No sign of a difference; a peer is asked for its digests now and then.
 };
 
 [[nodiscard]] constexpr std::string_view to_text(repair_reason reason) noexcept
