protocol: the digests of a check have the fleet's MAC

Cause: found by reading. The answer to a check was any 32 bytes with status 200. A configuration's version in it that no VM follows would be wanted, and asked for, without end; datagrams and offers that carry versions have a MAC. Change: the answer is the MAC by the fleet key and the digests. Result: `digests that were not made with the fleet's key are not taken` (each byte damaged, another key) passes; [fleet_codec], [directory_exchange], [store_reader] pass. 16 bytes more an answer.

--- a/include/plumdale/protocol/fleet_codec.hpp
+++ b/include/plumdale/protocol/fleet_codec.hpp
@@ -48,10 +48,14 @@
 [[nodiscard]] state::result<coordination::bucket_digests>
 decode_bucket_digests(std::string_view body);
 
-/// \brief Returns the body of an answer to a peer that checks what it knows.
-[[nodiscard]] std::string encode(coordination::vm_digests const& digests);
+/// \brief Returns the body of an answer to a peer that checks what it knows: a MAC by the fleet key
+/// and the digests.
+[[nodiscard]] std::string encode(coordination::vm_digests const& digests,
+                                 std::string_view fleet_key);
 
-/// \brief Reads such a body; fails with `invalid_request` if its length is wrong.
-[[nodiscard]] state::result<coordination::vm_digests> decode_vm_digests(std::string_view body);
+/// \brief Reads such a body. Anything not made with the fleet key or of another length fails with
+/// `invalid_request`.
+[[nodiscard]] state::result<coordination::vm_digests> decode_vm_digests(std::string_view body,
+                                                                        std::string_view fleet_key);
 
 } // namespace plumdale::protocol
--- a/src/protocol/fleet_codec.cpp
+++ b/src/protocol/fleet_codec.cpp
@@ -524,20 +524,27 @@
     return from_bytes(body);
 }
 
-std::string encode(coordination::vm_digests const& digests)
+std::string encode(coordination::vm_digests const& digests, std::string_view fleet_key)
 {
-    return to_bytes(std::array{digests.directory, digests.evacuations, digests.quarantine,
-                               digests.configuration});
+    std::string const text = to_bytes(std::array{digests.directory, digests.evacuations,
+                                                 digests.quarantine, digests.configuration});
+    return with_mac(text, fleet_key);
 }
 
-state::result<coordination::vm_digests> decode_vm_digests(std::string_view body)
+state::result<coordination::vm_digests> decode_vm_digests(std::string_view body,
+                                                          std::string_view fleet_key)
 {
     constexpr std::size_t count = 4;
-    if (body.size() != count * digest_bytes)
+    if (!has_valid_mac(body, fleet_key, {}))
+    {
+        return malformed("wrong MAC of a peer's digests");
+    }
+    std::string_view const text = body.substr(datagram_mac_bytes);
+    if (text.size() != count * digest_bytes)
     {
         return malformed("digests of another length");
     }
-    std::vector<std::uint64_t> const read = from_bytes(body);
+    std::vector<std::uint64_t> const read = from_bytes(text);
     return coordination::vm_digests{read[0], read[1], read[2], read[3]};
 }
 
--- a/src/transport/directory_exchange.cpp
+++ b/src/transport/directory_exchange.cpp
@@ -82,7 +82,8 @@
               core_.traffic.add_received(message_kind::directory,
                                          answer ? answer.value().body.size() : 0);
               bool const is_success = answer && answer.value().status == success;
-              auto const theirs = is_success ? protocol::decode_vm_digests(answer.value().body)
+              auto const theirs = is_success ? protocol::decode_vm_digests(answer.value().body,
+                                                                           core_.settings.fleet_key)
                                              : state::result<vm_digests>{state::failure{}};
               if (theirs)
               {
@@ -111,7 +112,7 @@
 
 std::string directory_exchange::answer_to_check() const
 {
-    std::string answer = protocol::encode(own_digests());
+    std::string answer = protocol::encode(own_digests(), core_.settings.fleet_key);
     core_.traffic.add_sent(message_kind::directory, answer.size());
     return answer;
 }
--- a/tests/platform/test_directory_exchange.cpp
+++ b/tests/platform/test_directory_exchange.cpp
@@ -79,7 +79,8 @@
     checking_vm vm;
     transport::forward_core& core = vm.fixture.core;
     vm.answer("GET /fleet/digests",
-              protocol::encode(coordination::vm_digests{core.directory.digest(), 77, 78, 9}));
+              protocol::encode(coordination::vm_digests{core.directory.digest(), 77, 78, 9},
+                               vm.fixture.settings.fleet_key));
     coordination::directory_copy copy;
     copy.evacuations = {6, {{east, 6}}};
     vm.answer("POST /fleet/upstreams", protocol::encode(copy));
--- a/tests/protocol/test_fleet_codec.cpp
+++ b/tests/protocol/test_fleet_codec.cpp
@@ -246,13 +246,28 @@
 
 TEST_CASE("what a VM knows is read as it was written, on any kind of machine", "[fleet_codec]")
 {
+    constexpr std::string_view key = "a key of sixteen or more";
     coordination::vm_digests const written{0x0102030405060708, 0xf1f2f3f4f5f6f7f8, 3, UINT64_MAX};
-    std::string const body = protocol::encode(written);
-    REQUIRE(body.size() == 32);
-    CHECK(body.substr(0, 2) == "\x08\x07");
-    auto const read = protocol::decode_vm_digests(body);
+    std::string const body = protocol::encode(written, key);
+    REQUIRE(body.size() == 16 + 32);
+    CHECK(body.substr(16, 2) == "\x08\x07");
+    auto const read = protocol::decode_vm_digests(body, key);
     REQUIRE(read);
     CHECK(read.value() == written);
-    CHECK_FALSE(protocol::decode_vm_digests(body.substr(1)));
-    CHECK_FALSE(protocol::decode_vm_digests(body + body));
+    CHECK_FALSE(protocol::decode_vm_digests(body + body, key));
+    CHECK_FALSE(protocol::decode_vm_digests({}, key));
+}
+
+// Guards against a version that no VM follows, which would be asked for without end.
+TEST_CASE("digests that were not made with the fleet's key are not taken", "[fleet_codec]")
+{
+    constexpr std::string_view key = "a key of sixteen or more";
+    std::string const body = protocol::encode(coordination::vm_digests{1, 2, 3, 4}, key);
+    CHECK_FALSE(protocol::decode_vm_digests(body, "another key, as long as it"));
+    for (std::size_t byte = 0; byte < body.size(); ++byte)
+    {
+        std::string damaged = body;
+        damaged[byte] = static_cast<char>(damaged[byte] ^ 1);
+        CHECK_FALSE(protocol::decode_vm_digests(damaged, key));
+    }
 }
