--- a/include/plumdale/coordination/directory_repair.hpp
+++ b/include/plumdale/coordination/directory_repair.hpp
@@ -65,7 +65,7 @@
     /// \brief Records the end of a request to a peer.
     void answered(repair_reason reason, bool succeeded, bool brought_news, state::time_point now);
 
-    /// \brief Time between two checks, of some 300 bytes each, drawn between half of it and all.
+    /// \brief Time between two checks, of some 200 bytes each, drawn between half of it and all.
     /// Two fit into the seconds after which a VM is in touch again: the first peer may have missed
     /// the same.
     static constexpr state::duration check_interval = std::chrono::milliseconds{1'400};
--- a/include/plumdale/coordination/store_fallback.hpp
+++ b/include/plumdale/coordination/store_fallback.hpp
@@ -39,7 +39,7 @@
     /// \brief Spreads the reads of VMs that lack the same.
     static constexpr state::duration max_jitter = std::chrono::milliseconds{300};
     static constexpr state::duration min_pause = std::chrono::seconds{5};
-    /// \brief A whole list of a large fleet's upstreams takes some 10 ms of the store's link.
+    /// \brief All VMs share the store's link, on which a whole list is large.
     static constexpr state::duration min_pause_per_peer = std::chrono::milliseconds{50};
     /// \brief Most times that the pause is doubled.
     static constexpr std::uint32_t max_doublings = 4;
