--- a/tests/platform/forward_fixture.cpp
+++ b/tests/platform/forward_fixture.cpp
@@ -155,6 +155,24 @@
     return found;
 }
 
+std::vector<std::shared_ptr<scripted_connection>>
+scripted_upstream::take_unanswered(std::string_view text)
+{
+    std::vector<std::shared_ptr<scripted_connection>> found;
+    for (auto const& each : connections)
+    {
+        std::size_t arrived = 0;
+        for (std::size_t at = each->received.find(text); at != std::string::npos;
+             at = each->received.find(text, at + 1))
+        {
+            ++arrived;
+        }
+        found.insert(found.end(), arrived - each->taken, each);
+        each->taken = arrived;
+    }
+    return found;
+}
+
 std::size_t scripted_upstream::call_count() const
 {
     constexpr std::string_view mark = "Plumdale-Request-Id: ";
--- a/tests/platform/forward_fixture.hpp
+++ b/tests/platform/forward_fixture.hpp
@@ -36,6 +36,8 @@
 
     std::string received;
     bool ended = false;
+    /// \brief Requests that `scripted_upstream::take_unanswered` returned.
+    std::size_t taken = 0;
 
 private:
     transport::tcp::socket socket_;
@@ -54,6 +56,9 @@
     /// \brief Connections whose requests hold `text`.
     [[nodiscard]] std::vector<std::shared_ptr<scripted_connection>>
     connections_with(std::string_view text) const;
+    /// \brief Returns the connection of each request that holds `text` and was not returned before.
+    [[nodiscard]] std::vector<std::shared_ptr<scripted_connection>>
+    take_unanswered(std::string_view text);
     /// \brief Returns the number of calls that arrived, on all connections.
     [[nodiscard]] std::size_t call_count() const;
 
--- /dev/null
+++ b/tests/platform/test_cut_streams.cpp
@@ -0,0 +1,142 @@
+#include "running_draft.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+using namespace plumdale;
+using namespace plumdale::test;
+using namespace std::chrono_literals;
+
+// The stream of a draft ends at an upstream that works on. Guards against a second upstream at work
+// on the same draft.
+
+namespace
+{
+
+constexpr std::string_view last_chunk = "0\r\n\r\n";
+constexpr std::string_view stop_order = "\"isLast\":true";
+
+/// \brief Ways in which a stream ends before the draft does.
+std::vector<std::function<void(scripted_connection&)>> cuts()
+{
+    return {[](scripted_connection& stream) { stream.reset(); },
+            [](scripted_connection& stream) { stream.close(); },
+            [](scripted_connection& stream)
+            {
+                stream.send("40\r\nid: 4\ndata: e");
+                stream.close();
+            }};
+}
+
+void run_for(forward_fixture& fixture, std::chrono::milliseconds time)
+{
+    auto const end = std::chrono::steady_clock::now() + time;
+    fixture.run_until([end] { return std::chrono::steady_clock::now() > end; });
+}
+
+void check_goes_on(forward_fixture& fixture, running_draft const& draft)
+{
+    auto const resumed = fixture.upstream_connection("Kv-From: ");
+    CHECK(resumed->received.find("Last-Event-Id: 3\r\n") != std::string::npos);
+    resumed->send(stream_head("id-1") + event_chunk(4) + std::string{last_chunk});
+    fixture.run_until([&] { return draft.caller->received.ends_with(last_chunk); });
+    CHECK(draft.has_event(4));
+}
+
+} // namespace
+
+TEST_CASE("a draft whose stream is cut goes on once its upstream has stopped it", "[cut_streams]")
+{
+    for (auto const& cut : cuts())
+    {
+        forward_fixture fixture;
+        running_draft const draft{fixture};
+        cut(*draft.stream);
+        auto const order = fixture.upstream_connection(stop_order);
+        run_for(fixture, 450ms);
+        CHECK(fixture.request_count("Kv-From: ") == 0);
+        order->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":3})"));
+        check_goes_on(fixture, draft);
+    }
+}
+
+// The common case: the process is gone, and with it the run.
+TEST_CASE("a draft whose upstream refuses connections after a cut goes on at once", "[cut_streams]")
+{
+    forward_fixture fixture;
+    running_draft const draft{fixture};
+    draft.source->crash();
+    check_goes_on(fixture, draft);
+    CHECK(fixture.request_count(stop_order) == 0);
+}
+
+TEST_CASE("a draft whose order to stop is cut goes on once another one is answered",
+          "[cut_streams]")
+{
+    forward_fixture fixture;
+    running_draft const draft{fixture};
+    draft.stream->reset();
+    fixture.upstream_connection(stop_order)->reset();
+    fixture.run_until([&] { return draft.source->connections_with(stop_order).size() == 2; });
+    run_for(fixture, 100ms);
+    CHECK(fixture.request_count("Kv-From: ") == 0);
+    draft.source->connections_with(stop_order)
+        .back()
+        ->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":3})"));
+    check_goes_on(fixture, draft);
+}
+
+// The upstream stops the draft for its last copy, closes the stream and answers late: until then it
+// may have closed the stream for another reason.
+TEST_CASE("a draft that moves waits for a late answer to the order to stop", "[cut_streams]")
+{
+    forward_fixture fixture;
+    fill_engines(fixture);
+    running_draft const draft{fixture};
+    announce_departure(fixture, *draft.source);
+    fixture.upstream_connection("\"isLast\":false")
+        ->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":3})"));
+    auto const order = fixture.upstream_connection(stop_order);
+    draft.stream->close();
+    run_for(fixture, 1'500ms);
+    CHECK(fixture.request_count("Kv-From: ") == 0);
+    order->send(answer_text(200, "", R"({"handleId":"h-2","createdRev":3})"));
+    check_goes_on(fixture, draft);
+}
+
+// Another writer's entry states a later start of an upstream that lives on.
+TEST_CASE("a later start in an entry moves no draft whose upstream has not stopped it",
+          "[cut_streams]")
+{
+    forward_fixture fixture;
+    announce_incarnations(fixture);
+    running_draft const draft{fixture};
+    list_later_start(fixture, *draft.source);
+    run_for(fixture, 450ms);
+    CHECK(fixture.request_count("Kv-From: ") == 0);
+    draft.stream->send(event_chunk(4));
+    fixture.run_until([&] { return draft.has_event(4); });
+}
+
+// A copy of an earlier refusal comes where the answer to the resumption is expected.
+TEST_CASE("a resumption is not sent again for a refusal without its id", "[cut_streams]")
+{
+    for (std::string_view const id : {"", "id-0"})
+    {
+        forward_fixture fixture;
+        running_draft const draft{fixture};
+        draft.source->crash();
+        auto const resumed = fixture.upstream_connection("Kv-From: ");
+        std::size_t resumptions = 0;
+        resumed->send(answer_text(503, id, "", "Plumdale-Not-Executed: 1\r\n"));
+        run_for(fixture, 200ms);
+        for (auto const& upstream : fixture.upstreams)
+        {
+            resumptions += upstream->take_unanswered("Kv-From: ").size();
+        }
+        CHECK(resumptions == 1);
+    }
+}
--- a/tests/platform/test_stream_calls.cpp
+++ b/tests/platform/test_stream_calls.cpp
@@ -1,8 +1,6 @@
-#include "forward_fixture.hpp"
+#include "running_draft.hpp"
 #include "transport/boot_clock.hpp"
 
-#include <plumdale/protocol/endpoint_text.hpp>
-
 #include <catch2/catch.hpp>
 
 #include <set>
@@ -15,9 +13,6 @@
 namespace
 {
 
-constexpr std::string_view draft_fields =
-    "Plumdale-Token-Usage: 3000,1800\r\nPlumdale-Length-Hint: 900\r\n"
-    "Plumdale-Request-Deadline-Ms: 39000\r\n";
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
 std::size_t count(std::string const& text, std::string_view pattern)
@@ -31,66 +26,6 @@
     return found;
 }
 
-bool has_event(scripted_caller const& caller, int id)
-{
-    return caller.received.find("data: e" + std::to_string(id) + "\n") != std::string::npos;
-}
-
-void announce_departure(forward_fixture& fixture, scripted_upstream const& upstream)
-{
-    state::service_member leaving = upstream.make_member("engine", 2);
-    leaving.leaving = true;
-    std::vector<state::service_member> const updates{leaving};
-    fixture.core.apply_members(updates, "test");
-}
-
-/// \brief A draft that runs at an upstream and has produced three events.
-struct running_draft
-{
-    explicit running_draft(forward_fixture& fixture)
-        : caller{fixture.call("/draft/1", "id-1", draft_fields)}, source{&fixture.upstream_of(
-                                                                      "Plumdale-Request-Id: id-1")},
-          upstream_connection{source->connections_with("Plumdale-Request-Id: id-1").front()}
-    {
-        upstream_connection->send(stream_head("id-1"));
-        for (std::uint64_t id = 1; id <= 3; ++id)
-        {
-            upstream_connection->send(event_chunk(id));
-        }
-        fixture.run_until([this] { return has_event(*caller, 3); });
-    }
-
-    std::shared_ptr<scripted_caller> caller;
-    scripted_upstream* source;
-    std::shared_ptr<scripted_connection> upstream_connection;
-};
-
-// Returns the upstream that keeps the draft's backup; null when it has none.
-scripted_upstream* backup_engine_of(forward_fixture& fixture, running_draft const& draft)
-{
-    for (std::size_t i = 2; i < 5; ++i)
-    {
-        std::string const address =
-            protocol::to_text(fixture.upstreams[i]->make_member("engine", 1).address);
-        if (draft.upstream_connection->received.find("Plumdale-Kv-Backup: " + address) !=
-            std::string::npos)
-        {
-            return fixture.upstreams[i].get();
-        }
-    }
-    return nullptr;
-}
-
-// Fills the engines so far that drafts get no backup, as under high load.
-void fill_engines(forward_fixture& fixture)
-{
-    for (std::size_t i = 2; i < fixture.upstreams.size(); ++i)
-    {
-        state::member_key const key = state::key_of(fixture.upstreams[i]->make_member("engine", 1));
-        fixture.core.ledger.add(key, {key, 5, 22'000, 23'000, 0});
-    }
-}
-
 } // namespace
 
 TEST_CASE("events are passed on as they arrive and the end is the upstream's", "[stream]")
@@ -98,7 +33,7 @@
     forward_fixture fixture;
     running_draft draft{fixture};
     CHECK(draft.caller->received.find(last_chunk) == std::string::npos);
-    draft.upstream_connection->send(event_chunk(4) + std::string{last_chunk});
+    draft.stream->send(event_chunk(4) + std::string{last_chunk});
     fixture.run_until([&] { return draft.caller->received.ends_with(last_chunk); });
     CHECK(count(draft.caller->received, "data: e") == 4);
     CHECK(fixture.core.ledger.own_generations().empty());
@@ -111,8 +46,8 @@
     forward_fixture fixture;
     fill_engines(fixture);
     running_draft draft{fixture};
-    draft.upstream_connection->send("20\r\nid: 4\ndata: e4 and more");
-    draft.upstream_connection->close();
+    draft.stream->send("20\r\nid: 4\ndata: e4 and more");
+    draft.stream->close();
     fixture.run_until([&] { return draft.caller->ended; });
     CHECK(draft.caller->received.find(last_chunk) == std::string::npos);
     CHECK(draft.caller->received.find("e4") == std::string::npos);
@@ -135,9 +70,8 @@
 {
     forward_fixture fixture;
     running_draft draft{fixture};
-    REQUIRE(draft.upstream_connection->received.find("Plumdale-Kv-Backup: 127.0.0.1:") !=
-            std::string::npos);
-    draft.upstream_connection->reset();
+    REQUIRE(draft.stream->received.find("Plumdale-Kv-Backup: 127.0.0.1:") != std::string::npos);
+    draft.stream->reset();
     auto const resumed = fixture.upstream_connection("Kv-From: 127.0.0.1:");
     CHECK(resumed->received.find("/id-1\r\n") != std::string::npos);
     CHECK(resumed->received.find("Last-Event-Id: 3\r\n") != std::string::npos);
@@ -155,15 +89,15 @@
     forward_fixture fixture;
     fill_engines(fixture);
     running_draft draft{fixture};
-    REQUIRE(draft.upstream_connection->received.find("Plumdale-Kv-Backup") == std::string::npos);
+    REQUIRE(draft.stream->received.find("Plumdale-Kv-Backup") == std::string::npos);
     announce_departure(fixture, *draft.source);
 
     auto const first = fixture.upstream_connection("\"isLast\":false");
     CHECK(first->received.find("\"id\":\"id-1\"") != std::string::npos);
     first->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":3})"));
     auto const last = fixture.upstream_connection("\"isLast\":true");
-    draft.upstream_connection->send(event_chunk(4));
-    draft.upstream_connection->close();
+    draft.stream->send(event_chunk(4));
+    draft.stream->close();
     last->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":4})"));
 
     auto const resumed = fixture.upstream_connection("/h-1\r\n");
@@ -187,7 +121,7 @@
     announce_departure(fixture, source);
     CHECK(fixture.core.metrics.value(transport::forward_count::copies_first) == 0);
     upstream_connection->send(stream_head("id-1") + event_chunk(1));
-    fixture.run_until([&] { return has_event(*caller, 1); });
+    fixture.run_until([&] { return count(caller->received, "data: e1\n") == 1; });
     CHECK(fixture.core.metrics.value(transport::forward_count::copies_first) == 1);
 }
 
@@ -199,7 +133,7 @@
     forward_fixture fixture;
     fill_engines(fixture);
     running_draft draft{fixture};
-    REQUIRE(draft.upstream_connection->received.find("Plumdale-Kv-Backup") == std::string::npos);
+    REQUIRE(draft.stream->received.find("Plumdale-Kv-Backup") == std::string::npos);
     for (std::size_t i = 2; i < fixture.upstreams.size(); ++i)
     {
         state::member_key const key = state::key_of(fixture.upstreams[i]->make_member("engine", 1));
@@ -265,7 +199,7 @@
     scripted_upstream& source = fixture.upstream_of("Plumdale-Request-Id: id-1");
     auto const upstream_connection = source.connections_with("Plumdale-Request-Id: id-1").front();
     upstream_connection->send(stream_head("id-1") + event_chunk(1));
-    fixture.run_until([&] { return has_event(*caller, 1); });
+    fixture.run_until([&] { return count(caller->received, "data: e1\n") == 1; });
     announce_departure(fixture, source);
     upstream_connection->send(event_chunk(2) + std::string{last_chunk});
     fixture.run_until([&] { return caller->received.ends_with(last_chunk); });
@@ -283,7 +217,7 @@
     fixture.run_until(
         [&] { return fixture.core.metrics.value(transport::forward_count::copies_first) == 1; });
     draft.caller->reset();
-    fixture.run_until([&] { return draft.upstream_connection->ended; });
+    fixture.run_until([&] { return draft.stream->ended; });
     CHECK(fixture.core.calls_in_progress == 0);
 }
 
@@ -331,8 +265,8 @@
     scripted_upstream* const backup_engine = backup_engine_of(fixture, draft);
     REQUIRE(backup_engine != nullptr);
     announce_departure(fixture, *backup_engine);
-    draft.upstream_connection->send(event_chunk(4));
-    fixture.run_until([&] { return has_event(*draft.caller, 4); });
+    draft.stream->send(event_chunk(4));
+    fixture.run_until([&] { return draft.has_event(4); });
     announce_departure(fixture, *draft.source);
     fixture.run_until([&] { return !draft.source->connections_with("GET /v1/report").empty(); });
     CHECK(fixture.request_count("\"isLast\":false") == 1);
@@ -340,32 +274,6 @@
 
 // -- upstreams that restart -----------------------------------------------------------------------
 
-namespace
-{
-
-constexpr std::uint64_t first_incarnation = 1'784'177'000'000;
-
-// Lists all upstreams with their incarnations, as the platform does before the draft begins.
-void announce_incarnations(forward_fixture& fixture)
-{
-    std::vector<state::service_member> members;
-    for (std::size_t i = 0; i < 5; ++i)
-    {
-        members.push_back(fixture.upstreams[i]->make_member(i < 2 ? "plain" : "engine", 2));
-        members.back().started = state::incarnation{first_incarnation + i};
-    }
-    fixture.core.apply_members(members, "test");
-}
-
-void restart(forward_fixture& fixture, scripted_upstream const& upstream)
-{
-    state::service_member again = upstream.make_member("engine", 9);
-    again.started = state::incarnation{first_incarnation + 60'000};
-    fixture.core.apply_members(std::array{again}, "test");
-}
-
-} // namespace
-
 // Guards against a draft that stalls until its caller gives up: its upstream lost power and
 // restarted under the same name, and the old connection stays silent. Once the list shows the new
 // incarnation, the draft resumes from its backup at once.
@@ -376,7 +284,7 @@
     running_draft draft{fixture};
     scripted_upstream* const backup_engine = backup_engine_of(fixture, draft);
     REQUIRE(backup_engine != nullptr);
-    restart(fixture, *draft.source);
+    list_later_start(fixture, *draft.source);
     fixture.run_until([&] { return !backup_engine->connections_with("Last-Event-Id: 3").empty(); });
     auto const resumed = backup_engine->connections_with("Last-Event-Id: 3").front();
     resumed->send(stream_head("id-1") + event_chunk(4) + std::string{last_chunk});
@@ -399,7 +307,7 @@
         fixture.core.ledger.add(key, {key, 5, 22'000, 23'000, 0});
     }
     running_draft draft{fixture};
-    restart(fixture, *draft.source);
+    list_later_start(fixture, *draft.source);
     fixture.run_until([&] { return draft.caller->ended; });
     CHECK(draft.caller->received.find(last_chunk) == std::string::npos);
 }
@@ -413,8 +321,8 @@
     running_draft draft{fixture};
     scripted_upstream* const backup_engine = backup_engine_of(fixture, draft);
     REQUIRE(backup_engine != nullptr);
-    restart(fixture, *backup_engine);
-    draft.upstream_connection->reset();
+    list_later_start(fixture, *backup_engine);
+    draft.stream->reset();
     fixture.run_until([&] { return draft.caller->ended; });
     CHECK(fixture.request_count("Kv-From: ") == 0);
 }
@@ -428,7 +336,7 @@
     announce_incarnations(fixture);
     auto const caller = fixture.call("/draft/1", "id-1", draft_fields);
     scripted_upstream& source = fixture.upstream_of("id-1");
-    restart(fixture, source);
+    list_later_start(fixture, source);
     fixture.run_until([&] { return caller->received.find("\r\n\r\n") != std::string::npos; });
     CHECK(caller->received.starts_with("HTTP/1.1 502 "));
     CHECK(fixture.request_count("id-1") == 1);
@@ -443,7 +351,7 @@
     std::string const name = draft.source->make_member("engine", 1).name;
     fixture.core.apply_unusable_entries(std::array{protocol::unusable_entry{name, 9, "slots"}},
                                         "test");
-    draft.upstream_connection->send(event_chunk(4) + std::string{last_chunk});
+    draft.stream->send(event_chunk(4) + std::string{last_chunk});
     fixture.run_until([&] { return draft.caller->received.ends_with(last_chunk); });
     auto const other = fixture.call("/draft/2", "id-2", draft_fields);
     CHECK(&fixture.upstream_of("id-2") != draft.source);
