transport: a refused connection is told from other failures, and an order may name its address

Cause: an order to an upstream fails alike when nothing listens there, when its channel is cut and when it is silent; and it goes to where the upstream is listed now, which another writer's entry may have changed since the call was sent.

Change: `connection_refused` in the closed list of errors, from connecting alone, and `upstream_orders::send_to`.

Measured: built with them; no test of its own.

--- a/include/plumdale/state/error_kind.hpp
+++ b/include/plumdale/state/error_kind.hpp
@@ -40,6 +40,7 @@
     not_accepted,
     settings_invalid,
     connection_failed,
+    connection_refused,
     internal,
     count ///< Number of kinds; not a kind.
 };
--- a/src/state/error_kind.cpp
+++ b/src/state/error_kind.cpp
@@ -65,6 +65,8 @@
      "The settings are invalid."},
     {error_kind::connection_failed, "connection_failed", 502, no_claim, false, 12,
      "The connection failed."},
+    {error_kind::connection_refused, "connection_refused", 502, no_claim, false, 12,
+     "Nothing listens at the address."},
     {error_kind::internal, "internal", 500, may_have_run, false, 13, "Internal error."},
 }};
 
--- a/src/transport/http_fetch.cpp
+++ b/src/transport/http_fetch.cpp
@@ -156,7 +156,11 @@
 {
     if (end.error)
     {
-        return handler(state::failure{state::error_kind::connection_failed, end.error.message()});
+        // Only connecting ends so: on an open connection nothing refuses.
+        auto const kind = end.error == net::error::connection_refused
+                              ? state::error_kind::connection_refused
+                              : state::error_kind::connection_failed;
+        return handler(state::failure{kind, end.error.message()});
     }
     handler(std::move(end.answer));
 }
--- a/src/transport/http_fetch.hpp
+++ b/src/transport/http_fetch.hpp
@@ -47,7 +47,7 @@
 using fetch_handler = std::function<void(state::result<fetch_answer>)>;
 
 /// \brief Sends a request on a connection of its own and calls `handler` once; fails with
-/// `connection_failed`.
+/// `connection_refused` if nothing listens at the address, and with `connection_failed`.
 void fetch(net::io_context& context, fetch_request request, fetch_handler handler);
 
 /// \brief Sends requests, and keeps one idle connection per address for later reads.
@@ -67,7 +67,7 @@
     fetcher& operator=(fetcher const&) = delete;
     ~fetcher();
 
-    /// \brief Sends a request and calls `handler` once; fails with `connection_failed`.
+    /// \brief Sends a request and calls `handler` once; fails as `fetch()` does.
     void fetch(fetch_request request, fetch_handler handler);
 
 private:
--- a/src/transport/upstream_orders.cpp
+++ b/src/transport/upstream_orders.cpp
@@ -28,6 +28,13 @@
     {
         return fail(state::error_kind::no_upstream, "unknown upstream", std::move(handler));
     }
+    send_to(member, entry->info.address, std::move(order), timeout, std::move(handler));
+}
+
+void upstream_orders::send_to(state::member_key member, state::endpoint address,
+                              protocol::upstream_request order, std::chrono::milliseconds timeout,
+                              fetch_handler handler)
+{
     state::time_point const now = boot_now();
     if (!gate_.may_order(member, now))
     {
@@ -35,7 +42,7 @@
     }
     gate_.note_ordered(member, now);
     fetch_request request;
-    request.address = entry->info.address;
+    request.address = address;
     request.method = std::move(order.method);
     request.target = std::move(order.target);
     request.body = std::move(order.body);
--- a/src/transport/upstream_orders.hpp
+++ b/src/transport/upstream_orders.hpp
@@ -31,11 +31,16 @@
                     statement_handler on_statement);
 
     /// \brief Sends an order and calls `handler` once, later; fails with `no_upstream` if the
-    /// upstream is unknown, with `overloaded` if it asked for a back-off, and with
-    /// `connection_failed`.
+    /// upstream is unknown, with `overloaded` if it asked for a back-off, with
+    /// `connection_refused` if nothing listens there, and with `connection_failed`.
     void send(state::member_key member, protocol::upstream_request order,
               std::chrono::milliseconds timeout, fetch_handler handler);
 
+    /// \brief Sends an order to where a call of the upstream was sent, whatever is listed now.
+    void send_to(state::member_key member, state::endpoint address,
+                 protocol::upstream_request order, std::chrono::milliseconds timeout,
+                 fetch_handler handler);
+
     /// \brief Size of the largest answer to an order or a request for a report.
     static constexpr std::uint64_t max_answer_bytes = 256ULL * 1024;
 
