coordination: a record of sends decides what a caller is told and whether a call is sent again

Callers saw 503 for calls that ran, and calls that may run once ran twice: an answer without an id, which its upstream had sent before the call arrived, counted as the call's; any status could state "not run"; a second copy of a refusal answered a later send of the same call on its connection.

Cause: what a call's sends became was inferred at a dozen places, each by its own rule (`possible_runs_`, `sends_`, `is_refused_by_upstream`, the stream's own `not_run`).

Change: `send_record` holds each send and its proof, of a closed list (`send_proof`). Errors that state that nothing ran can be built from it alone (`refusal`, `never_ran`); without a proof they become `may_have_run`. An upstream's statement counts only whole, with a refusal's status and under the call's own id; an answer without it belongs to no call, and closes the connection. A call goes to one upstream twice only on a connection that has not carried it. Log lines of a call say how the send ended, whose id the answer bore, the proof and the error. Streams' resumptions and calls through peers use the record, too.

--- a/src/transport/call_admission.cpp
+++ b/src/transport/call_admission.cpp
@@ -134,7 +134,8 @@
                              ? 0
                              : static_cast<std::int64_t>(core.routing->configuration().version)}});
         core.metrics.add(forward_count::refused);
-        channel->refuse(rejected->kind, unconfigured_retry_after);
+        channel->refuse(coordination::send_record{origin.possible_runs}.refusal_as(rejected->kind),
+                        unconfigured_retry_after);
         return nullptr;
     }
     admitted.request = request_digest_of(admitted);
--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -54,7 +54,8 @@
 call_through_peer::call_through_peer(forward_core& core, std::shared_ptr<caller_channel> channel,
                                      admitted_call admitted, std::vector<state::node_id> peers)
     : core_{core}, channel_{std::move(channel)}, admitted_{std::move(admitted)},
-      timer_{core.context}, peers_{std::move(peers)}, body_{core.answers_held}
+      timer_{core.context}, peers_{std::move(peers)}, sends_{admitted_.origin.possible_runs},
+      body_{core.answers_held}
 {
     ++core_.calls_in_progress;
     ++core_.calls_through_peers;
@@ -95,6 +96,7 @@
     asked_.push_back(peer->node);
     refusal_.reset();
     body_.clear();
+    sends_.begin(state::member_key{peer->node.value});
     upstream_exchange::options options;
     options.member = state::member_key{peer->node.value};
     options.address = peer->streams;
@@ -121,16 +123,12 @@
     call.body = admitted_.call.body;
     std::string const body = protocol::encode(call, core_.settings.fleet_key);
     core_.on_call_bytes(body.size());
+    sends_.note_written();
     log("sent to a peer", {});
     std::string text = "POST ";
-    text.append(protocol::peer_call_target)
-        .append(" HTTP/1.1\r\nHost: plumdale\r\nContent-Length: ");
-    return text.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
-}
-
-bool call_through_peer::has_been_sent() const noexcept
-{
-    return exchange_ != nullptr && exchange_->sent();
+    text.append(protocol::peer_call_target).append(" HTTP/1.1\r\nHost: plumdale\r\n");
+    text.append("Content-Length: ").append(std::to_string(body.size()));
+    return text.append("\r\n\r\n").append(body);
 }
 
 // -- answers --------------------------------------------------------------------------------------
@@ -139,9 +137,9 @@
 {
     head_ = head;
     std::string const* const connection = head.find("Connection");
-    exchange_->keep_alive(std::nullopt,
-                          connection != nullptr && protocol::has_token(*connection, "close"));
     std::string const* const origin = head.find(protocol::peer_answer_field);
+    bool const closes = connection != nullptr && protocol::has_token(*connection, "close");
+    exchange_->keep_alive(std::nullopt, closes);
     if (origin == nullptr)
     {
         // A peer of another version doesn't know the request.
@@ -189,6 +187,7 @@
 {
     // Forwarding the end releases the channel's reference to this call.
     auto const self = shared_from_this();
+    record_end(end);
     if (end == exchange_end::unreachable)
     {
         return peer_refused(peer_refusal::unreachable);
@@ -212,6 +211,16 @@
     forward_refusal(*refusal_);
 }
 
+void call_through_peer::record_end(exchange_end end)
+{
+    coordination::exchange_evidence seen;
+    seen.is_written = end != exchange_end::unreachable && end != exchange_end::not_sent;
+    seen.is_whole = end == exchange_end::complete;
+    seen.has_own_id = true;
+    seen.states_not_run = refusal_ && coordination::states_not_run(*refusal_);
+    sends_.end(coordination::proof_in(seen));
+}
+
 void call_through_peer::peer_refused(peer_refusal why)
 {
     core_.peers.refused(peer_.node, why, boot_now());
@@ -268,17 +277,17 @@
 void call_through_peer::refuse_unsent(std::string_view why)
 {
     note_outcome(coordination::call_outcome::refused);
-    refuse(admitted_.origin.possible_runs > 0 ? error_kind::may_have_run : error_kind::no_upstream,
-           why, retry_after());
+    refuse(error_kind::no_upstream, why, retry_after());
 }
 
 void call_through_peer::refuse(error_kind kind, std::string_view why, state::duration retry_after)
 {
-    log("refused", why);
+    coordination::refusal const answer = sends_.refusal_as(kind);
+    log("refused", why, state::answer_for(answer.kind()).name);
     core_.metrics.add(forward_count::refused);
     auto const channel = channel_;
     finish();
-    channel->refuse(kind, retry_after);
+    channel->refuse(answer, retry_after);
 }
 
 void call_through_peer::fail(std::string_view why)
@@ -303,7 +312,7 @@
 
 void call_through_peer::on_deadline()
 {
-    has_been_sent() ? fail("time is over") : refuse_unsent("time is over");
+    sends_.prove_never_ran() ? refuse_unsent("time is over") : fail("time is over");
 }
 
 void call_through_peer::on_caller_disconnected()
@@ -330,7 +339,7 @@
     }
 }
 
-void call_through_peer::log(std::string_view decision, std::string_view why)
+void call_through_peer::log(std::string_view decision, std::string_view why, std::string_view error)
 {
     state::time_point const now = boot_now();
     core_.log.write("call", decision, admitted_.headers.id,
@@ -340,7 +349,9 @@
                      {"peer", protocol::to_text(peer_.streams)},
                      {"peers_asked", static_cast<std::int64_t>(asked_.size())},
                      {"status", static_cast<std::int64_t>(head_.status)},
-                     {"may_have_run", admitted_.origin.possible_runs},
+                     {"may_have_run", sends_.possible_runs()},
+                     {"proof", coordination::to_text(sends_.newest_proof())},
+                     {"error", error},
                      {"age_ms", whole_milliseconds(now - admitted_.call.read_at)},
                      {"left_ms", whole_milliseconds(admitted_.deadline - now)}});
 }
--- a/src/transport/call_through_peer.hpp
+++ b/src/transport/call_through_peer.hpp
@@ -20,8 +20,9 @@
 
 /// \brief Has one peer after another asked to take a call until one does, and forwards its answer.
 ///
-/// A peer that declines has sent nothing to an upstream. Once a peer may have taken the call, no
-/// other is asked: the peer retries at other upstreams itself, within the same limits.
+/// A peer that declines has sent nothing to an upstream. Once a peer may have
+/// taken the call, no other is asked: the peer retries at other upstreams itself, within the same
+/// limits.
 class call_through_peer final : public call_handler,
                                 public exchange_sink,
                                 public std::enable_shared_from_this<call_through_peer>
@@ -59,14 +60,15 @@
     void on_deadline();
     void refuse(state::error_kind kind, std::string_view why, state::duration retry_after);
     void refuse_unsent(std::string_view why);
+    /// \brief Records what the end of the exchange proves of the send to this peer.
+    void record_end(exchange_end end);
     /// \brief Ends an answer that can't be completed.
     void fail(std::string_view why);
     void note_outcome(coordination::call_outcome outcome);
     void finish();
-    [[nodiscard]] bool has_been_sent() const noexcept;
     [[nodiscard]] state::duration retry_after();
     [[nodiscard]] std::vector<protocol::header_field> answer_fields() const;
-    void log(std::string_view decision, std::string_view why);
+    void log(std::string_view decision, std::string_view why, std::string_view error = {});
 
     forward_core& core_;
     std::shared_ptr<caller_channel> channel_;
@@ -76,6 +78,8 @@
     coordination::selected_peer peer_;
     std::vector<state::node_id> peers_;
     std::vector<state::node_id> asked_;
+    /// \brief Sends to peers, after those that may have run before.
+    coordination::send_record sends_;
     protocol::message_head head_;
     /// \brief The error with which the peer refused the call.
     std::optional<state::error_kind> refusal_;
--- a/src/transport/caller_channel.cpp
+++ b/src/transport/caller_channel.cpp
@@ -2,6 +2,7 @@
 
 #include "boot_clock.hpp"
 
+#include <plumdale/coordination/send_record.hpp>
 #include <plumdale/protocol/peer_call.hpp>
 
 #include <boost/asio/write.hpp>
@@ -179,9 +180,9 @@
 {
     stage_ = stage::in_call;
     close_requested_ = true;
-    refuse(reader_.is_too_large() ? state::error_kind::request_too_large
-                                  : state::error_kind::invalid_request,
-           state::duration::zero());
+    auto const kind = reader_.is_too_large() ? state::error_kind::request_too_large
+                                             : state::error_kind::invalid_request;
+    refuse(coordination::send_record{}.refusal_as(kind), state::duration::zero());
 }
 
 void caller_channel::on_connection_lost()
@@ -240,9 +241,9 @@
     finish_call(!close_after_answer_);
 }
 
-void caller_channel::refuse(state::error_kind kind, state::duration retry_delay)
+void caller_channel::refuse(coordination::refusal const& answer, state::duration retry_delay)
 {
-    state::error_answer const& row = state::answer_for(kind);
+    state::error_answer const& row = state::answer_for(answer.kind());
     std::vector<header_field> fields{{"Content-Type", "application/json"}};
     if (row.retry_after)
     {
--- a/src/transport/caller_channel.hpp
+++ b/src/transport/caller_channel.hpp
@@ -2,8 +2,8 @@
 
 #include "net.hpp"
 
+#include <plumdale/coordination/refusal.hpp>
 #include <plumdale/protocol/http_reader.hpp>
-#include <plumdale/state/error_kind.hpp>
 #include <plumdale/state/routing_configuration.hpp>
 
 #include <boost/asio/steady_timer.hpp>
@@ -121,7 +121,7 @@
     void answer(unsigned status, std::string_view reason,
                 std::vector<protocol::header_field> const& fields, std::string_view body);
     /// \brief Sends an error answer as the error table defines it.
-    void refuse(state::error_kind kind, state::duration retry_delay);
+    void refuse(coordination::refusal const& answer, state::duration retry_delay);
     /// \brief Begins an answer of unknown length.
     void begin(unsigned status, std::string_view reason,
                std::vector<protocol::header_field> const& fields);
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -25,7 +25,7 @@
 {
     ++core_.calls_in_progress;
     core_.peer_calls_in_progress += admitted_.origin.is_peer ? 1 : 0;
-    possible_runs_ = admitted_.origin.possible_runs;
+    sends_ = coordination::send_record{admitted_.origin.possible_runs};
 }
 
 forward_call::~forward_call()
@@ -84,9 +84,7 @@
     // An operator's order of evacuation lasts longer than a caller waits.
     if (core_.directory.is_wholly_evacuated(admitted_.service->name, now))
     {
-        return refuse(may_have_run() ? state::error_kind::may_have_run
-                                     : state::error_kind::no_upstream,
-                      "all zones with upstreams are evacuated");
+        return refuse(state::error_kind::no_upstream, "all zones with upstreams are evacuated");
     }
     if (hand_over_without_share(now))
     {
@@ -163,10 +161,6 @@
     {
         return hand_over_or_refuse("no upstream reached", state::error_kind::peer_declined);
     }
-    if (may_have_run())
-    {
-        return refuse(state::error_kind::may_have_run, "no other upstream");
-    }
     at_capacity ? refuse(state::error_kind::overloaded, "all upstreams are crowded")
                 : refuse(state::error_kind::no_upstream, "no upstream");
 }
@@ -188,6 +182,7 @@
     coordination::directory_entry const* const entry = core_.directory.find(member);
     leave_waiting(true);
     member_ = member;
+    address_ = entry->info.address;
     std::uint32_t const at_end = admitted_.demand.prompt_tokens + admitted_.demand.output_tokens;
     load_ = {member, 1, tokens_held(), std::max(tokens_held(), at_end), pending_prefill_tokens()};
     core_.ledger.add(member, load_);
@@ -198,12 +193,11 @@
     ++tries_;
     upstream_exchange::options options;
     options.member = member;
-    options.address = entry->info.address;
+    options.address = address_;
     options.source = core_.settings.upstream_source;
     options.without_body = admitted_.call.head.method == "HEAD";
-    options.max_idle = admitted_.route->kind == state::call_kind::idempotent
-                           ? idempotent_max_idle
-                           : non_idempotent_max_idle;
+    options.max_idle = longest_idle(member);
+    sends_.begin(member);
     exchange_ = std::make_shared<upstream_exchange>(core_.context, core_.pool, options, *this);
     is_connecting_ = true;
     core_.note_connecting(member, true);
@@ -214,6 +208,17 @@
     }
 }
 
+// A second copy of an upstream's refusal has the right id: on the connection of the send that was
+// refused it would be taken for the answer to a later one.
+state::duration forward_call::longest_idle(state::member_key member) const
+{
+    if (sends_.has_written_to(member))
+    {
+        return state::duration::zero();
+    }
+    return is_idempotent() ? idempotent_max_idle : non_idempotent_max_idle;
+}
+
 protocol::system_headers forward_call::make_system_headers(state::time_point now) const
 {
     protocol::system_headers headers;
@@ -251,8 +256,8 @@
     core_.gate.note_sent(*entry, *admitted_.service, now);
     is_open_ = true;
     sent_at_ = now;
-    first_sent_at_ = sends_ == 0 ? now : first_sent_at_;
-    ++sends_;
+    first_sent_at_ = sends_.written() == 0 ? now : first_sent_at_;
+    sends_.note_written();
     if (!exchange_->reused())
     {
         core_.note_connected(member_);
@@ -261,7 +266,7 @@
     core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
                                           : forward_count::connections_opened);
     has_unused_retry_ = false;
-    if (sends_ > 1)
+    if (sends_.written() > 1)
     {
         core_.log_repeat(admitted_.headers.id, admitted_.service->name,
                          is_resumption() ? "resumption" : "retry");
@@ -279,7 +284,7 @@
     excluded_.push_back(member_);
     close_exchange();
     log("upstream passed over", why);
-    bool const is_repeat = sends_ > 0;
+    bool const is_repeat = sends_.written() > 0;
     bool const is_last = tries_ >= try_limit || core_.reach.is_lost();
     bool const may_hand_over = admitted_.origin.is_peer || !core_.is_any_zone_cut(boot_now());
     if (is_last && has_connected_to_none() && may_hand_over)
@@ -288,16 +293,14 @@
     }
     if (tries_ >= try_limit)
     {
-        return may_have_run() ? refuse(state::error_kind::may_have_run, why)
-                              : refuse(state::error_kind::overloaded, why);
+        return refuse(state::error_kind::overloaded, why);
     }
     using coordination::retry_priority;
     auto const priority =
         admitted_.service->engine ? retry_priority::yielding : retry_priority::preferred;
     if (is_repeat && !pay_for_repeat(priority))
     {
-        return may_have_run() ? refuse(state::error_kind::may_have_run, "no repeat left")
-                              : refuse(state::error_kind::overloaded, "no repeat left");
+        return refuse(state::error_kind::overloaded, "no repeat left");
     }
     dispatch();
 }
@@ -320,9 +323,7 @@
     {
         return hand_to_peer(why, std::move(peers));
     }
-    // Only a call that this VM has not run itself may be sent by another one.
-    bool const has_run_here = possible_runs_ > admitted_.origin.possible_runs;
-    refuse(has_run_here ? state::error_kind::may_have_run : decline, why);
+    refuse(decline, why);
 }
 
 bool forward_call::hand_over_without_share(state::time_point now)
@@ -353,7 +354,7 @@
 {
     log("handed to a peer", why);
     admitted_call call = admitted_;
-    call.origin.possible_runs = possible_runs_;
+    call.origin.possible_runs = sends_.possible_runs();
     auto const channel = channel_;
     auto& core = core_;
     finish();
@@ -365,11 +366,8 @@
 
 void forward_call::retry_or_refuse(std::string_view why)
 {
-    ++possible_runs_;
     core_.health.note(member_, call_result::failed, boot_now());
-    bool const may_repeat = admitted_.route->kind == state::call_kind::idempotent &&
-                            possible_runs_ < admitted_.route->max_attempts;
-    if (may_repeat)
+    if (sends_.may_send_again(is_idempotent(), admitted_.route->max_attempts))
     {
         return redispatch(why);
     }
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -6,6 +6,7 @@
 
 #include <plumdale/coordination/generation_admission.hpp>
 #include <plumdale/coordination/routing_table.hpp>
+#include <plumdale/coordination/send_record.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -67,8 +68,8 @@
 
 /// \brief Sends a call to one upstream after another, as long as it may be retried.
 ///
-/// The exchanges report whether a call may have run. It did not run if no byte was sent or the
-/// upstream says so; in all other cases it may have run, and is never refused as not run.
+/// The record of its sends decides whether it is sent again and what its caller is told: it may
+/// have run unless it is proved of each send that it never runs.
 class forward_call : public call_handler,
                      public exchange_sink,
                      public std::enable_shared_from_this<forward_call>
@@ -158,6 +159,11 @@
         return admitted_.demand.prompt_tokens;
     }
 
+    [[nodiscard]] bool is_idempotent() const noexcept
+    {
+        return admitted_.route->kind == state::call_kind::idempotent;
+    }
+
     void dispatch();
     /// \brief Returns whether the call waits in the order of `forward_core::waiting`.
     [[nodiscard]] virtual bool is_ranked() const
@@ -208,6 +214,8 @@
     [[nodiscard]] bool hand_over_without_share(state::time_point now);
     /// \brief Ends this call and has a peer take it; the last action on it.
     void hand_to_peer(std::string_view why, std::vector<state::node_id> peers = {});
+    /// \brief Records what the end of the exchange proves of its send, and returns it.
+    coordination::send_proof record_end(exchange_end end);
     /// \brief Returns whether the answer's status promises that a call, which may run only once,
     /// never runs, though its upstream does not state so.
     [[nodiscard]] bool has_unfounded_promise() const noexcept;
@@ -230,10 +238,11 @@
     void announce_load(state::member_key member);
     void arm_timer();
     void note_outcome(coordination::call_outcome outcome);
-    void log(std::string_view decision, std::string_view why);
+    /// \brief Logs a decision; `error` is what its caller is told, if it ends the call.
+    void log(std::string_view decision, std::string_view why, std::string_view error = {});
     [[nodiscard]] bool may_have_run() const noexcept
     {
-        return possible_runs_ > 0;
+        return sends_.possible_runs() > 0;
     }
     /// \brief Returns how long a caller that is refused now should wait before it retries.
     [[nodiscard]] virtual state::duration retry_after();
@@ -249,6 +258,8 @@
     net::steady_timer timer_;
     std::shared_ptr<upstream_exchange> exchange_;
     state::member_key member_;
+    /// \brief Where it is sent; the directory may list another place meanwhile.
+    state::endpoint address_{};
     coordination::member_load load_;
     std::vector<state::member_key> excluded_;
     protocol::message_head head_;
@@ -268,9 +279,9 @@
     std::uint32_t tries_ = 0;
     /// \brief Tries that ended without a connection.
     std::uint32_t failed_connections_ = 0;
-    std::uint32_t sends_ = 0;
-    /// \brief Sends that may have run.
-    std::uint32_t possible_runs_ = 0;
+    coordination::send_record sends_;
+    /// \brief How the last exchange ended.
+    std::optional<exchange_end> last_end_;
     /// \brief A retry was spent, and nothing has been sent since.
     bool has_unused_retry_ = false;
     bool is_waiting_ = false;
@@ -295,6 +306,9 @@
     [[nodiscard]] std::size_t recheck_candidates(state::time_point now) const;
     void on_deadline_timer();
     void refuse(state::error_kind kind, std::string_view why, state::duration retry_after);
+    /// \brief Returns how long a kept connection to an upstream may have been idle; zero to open a
+    /// new one.
+    [[nodiscard]] state::duration longest_idle(state::member_key member) const;
     void refuse_quarantined();
     /// \brief Sends a quarantined call if a part of its prompt is to be tried again, here or at the
     /// VM that does so.
@@ -310,7 +324,8 @@
     void settle(coordination::send_outcome outcome);
     void note_unreachable();
     [[nodiscard]] bool has_mismatched_id() const;
-    [[nodiscard]] bool is_refused_by_upstream(exchange_end end) const;
+    /// \brief Returns whether the answer states, under the call's id, that it did not run.
+    [[nodiscard]] bool states_not_run() const;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -53,7 +53,8 @@
         settle(answer_.not_run ? coordination::send_outcome::refused
                                : coordination::send_outcome::accepted);
     }
-    exchange_->keep_alive(answer_.keep_alive, answer_.closes);
+    // What belongs to no call says that the connection is out of step.
+    exchange_->keep_alive(answer_.keep_alive, answer_.closes || has_mismatched_id());
 }
 
 exchange_end forward_call::resolve(exchange_end end) const
@@ -96,27 +97,41 @@
     core_.note_connection_failed(member_, connection_failure_);
 }
 
+// Upstreams echo the id of each call. What they sent before the call was written, as an unasked 408
+// or a second copy of another answer, bears another one or none.
 bool forward_call::has_mismatched_id() const
 {
-    return has_head_ && !answer_.id.empty() && answer_.id != admitted_.headers.id;
+    return has_head_ && answer_.id != admitted_.headers.id;
 }
 
-bool forward_call::is_refused_by_upstream(exchange_end end) const
+bool forward_call::states_not_run() const
 {
-    return has_head_ && end == exchange_end::complete && (answer_.not_run || answer_.misdirected);
+    return has_head_ && !has_mismatched_id() && (answer_.not_run || answer_.misdirected);
+}
+
+coordination::send_proof forward_call::record_end(exchange_end end)
+{
+    last_end_ = end;
+    coordination::exchange_evidence seen;
+    seen.is_written = end != exchange_end::unreachable && end != exchange_end::not_sent;
+    seen.is_whole = end == exchange_end::complete;
+    seen.has_own_id = has_head_ && !has_mismatched_id();
+    seen.states_not_run = states_not_run();
+    coordination::send_proof const proof = coordination::proof_in(seen);
+    sends_.end(proof);
+    return proof;
 }
 
 // The caller of such an answer would send a call again that has run, or runs later.
 bool forward_call::has_unfounded_promise() const noexcept
 {
-    return answer_.promises_not_run && !answer_.not_run &&
-           admitted_.route->kind != state::call_kind::idempotent;
+    return answer_.promises_not_run && !answer_.not_run && !is_idempotent();
 }
 
 // Leaving upstreams end their connections too, which is no evidence against their requests.
 void forward_call::note_evidence(exchange_end end)
 {
-    bool const is_own_answer = has_head_ && !has_mismatched_id() && !is_refused_by_upstream(end);
+    bool const is_own_answer = has_head_ && !has_mismatched_id() && !states_not_run();
     if (end == exchange_end::complete && is_own_answer)
     {
         return core_.quarantine.answered(attempt());
@@ -133,6 +148,7 @@
 
 void forward_call::exchange_ended(exchange_end end)
 {
+    coordination::send_proof const proof = record_end(end);
     if (end == exchange_end::unreachable)
     {
         note_unreachable();
@@ -148,7 +164,7 @@
         core_.metrics.add(forward_count::answers_discarded);
         return retry_or_refuse("answer to another call");
     }
-    if (is_refused_by_upstream(end))
+    if (proof == coordination::send_proof::refused)
     {
         if (answer_.misdirected)
         {
@@ -235,7 +251,7 @@
     core_.metrics.add(forward_count::quarantine_refused);
     std::uniform_int_distribution<std::int64_t> spread{
         0, coordination::prompt_quarantine::trial_delays.front().count()};
-    refuse(may_have_run() ? state::error_kind::may_have_run : state::error_kind::quarantined,
+    refuse(state::error_kind::quarantined,
            "upstreams ended under this request or a part of its prompt",
            core_.quarantine.known().refused_for(admitted_.content(), boot_now()) +
                state::duration{spread(core_.random)});
@@ -247,8 +263,7 @@
     std::uniform_real_distribution<double> draw{0.0, 1.0};
     auto const delay = coordination::draw_retry_after_backoff(end - now, admitted_.deadline - now,
                                                               draw(core_.random));
-    refuse(may_have_run() ? state::error_kind::may_have_run : state::error_kind::overloaded,
-           "all upstreams back off", delay ? *delay : retry_after());
+    refuse(state::error_kind::overloaded, "all upstreams back off", delay ? *delay : retry_after());
 }
 
 void forward_call::refuse(state::error_kind kind, std::string_view why)
@@ -258,17 +273,20 @@
 
 void forward_call::refuse(state::error_kind kind, std::string_view why, state::duration retry_after)
 {
-    log("refused", why);
+    coordination::refusal const answer =
+        is_peer_decline(kind) ? sends_.decline_as(kind) : sends_.refusal_as(kind);
+    log("refused", why, state::answer_for(answer.kind()).name);
     core_.metrics.add(forward_count::refused);
     // A peer's call that is declined is served, or refused, by another VM.
-    if (!is_peer_decline(kind))
+    if (!is_peer_decline(answer.kind()))
     {
-        note_outcome(kind == state::error_kind::may_have_run ? coordination::call_outcome::failed
-                                                             : coordination::call_outcome::refused);
+        note_outcome(coordination::states_not_run(answer.kind())
+                         ? coordination::call_outcome::refused
+                         : coordination::call_outcome::failed);
     }
     auto const channel = channel_;
     finish();
-    channel->refuse(kind, retry_after);
+    channel->refuse(answer, retry_after);
 }
 
 } // namespace plumdale::transport
--- a/src/transport/forward_call_log.cpp
+++ b/src/transport/forward_call_log.cpp
@@ -47,7 +47,7 @@
     return to_text(admitted_.headers.shared_parts);
 }
 
-void forward_call::log(std::string_view decision, std::string_view why)
+void forward_call::log(std::string_view decision, std::string_view why, std::string_view error)
 {
     state::time_point const now = boot_now();
     coordination::directory_entry const* const entry = core_.directory.find(member_);
@@ -79,8 +79,12 @@
          {"expected_wait_ms", whole_milliseconds(expected_wait_.value_or(state::duration{}))},
          {"prompt_tokens", admitted_.demand.prompt_tokens},
          {"hinted_tokens", admitted_.demand.output_tokens},
-         {"sends", sends_},
-         {"may_have_run", possible_runs_},
+         {"sends", sends_.written()},
+         {"may_have_run", sends_.possible_runs()},
+         {"send_ended", last_end_ ? to_text(*last_end_) : std::string_view{}},
+         {"answer_id", has_head_ ? std::string_view{answer_.id} : std::string_view{}},
+         {"proof", coordination::to_text(sends_.newest_proof())},
+         {"error", error},
          {"upstreams_ended",
           static_cast<std::int64_t>(
               core_.quarantine.known().requests.ended_upstream_count(admitted_.request))},
--- a/src/transport/forward_call_waiting.cpp
+++ b/src/transport/forward_call_waiting.cpp
@@ -63,8 +63,7 @@
     waiting_id_ = core_.waiting.push(place, expected_wait_.value_or(state::duration::zero()), now);
     if (!waiting_id_)
     {
-        refuse(may_have_run() ? state::error_kind::may_have_run : state::error_kind::overloaded,
-               "too many wait");
+        refuse(state::error_kind::overloaded, "too many wait");
         return false;
     }
     core_.metrics.add(forward_count::waits);
--- a/src/transport/peer_call_admission.cpp
+++ b/src/transport/peer_call_admission.cpp
@@ -57,7 +57,8 @@
     if (!decoded)
     {
         core.metrics.add(forward_count::news_rejected);
-        channel->refuse(error_kind::invalid_request, state::duration::zero());
+        channel->refuse(coordination::send_record{}.decline_as(error_kind::invalid_request),
+                        state::duration::zero());
         return nullptr;
     }
     protocol::peer_call& call = decoded.value();
@@ -70,7 +71,8 @@
                         {"peers_configuration", static_cast<std::int64_t>(call.configuration)},
                         {"in_progress", core.peer_calls_in_progress},
                         {"lag_ms", whole_milliseconds(core.loop_lag)}});
-        channel->refuse(declined->kind, state::duration::zero());
+        channel->refuse(coordination::send_record{}.decline_as(declined->kind),
+                        state::duration::zero());
         return nullptr;
     }
     core.metrics.add(forward_count::peer_calls);
--- a/src/transport/plain_call.cpp
+++ b/src/transport/plain_call.cpp
@@ -69,8 +69,7 @@
 
 bool plain_call::may_send_again() const
 {
-    return admitted_.route->kind == state::call_kind::idempotent &&
-           possible_runs_ + 1 < admitted_.route->max_attempts;
+    return is_idempotent() && sends_.may_send_again(true, admitted_.route->max_attempts);
 }
 
 void plain_call::deliver_answer()
@@ -109,8 +108,7 @@
 
 void plain_call::on_timeout()
 {
-    bool const sent = may_have_run() || (exchange_ != nullptr && exchange_->sent());
-    refuse(sent ? state::error_kind::may_have_run : state::error_kind::overloaded, "time is over");
+    refuse(state::error_kind::overloaded, "time is over");
 }
 
 } // namespace plumdale::transport
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -112,7 +112,7 @@
     protocol::message_head const first = head_;
     forward_call::on_head(head, framing);
     failure_body_.clear();
-    bool const is_own = answer_.id.empty() || answer_.id == admitted_.headers.id;
+    bool const is_own = answer_.id == admitted_.headers.id;
     streaming_ = head.status == success && answer_.is_signed && !answer_.encoded && is_own;
     if (begun_)
     {
@@ -360,11 +360,9 @@
     {
         return complete_stream();
     }
-    bool const not_run =
-        end == exchange_end::unreachable || end == exchange_end::not_sent ||
-        (end == exchange_end::complete && (answer_.not_run || answer_.misdirected));
+    bool const not_run = proves_never_ran(record_end(end));
     core_.metrics.add(forward_count::resume_refused);
-    log("resumption failed", not_run ? "not run" : "broke");
+    log("resumption failed", not_run ? "not run" : "it may run");
     close_exchange();
     if (not_run)
     {
@@ -496,7 +494,6 @@
 {
     if (!begun_)
     {
-        ++possible_runs_;
         return refuse(state::error_kind::may_have_run, why);
     }
     log("broken off", why);
@@ -557,12 +554,7 @@
 
 void stream_call::on_timeout()
 {
-    bool const sent = may_have_run() || (exchange_ != nullptr && exchange_->sent());
-    if (sent || begun_)
-    {
-        return abort_answer("time is over");
-    }
-    refuse(state::error_kind::overloaded, "time is over");
+    begun_ ? abort_answer("time is over") : refuse(state::error_kind::overloaded, "time is over");
 }
 
 } // namespace plumdale::transport
--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -27,6 +27,13 @@
 
 } // namespace
 
+std::string_view to_text(exchange_end end) noexcept
+{
+    static constexpr std::array<std::string_view, 7> words{
+        "whole answer", "closed", "unreachable", "not sent", "broken", "lost", "invalid answer"};
+    return words[static_cast<std::size_t>(end)];
+}
+
 upstream_exchange::upstream_exchange(net::io_context& context, upstream_pool& pool, options chosen,
                                      exchange_sink& sink)
     : context_{context}, pool_{pool}, options_{chosen}, sink_{&sink}, timer_{context},
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 /// \file
 /// \brief One call sent to one upstream, and its answer.
@@ -33,6 +34,9 @@
     invalid,     ///< It sent no valid answer; it may be at work on the request.
 };
 
+/// \brief Returns the word for an end in log lines.
+[[nodiscard]] std::string_view to_text(exchange_end end) noexcept;
+
 /// \brief Provides the request of an exchange and receives its answer. Called on the loop, not
 /// after `upstream_exchange::cancel()`.
 class exchange_sink
