transport: a peer's answer counts for the call that it names

A caller's call could be sent by a second peer, or refused as not run, while the first peer's send ran: an answer on a connection to a peer that doesn't say whose it is was taken for a peer that declined, and none said which call it answers.

Change: request and answer between peers bear the call's id (`Fleet-Call`). An answer without it, or without its origin, proves nothing: the caller is told `may_have_run`, and the connection is closed. A VM of an earlier version names no call, so while both run, calls that it takes for a peer are answered 502.

--- a/include/plumdale/protocol/peer_call.hpp
+++ b/include/plumdale/protocol/peer_call.hpp
@@ -36,6 +36,9 @@
 /// otherwise the name of the error with which the peer refused the call.
 inline constexpr std::string_view peer_answer_field = "Fleet-Answer";
 inline constexpr std::string_view upstream_answer = "upstream";
+/// \brief Field of request and answer: the id of the call. An answer that names another call, or
+/// none, says nothing about this one.
+inline constexpr std::string_view peer_call_field = "Fleet-Call";
 
 /// \brief Returns the body of the request to a peer: a MAC by the fleet key and Cap'n Proto words.
 [[nodiscard]] std::string encode(peer_call const& call, std::string_view fleet_key);
--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -95,6 +95,7 @@
     peer_ = *peer;
     asked_.push_back(peer->node);
     refusal_.reset();
+    is_own_answer_ = false;
     body_.clear();
     sends_.begin(state::member_key{peer->node.value});
     upstream_exchange::options options;
@@ -127,7 +128,8 @@
     log("sent to a peer", {});
     std::string text = "POST ";
     text.append(protocol::peer_call_target).append(" HTTP/1.1\r\nHost: plumdale\r\n");
-    text.append("Content-Length: ").append(std::to_string(body.size()));
+    text.append(protocol::peer_call_field).append(": ").append(admitted_.headers.id);
+    text.append("\r\nContent-Length: ").append(std::to_string(body.size()));
     return text.append("\r\n\r\n").append(body);
 }
 
@@ -138,14 +140,15 @@
     head_ = head;
     std::string const* const connection = head.find("Connection");
     std::string const* const origin = head.find(protocol::peer_answer_field);
+    std::string const* const call = head.find(protocol::peer_call_field);
+    is_own_answer_ = origin != nullptr && call != nullptr && *call == admitted_.headers.id;
     bool const closes = connection != nullptr && protocol::has_token(*connection, "close");
-    exchange_->keep_alive(std::nullopt, closes);
-    if (origin == nullptr)
+    exchange_->keep_alive(std::nullopt, closes || !is_own_answer_);
+    if (!is_own_answer_)
     {
-        // A peer of another version doesn't know the request.
-        refusal_ = error_kind::peer_declined;
+        return;
     }
-    else if (*origin != protocol::upstream_answer)
+    if (*origin != protocol::upstream_answer)
     {
         state::error_answer const* const row = state::find_answer(*origin);
         refusal_ = row == nullptr ? error_kind::may_have_run : row->kind;
@@ -196,9 +199,9 @@
     {
         return refuse_unsent("not sent after all");
     }
-    if (end != exchange_end::complete)
+    if (end != exchange_end::complete || !is_own_answer_)
     {
-        return fail("peer broke off");
+        return fail(is_own_answer_ ? "peer broke off" : "no answer of the peer to this call");
     }
     if (!refusal_)
     {
@@ -216,7 +219,7 @@
     coordination::exchange_evidence seen;
     seen.is_written = end != exchange_end::unreachable && end != exchange_end::not_sent;
     seen.is_whole = end == exchange_end::complete;
-    seen.has_own_id = true;
+    seen.has_own_id = is_own_answer_;
     seen.states_not_run = refusal_ && coordination::states_not_run(*refusal_);
     sends_.end(coordination::proof_in(seen));
 }
--- a/src/transport/call_through_peer.hpp
+++ b/src/transport/call_through_peer.hpp
@@ -20,7 +20,7 @@
 
 /// \brief Has one peer after another asked to take a call until one does, and forwards its answer.
 ///
-/// A peer that declines has sent nothing to an upstream. Once a peer may have
+/// A peer that declines this call, by its id, has sent nothing to an upstream. Once a peer may have
 /// taken the call, no other is asked: the peer retries at other upstreams itself, within the same
 /// limits.
 class call_through_peer final : public call_handler,
@@ -81,6 +81,8 @@
     /// \brief Sends to peers, after those that may have run before.
     coordination::send_record sends_;
     protocol::message_head head_;
+    /// \brief The answer names this call and says whose it is.
+    bool is_own_answer_ = false;
     /// \brief The error with which the peer refused the call.
     std::optional<state::error_kind> refusal_;
     /// \brief Bytes of an answer that is forwarded when it is whole.
--- a/src/transport/caller_channel.cpp
+++ b/src/transport/caller_channel.cpp
@@ -158,6 +158,8 @@
     std::string const* const connection = call.head.find("Connection");
     close_requested_ = connection != nullptr && protocol::has_token(*connection, "close");
     is_head_request_ = call.head.method == "HEAD";
+    std::string const* const named = call.head.find(protocol::peer_call_field);
+    peer_call_ = named == nullptr ? std::string{} : *named;
     // make_handler_ may answer the call before it returns, and the next call may begin.
     std::uint64_t const serial = ++call_count_;
     std::shared_ptr<call_handler> handler = make_handler_(shared_from_this(), std::move(call));
@@ -208,6 +210,7 @@
     if (options.is_peer)
     {
         pending_.append(protocol::peer_answer_field).append(": ").append(origin).append("\r\n");
+        pending_.append(protocol::peer_call_field).append(": ").append(peer_call_).append("\r\n");
     }
     for (header_field const& field : fields)
     {
--- a/src/transport/caller_channel.hpp
+++ b/src/transport/caller_channel.hpp
@@ -195,6 +195,8 @@
     std::size_t unread_by_caller_ = 0;
     state::time_point progress_at_{};
     std::uint64_t call_count_ = 0;
+    /// \brief The id that a peer's request names its call by.
+    std::string peer_call_;
     bool reading_ = false;
     bool was_awaiting_ = false;
     bool close_after_answer_ = false;
