coordination: a generation goes on elsewhere once its former run is proved to be over

A draft whose stream was cut was generated, and may be billed, at two upstreams: the one that cut it worked on while another went on from the backup. A later start in an entry, which any writer may have made, moved a draft likewise, and closed the stream of an upstream that lived. An order to stop counted as carried out 1.2 s after the stream's end, or when its own channel was reset.

Cause: the end of a channel was taken for the end of a run.

Change: `generation_failover::source_ended` says that the stream ended and no more, and is the only such event. The source is ordered to stop, with a last copy to where the memory is kept already, or else to a chosen upstream. The generation goes on (`run_ended`, which only a proof makes) if the source stopped it, knew no run that had begun, refuses connections, or states a later start itself; an entry's later start has it asked by its report. An order without an answer is repeated four times in all, then the answer breaks off. A resumption without an event may wait in a queue that the order doesn't see: there a 404 is no proof. An order goes to where the call was sent. A draft without a backup whose upstream lives is saved by this too; before, it broke off.

Tests that stood for the former belief are replaced: streams are cut at upstreams that refuse connections where a crash is meant (scripted_upstream::stop_listening, crash), restarts are stated by the upstream too, and 'goes on if its upstream can't be reached' is now 'if its upstream is gone', as a cut order proves nothing. The 10,000 drawn orders of events are played against upstreams that work on, queue, and answer late or not at all (played_generation); at most one runs the generation.

--- a/include/plumdale/coordination/generation_failover.hpp
+++ b/include/plumdale/coordination/generation_failover.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumdale/coordination/copy_schedule.hpp>
+#include <plumdale/coordination/send_proof.hpp>
 #include <plumdale/state/service_member.hpp>
 #include <plumdale/state/time.hpp>
 
@@ -33,6 +34,8 @@
     state::member_key holder;
     /// \brief Empty for a backup, which is identified by the call's own id.
     std::string handle;
+    /// \brief Why the run before is over.
+    run_ended former;
 };
 
 /// \brief Free a copy that will not be used.
@@ -58,7 +61,8 @@
     in_progress,
     no_capacity, ///< At the destination, or it can't be reached.
     rejected,    ///< For another reason.
-    unreachable
+    unreachable, ///< No answer; it may have been carried out.
+    process_gone ///< The source refuses connections.
 };
 
 /// \brief Returns a destination for the memory of a generation at `source`, if there is one.
@@ -67,13 +71,14 @@
 
 /// \brief Moves a generation across upstreams: copy while it runs, a last copy, resumption.
 ///
-/// At most one upstream runs it at any time: it is resumed only after the source stopped it or
-/// ended the stream itself. Example:
+/// At most one upstream runs it at any time: it is resumed only after the source stopped it, or is
+/// proved to run it no more. The end of its stream proves nothing. Example:
 /// \code
 /// generation_failover failover{member, choose_destination};
 /// failover.source_leaves({refresh_at, last_at}, now, actions);
 /// failover.copied(handle, now, actions);   // then, when due, the refresh or the last copy
-/// failover.source_ended(now, actions);     // resume at the destination
+/// failover.source_ended(now, actions);     // order it to stop, unless it did
+/// failover.copied(handle, now, actions);   // resume at the destination
 /// \endcode
 class generation_failover
 {
@@ -97,11 +102,11 @@
     /// generation nonetheless.
     void copy_refused(copy_refusal reason, std::string handle, state::time_point now,
                       failover_actions& actions);
-    /// \brief The stream from the source ended before the generation did.
+    /// \brief The stream from the source ended before the generation did, or was given up. The
+    /// source may work on, and is stopped before the generation goes on elsewhere.
     void source_ended(state::time_point now, failover_actions& actions);
-    /// \brief This VM gave up a stream that it can't use; the source may work on, and is stopped
-    /// before the generation goes on elsewhere.
-    void stream_given_up(state::time_point now, failover_actions& actions);
+    /// \brief The source is proved to run nothing any more.
+    void source_gone(run_ended proof, state::time_point now, failover_actions& actions);
     /// \brief The first event after a resumption arrived.
     void resumed(state::time_point now) noexcept;
     /// \brief The resumption can't be sent yet.
@@ -147,10 +152,10 @@
     static constexpr std::size_t max_destinations = 4;
     /// \brief Delay between two searches for a destination where a first copy fits.
     static constexpr state::duration destination_retry_delay = std::chrono::milliseconds{40};
-    /// \brief Longest wait for the answer to the last copy after the source's stream ended: the
-    /// answer comes when the copy is complete, behind other copies on the link.
-    static constexpr state::duration last_copy_timeout = std::chrono::milliseconds{1'200};
-    /// \brief Orders to stop a source whose stream was given up.
+    /// \brief Longest wait for the end of the stream after its source stopped the generation: it
+    /// still carries what was generated before.
+    static constexpr state::duration stopped_stream_timeout = std::chrono::milliseconds{1'200};
+    /// \brief Orders to stop a source whose stream ended.
     static constexpr std::uint32_t max_stop_attempts = 4;
     /// \brief Attempts to resume, at the destination or at the upstream that kept the memory.
     static constexpr std::uint32_t max_resume_attempts = 4;
@@ -179,18 +184,28 @@
     void wait_until_last_chance(state::time_point now, state::duration delay);
     void order_refresh(failover_actions& actions);
     void order_last(failover_actions& actions);
-    void order_stop(failover_actions& actions);
-    /// \brief The source refused to stop: goes on if it runs nothing, or tries again.
+    /// \brief Orders the source to stop, or gives up where nothing could go on.
+    void stop_source(failover_actions& actions);
+    /// \brief Returns where the memory goes when the source is stopped, if there is a place.
+    [[nodiscard]] std::optional<state::member_key> choose_stop_destination();
+    /// \brief The source didn't stop: goes on if it runs nothing, or orders it again.
     void stop_refused(copy_refusal reason, state::time_point now, failover_actions& actions);
+    /// \brief Resumes from a copy that survives a source that is gone, or from the backup.
+    void resume_without_source(failover_actions& actions);
+    [[nodiscard]] bool expects_answer() const noexcept;
+    [[nodiscard]] bool is_order_pending() const noexcept;
     void wait_for_next_copy(state::time_point now);
     void resume(failover_actions& actions);
     void resume_from_backup(failover_actions& actions);
+    void begin_resumption(state::member_key at, failover_actions& actions);
     void abandon(failover_actions& actions);
 
     destination_selector select_destination_;
     phase phase_ = phase::steady;
     state::member_key source_;
     state::member_key destination_;
+    /// \brief Destination of the order that was given last; `destination_` once it is carried out.
+    state::member_key ordered_destination_;
     state::member_key backup_;
     /// \brief Upstream that the next resumption is sent to.
     state::member_key resume_destination_;
@@ -202,8 +217,10 @@
     state::duration unreachable_retry_delay_ = copy_retry_delay;
     std::uint32_t resume_attempts_ = 0;
     bool source_ended_ = false;
-    /// \brief Its stream was given up, and it has not said that it stopped.
-    bool source_may_run_ = false;
+    /// \brief An event of the current run has come.
+    bool source_began_ = true;
+    /// \brief Why the run at the source is over; none while it may run.
+    std::optional<run_ended> source_over_;
     std::uint32_t stop_attempts_ = 0;
     bool source_leaves_ = false;
 };
--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -70,6 +70,7 @@
         return wait_for_destination(now);
     }
     destination_ = *destination;
+    ordered_destination_ = destination_;
     phase_ = phase::first_copy;
     actions.push_back(order_copy{source_, destination_, false});
 }
@@ -123,6 +124,7 @@
     next_deadline_ = state::never;
     times_.refresh_at = state::never;
     phase_ = phase::refresh;
+    ordered_destination_ = destination_;
     actions.push_back(order_copy{source_, destination_, false});
 }
 
@@ -130,9 +132,21 @@
 {
     next_deadline_ = state::never;
     phase_ = phase::last_copy;
+    ordered_destination_ = destination_;
     actions.push_back(order_copy{source_, destination_, true});
 }
 
+bool generation_failover::expects_answer() const noexcept
+{
+    return phase_ == phase::first_copy || phase_ == phase::refresh || phase_ == phase::last_copy;
+}
+
+bool generation_failover::is_order_pending() const noexcept
+{
+    bool const awaits_turn = phase_ == phase::first_copy && next_deadline_ != state::never;
+    return expects_answer() && !awaits_turn;
+}
+
 void generation_failover::copied(std::string handle, state::time_point now,
                                  failover_actions& actions)
 {
@@ -141,48 +155,42 @@
         actions.push_back(release_copy{source_, std::move(handle)});
         return;
     }
-    bool const expected =
-        phase_ == phase::first_copy || phase_ == phase::refresh || phase_ == phase::last_copy;
-    if (!expected)
+    if (!expects_answer())
     {
         return;
     }
     unreachable_retry_delay_ = copy_retry_delay;
     handle_ = std::move(handle);
     holder_ = source_;
+    destination_ = ordered_destination_;
     resume_destination_ = destination_;
     bool const is_last = phase_ == phase::last_copy;
-    source_may_run_ = source_may_run_ && !is_last;
-    if (source_may_run_)
+    if (is_last)
     {
-        order_stop(actions);
+        source_over_ = run_ended::by(send_proof::stopped);
     }
-    else if (source_ended_)
+    if (source_ended_)
     {
-        resume(actions);
+        return resume(actions);
     }
-    else if (is_last)
+    if (is_last)
     {
         // The stream still carries what was generated before the stop.
         phase_ = phase::stopped;
-        next_deadline_ = now + last_copy_timeout;
-    }
-    else
-    {
-        wait_for_next_copy(now);
+        next_deadline_ = now + stopped_stream_timeout;
+        return;
     }
+    wait_for_next_copy(now);
 }
 
 void generation_failover::copy_refused(copy_refusal reason, std::string handle,
                                        state::time_point now, failover_actions& actions)
 {
-    if (phase_ == phase::refresh && !source_may_run_)
+    if (phase_ == phase::refresh && !source_ended_)
     {
         return wait_for_next_copy(now);
     }
-    bool const is_expected =
-        phase_ == phase::first_copy || phase_ == phase::refresh || phase_ == phase::last_copy;
-    if (!is_expected)
+    if (!expects_answer())
     {
         return;
     }
@@ -192,23 +200,18 @@
         handle_ = std::move(handle);
         holder_ = source_;
         resume_destination_ = source_;
-        source_may_run_ = false;
+        source_over_ = run_ended::by(send_proof::stopped);
         phase_ = phase::stopped;
-        next_deadline_ = now + last_copy_timeout;
+        next_deadline_ = now + stopped_stream_timeout;
         if (source_ended_)
         {
             resume(actions);
         }
         return;
     }
-    if (source_may_run_)
-    {
-        return stop_refused(reason, now, actions);
-    }
     if (source_ended_)
     {
-        handle_.empty() ? resume_from_backup(actions) : resume(actions);
-        return;
+        return stop_refused(reason, now, actions);
     }
     if (phase_ == phase::last_copy)
     {
@@ -222,8 +225,9 @@
     }
     next_deadline_ = now + copy_retry_delay;
     bool const may_have_ended = reason == copy_refusal::unknown_generation && times_.first;
-    bool const is_unreachable =
-        reason == copy_refusal::unreachable || reason == copy_refusal::rejected;
+    bool const is_unreachable = reason == copy_refusal::unreachable ||
+                                reason == copy_refusal::process_gone ||
+                                reason == copy_refusal::rejected;
     if (is_unreachable || may_have_ended)
     {
         // A drained upstream closes its port and may run for another ten seconds. Each order
@@ -236,111 +240,143 @@
 
 // -- resumption -----------------------------------------------------------------------------------
 
-void generation_failover::source_ended(state::time_point now, failover_actions& actions)
+// An upstream may work on after its channel ended, so the end of the stream says nothing of the
+// run.
+void generation_failover::source_ended(state::time_point /*now*/, failover_actions& actions)
 {
-    source_ended_ = true;
-    switch (phase_)
+    if (phase_ == phase::ended)
     {
-    case phase::first_copy:
-        if (next_deadline_ == state::never)
-        {
-            next_deadline_ = now + last_copy_timeout;
-            return;
-        }
-        resume_from_backup(actions);
         return;
-    case phase::last_copy:
-    case phase::stop_due:
-        next_deadline_ = now + last_copy_timeout;
-        return;
-    case phase::copied:
-    case phase::refresh:
-    case phase::stopped:
-        resume(actions);
-        return;
-    case phase::resuming:
-    case phase::steady:
-        resume_from_backup(actions);
-        return;
-    case phase::ended:
+    }
+    source_ended_ = true;
+    if (phase_ == phase::stopped)
+    {
+        return resume(actions);
+    }
+    if (phase_ == phase::resuming)
+    {
+        source_over_.reset();
+    }
+    if (is_order_pending())
+    {
+        // Its answer decides; the order has a time limit of its own.
         return;
     }
+    stop_source(actions);
 }
 
-void generation_failover::stream_given_up(state::time_point now, failover_actions& actions)
+void generation_failover::source_gone(run_ended proof, state::time_point /*now*/,
+                                      failover_actions& actions)
 {
-    bool const is_ordered = phase_ == phase::refresh || phase_ == phase::last_copy ||
-                            (phase_ == phase::first_copy && next_deadline_ == state::never);
-    bool const is_copied = phase_ == phase::copied;
-    bool const is_stopped = phase_ == phase::stopped || phase_ == phase::ended;
-    bool const has_backup = backup_ && backup_ != source_ && !is_stopped;
-    if (!is_ordered && !is_copied && !has_backup)
+    if (phase_ == phase::ended)
     {
-        return source_ended(now, actions);
+        return;
     }
     source_ended_ = true;
-    source_may_run_ = true;
-    next_deadline_ = state::never;
-    if (!is_ordered)
+    source_over_ = proof;
+    resume_without_source(actions);
+}
+
+// Where the memory is copied already, or kept as it grows, the order copies only what is new.
+std::optional<state::member_key> generation_failover::choose_stop_destination()
+{
+    bool const has_copy = !handle_.empty() && destination_ && destination_ != source_;
+    if (has_copy)
+    {
+        return destination_;
+    }
+    if (backup_ && backup_ != source_)
     {
-        destination_ = is_copied ? destination_ : backup_;
-        order_stop(actions);
+        return backup_;
     }
+    excluded_.assign({source_});
+    return select_destination_(source_, excluded_);
 }
 
-void generation_failover::order_stop(failover_actions& actions)
+void generation_failover::stop_source(failover_actions& actions)
 {
-    if (++stop_attempts_ > max_stop_attempts)
+    auto const destination = choose_stop_destination();
+    if (!destination || ++stop_attempts_ > max_stop_attempts)
     {
         return abandon(actions);
     }
-    order_last(actions);
+    next_deadline_ = state::never;
+    phase_ = phase::last_copy;
+    ordered_destination_ = *destination;
+    actions.push_back(order_copy{source_, *destination, true});
 }
 
 void generation_failover::stop_refused(copy_refusal reason, state::time_point now,
                                        failover_actions& actions)
 {
-    bool const is_over =
-        reason == copy_refusal::unknown_generation || reason == copy_refusal::unreachable;
-    if (is_over)
+    if (reason == copy_refusal::process_gone)
     {
-        source_may_run_ = false;
-        handle_.empty() ? resume_from_backup(actions) : resume(actions);
-        return;
+        source_over_ = run_ended::by(send_proof::process_gone);
+        return resume_without_source(actions);
+    }
+    // Before its first event the run may wait in the upstream's queue, which the order doesn't see.
+    if (reason == copy_refusal::unknown_generation && source_began_)
+    {
+        source_over_ = run_ended::by(send_proof::unknown_there);
+        return handle_.empty() ? resume_from_backup(actions) : resume(actions);
     }
     phase_ = phase::stop_due;
-    next_deadline_ = now + copy_retry_delay;
+    next_deadline_ = now + unreachable_retry_delay_;
+    unreachable_retry_delay_ = reason == copy_refusal::unreachable
+                                   ? std::min(max_copy_retry_delay, 2 * unreachable_retry_delay_)
+                                   : copy_retry_delay;
+}
+
+void generation_failover::resume_without_source(failover_actions& actions)
+{
+    // The holder of a copy keeps its own memory, too.
+    state::member_key const other = resume_destination_ == holder_ ? destination_ : holder_;
+    if (resume_destination_ == source_)
+    {
+        resume_destination_ = other;
+    }
+    bool const has_copy = !handle_.empty() && resume_destination_ != source_;
+    has_copy ? resume(actions) : resume_from_backup(actions);
 }
 
 void generation_failover::resume(failover_actions& actions)
 {
+    if (!source_over_)
+    {
+        return stop_source(actions);
+    }
     if (handle_.empty() || ++resume_attempts_ > max_resume_attempts)
     {
-        abandon(actions);
-        return;
+        return abandon(actions);
     }
-    phase_ = phase::resuming;
-    next_deadline_ = state::never;
-    source_ = resume_destination_;
-    source_ended_ = false;
-    actions.push_back(resume_generation{resume_destination_, holder_, handle_});
+    begin_resumption(resume_destination_, actions);
 }
 
 void generation_failover::resume_from_backup(failover_actions& actions)
 {
-    if (!backup_ || ++resume_attempts_ > max_resume_attempts)
+    if (!source_over_)
     {
-        abandon(actions);
-        return;
+        return stop_source(actions);
+    }
+    bool const is_lost = !backup_ || (backup_ == source_ && phase_ != phase::resuming);
+    if (is_lost || ++resume_attempts_ > max_resume_attempts)
+    {
+        return abandon(actions);
     }
-    phase_ = phase::resuming;
-    next_deadline_ = state::never;
     handle_.clear();
     holder_ = backup_;
     resume_destination_ = backup_;
-    source_ = backup_;
+    begin_resumption(backup_, actions);
+}
+
+void generation_failover::begin_resumption(state::member_key at, failover_actions& actions)
+{
+    phase_ = phase::resuming;
+    next_deadline_ = state::never;
+    source_ = at;
     source_ended_ = false;
-    actions.push_back(resume_generation{resume_destination_, holder_, {}});
+    source_began_ = false;
+    actions.push_back(resume_generation{at, holder_, handle_, *source_over_});
 }
 
 void generation_failover::resumed(state::time_point /*now*/) noexcept
@@ -352,7 +388,8 @@
     // The backup belonged to the previous run; a resumed run requests a new one.
     backup_ = {};
     source_leaves_ = false;
-    source_may_run_ = false;
+    source_began_ = true;
+    source_over_.reset();
     stop_attempts_ = 0;
     resume_attempts_ = 0;
 }
@@ -413,25 +450,17 @@
     switch (phase_)
     {
     case phase::first_copy:
-        source_ended_ ? resume_from_backup(actions) : order_first(now, actions);
-        return;
+        return order_first(now, actions);
     case phase::copied:
-        now < times_.last_at ? order_refresh(actions) : order_last(actions);
-        return;
-    case phase::refresh:
-    case phase::last_copy:
-        // The source was gone before it answered.
-        handle_.empty() ? resume_from_backup(actions) : resume(actions);
-        return;
+        return now < times_.last_at ? order_refresh(actions) : order_last(actions);
     case phase::stop_due:
-        order_stop(actions);
-        return;
+        return stop_source(actions);
     case phase::stopped:
-        resume(actions);
-        return;
+        return resume(actions);
     case phase::resuming:
-        handle_.empty() ? resume_from_backup(actions) : resume(actions);
-        return;
+        return handle_.empty() ? resume_from_backup(actions) : resume(actions);
+    case phase::refresh:
+    case phase::last_copy:
     case phase::steady:
     case phase::ended:
         return;
--- a/src/transport/departure_tracker.cpp
+++ b/src/transport/departure_tracker.cpp
@@ -21,6 +21,8 @@
 // Upstreams' reports describe their state of 500 ms ago.
 constexpr std::chrono::milliseconds report_lag{500};
 constexpr std::chrono::milliseconds report_slack{60};
+// Questions whether an upstream restarted: one that is starting may not listen yet.
+constexpr std::uint32_t max_restart_questions = 4;
 
 } // namespace
 
@@ -66,10 +68,10 @@
     return true;
 }
 
-void departure_tracker::notify_restart(state::member_key former)
+void departure_tracker::notify_restart(state::member_key former, coordination::run_ended proof)
 {
-    notify_listeners([former](departure_listener& listener)
-                     { listener.on_member_restarted(former); });
+    notify_listeners([former, proof](departure_listener& listener)
+                     { listener.on_member_restarted(former, proof); });
 }
 
 void departure_tracker::notify_evacuation(state::zone_id zone)
@@ -139,6 +141,64 @@
     notify(member);
 }
 
+// -- restarts -------------------------------------------------------------------------------------
+
+void departure_tracker::ask_restart(state::member_key former)
+{
+    // Only an entry VM with generations at the upstream has anything to decide.
+    if (ledger_.own(former).tokens > 0)
+    {
+        ask_restart(former, max_restart_questions);
+    }
+}
+
+void departure_tracker::ask_restart(state::member_key former, std::uint32_t attempts_left)
+{
+    coordination::directory_entry const* const entry = directory_.find(former);
+    if (entry == nullptr || attempts_left == 0)
+    {
+        return;
+    }
+    state::incarnation const before = entry->info.started;
+    orders_.send(
+        former, dialect_.report_request(), report_timeout,
+        [this, former, before, attempts_left](state::result<fetch_answer> const& answer)
+        {
+            auto const proof = restart_proof(answer, before);
+            log_.write(part, "restart asked", {},
+                       {{"member", static_cast<std::int64_t>(former.value)},
+                        {"proof", coordination::to_text(proof ? proof->proof()
+                                                              : coordination::send_proof::none)}});
+            if (proof)
+            {
+                return notify_restart(former, *proof);
+            }
+            if (!answer)
+            {
+                ask_restart(former, attempts_left - 1);
+            }
+        });
+}
+
+// The upstream's own word, or nobody there to say one.
+std::optional<coordination::run_ended>
+departure_tracker::restart_proof(state::result<fetch_answer> const& answer,
+                                 state::incarnation before) const
+{
+    using coordination::run_ended;
+    using coordination::send_proof;
+    if (!answer)
+    {
+        bool const is_gone = answer.error().kind == state::error_kind::connection_refused;
+        return is_gone ? run_ended::by(send_proof::process_gone) : std::nullopt;
+    }
+    auto const report = answer.value().status == success
+                            ? dialect_.read_report(answer.value().body)
+                            : state::result<protocol::member_report>{state::failure{}};
+    bool const is_later = report && before < report.value().started;
+    return is_later ? run_ended::by(send_proof::restarted) : std::nullopt;
+}
+
 // -- listeners ------------------------------------------------------------------------------------
 
 void departure_tracker::notify(state::member_key member)
--- a/src/transport/departure_tracker.hpp
+++ b/src/transport/departure_tracker.hpp
@@ -6,10 +6,13 @@
 
 #include <plumdale/coordination/copy_schedule.hpp>
 #include <plumdale/coordination/load_ledger.hpp>
+#include <plumdale/coordination/send_proof.hpp>
 #include <plumdale/coordination/service_directory.hpp>
 #include <plumdale/protocol/dialect.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -31,7 +34,7 @@
     virtual void on_member_leaving(state::member_key member,
                                    coordination::departure const& when) = 0;
     /// \brief The upstream restarted: nothing that this incarnation ran or stored is left.
-    virtual void on_member_restarted(state::member_key member) = 0;
+    virtual void on_member_restarted(state::member_key member, coordination::run_ended proof) = 0;
     /// \brief Nothing more may be sent to the upstreams of a zone; what runs there continues.
     virtual void on_zone_evacuated(state::zone_id zone) = 0;
 };
@@ -57,7 +60,10 @@
     /// \brief Records that an upstream leaves or is gone; returns whether that was unknown before.
     bool record_departure(state::member_key member);
     /// \brief Notifies calls that an upstream restarted.
-    void notify_restart(state::member_key former);
+    void notify_restart(state::member_key former, coordination::run_ended proof);
+    /// \brief Asks an upstream whether it restarted, as an entry says that anybody may have
+    /// written, and notifies calls if it did.
+    void ask_restart(state::member_key former);
     /// \brief Notifies calls that nothing more may be sent to a zone's upstreams.
     void notify_evacuation(state::zone_id zone);
     /// \brief Drops departures of upstreams that the directory has forgotten.
@@ -66,6 +72,10 @@
 private:
     void schedule_report_request(state::member_key member);
     void request_report(state::member_key member);
+    void ask_restart(state::member_key former, std::uint32_t attempts_left);
+    /// \brief Returns what an upstream's answer proves of the incarnation that started `before`.
+    [[nodiscard]] std::optional<coordination::run_ended>
+    restart_proof(state::result<fetch_answer> const& answer, state::incarnation before) const;
     void apply_report(state::member_key member,
                       state::result<protocol::member_report> const& report);
     void notify(state::member_key member);
--- a/src/transport/forward_core_upstreams.cpp
+++ b/src/transport/forward_core_upstreams.cpp
@@ -76,10 +76,14 @@
     pool.drop(former);
     health.forget(former);
     suspicions.forget(former);
-    if (was_start_known)
+    if (!was_start_known)
     {
-        departures.notify_restart(former);
+        return;
     }
+    bool const is_confirmed = directory.find(latest)->info.start_confirmed;
+    auto const proof = coordination::run_ended::by(
+        is_confirmed ? coordination::send_proof::restarted : coordination::send_proof::none);
+    proof ? departures.notify_restart(former, *proof) : departures.ask_restart(former);
 }
 
 void forward_core::apply_reported_start(state::member_key member, state::incarnation started)
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -364,15 +364,7 @@
     core_.metrics.add(forward_count::resume_refused);
     log("resumption failed", not_run ? "not run" : "it may run");
     close_exchange();
-    if (not_run)
-    {
-        failover_->resume_refused(now, actions);
-    }
-    else
-    {
-        end == exchange_end::invalid ? failover_->stream_given_up(now, actions)
-                                     : failover_->source_ended(now, actions);
-    }
+    not_run ? failover_->resume_refused(now, actions) : failover_->source_ended(now, actions);
     apply(actions);
 }
 
@@ -396,9 +388,14 @@
         finish();
         return channel->answer(head_.status, head_.reason, answer_fields(), failure_body_.text());
     }
+    if (!begun_)
+    {
+        return refuse(state::error_kind::may_have_run, "the upstream broke off");
+    }
     closed_while_stopping_ = framing_ == protocol::body_framing::until_close &&
                              events_.is_between_blocks() && failover_ && failover_->is_stopping();
-    end == exchange_end::invalid ? give_up_stream() : source_ended("connection broke");
+    last_end_ = end;
+    source_ended(to_text(end));
 }
 
 void stream_call::complete_stream()
@@ -470,32 +467,23 @@
          {"age_ms", whole_milliseconds(boot_now() - admitted_.call.read_at)}});
 }
 
+// The upstream may work on though its connection is closed; the generation goes on elsewhere only
+// once that upstream has stopped it.
 void stream_call::source_ended(std::string_view why)
 {
     log("source ended", why);
     close_exchange();
+    if (!progress_.is_resumable() && !closed_while_stopping_)
+    {
+        return abort_answer(unnumbered_events);
+    }
     failover_actions actions;
     failover().source_ended(boot_now(), actions);
     apply(actions);
 }
 
-// The upstream may work on though its connection is closed; the generation goes on elsewhere only
-// once that upstream has stopped it.
-void stream_call::give_up_stream()
-{
-    log("stream given up", "invalid answer");
-    close_exchange();
-    failover_actions actions;
-    failover().stream_given_up(boot_now(), actions);
-    apply(actions);
-}
-
 void stream_call::abort_answer(std::string_view why)
 {
-    if (!begun_)
-    {
-        return refuse(state::error_kind::may_have_run, why);
-    }
     log("broken off", why);
     note_outcome(call_outcome::failed);
     core_.metrics.add(forward_count::streams_broken);
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -33,7 +33,7 @@
     void on_caller_ready() override;
     void on_caller_disconnected() override;
     void on_member_leaving(state::member_key member, coordination::departure const& when) override;
-    void on_member_restarted(state::member_key member) override;
+    void on_member_restarted(state::member_key member, coordination::run_ended proof) override;
     void on_zone_evacuated(state::zone_id zone) override;
 
     /// \brief Events after which the load reported to peers is updated.
@@ -52,6 +52,10 @@
     static constexpr state::duration min_silence_timeout = std::chrono::seconds{2};
     static constexpr int silence_timeout_objectives = 4;
     static constexpr int silence_timeout_gaps = 8;
+    /// \brief Why a stream can't go on elsewhere: the next run may or may not bring once more what
+    /// came after the last id, and nothing tells which.
+    static constexpr std::string_view unnumbered_events =
+        "events without a number follow the last id";
     /// \brief Bytes of the largest event.
     static constexpr std::size_t max_event_bytes = 256UL * 1024;
 
@@ -124,13 +128,14 @@
     void update_loads();
     void complete_stream();
     void source_ended(std::string_view why);
-    void give_up_stream();
     void apply(coordination::failover_actions const& actions);
     void carry_out(coordination::order_copy const& action);
     void carry_out(coordination::resume_generation const& action);
     void carry_out(coordination::release_copy const& action);
     void carry_out(coordination::abandon_generation const& action);
     void on_copy_answer(bool last, state::result<fetch_answer> const& answer);
+    /// \brief Treats an order that could not be given like one that got no answer.
+    void on_copy_unordered(bool last);
     void postpone_resumption();
     void abort_answer(std::string_view why);
     void check_departure();
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -33,7 +33,9 @@
 {
     if (!answer)
     {
-        return copy_refusal::unreachable;
+        return answer.error().kind == state::error_kind::connection_refused
+                   ? copy_refusal::process_gone
+                   : copy_refusal::unreachable;
     }
     switch (answer.value().status)
     {
@@ -103,18 +105,30 @@
 // The connection of a restarted upstream may stay silent until the caller gives up, although a
 // backup exists elsewhere. The former incarnation runs nothing any more, so a resumption runs
 // nothing twice.
-void stream_call::on_member_restarted(state::member_key member)
+void stream_call::on_member_restarted(state::member_key member, run_ended proof)
 {
     auto const self = shared_from_this();
     on_backup_leaving(member);
-    if (finished_ || exchange_ == nullptr || member != member_)
+    if (finished_ || member != member_)
     {
         return;
     }
-    log("upstream started again", {});
-    bool const sent = exchange_->sent();
-    exchange_->cancel();
-    on_end(sent ? exchange_end::broken : exchange_end::not_sent);
+    bool const runs = begun_ && !resuming_;
+    if (runs)
+    {
+        log("upstream started again", to_text(proof.proof()));
+        close_exchange();
+        failover_actions actions;
+        failover().source_gone(proof, boot_now(), actions);
+        return apply(actions);
+    }
+    if (exchange_ != nullptr)
+    {
+        log("upstream started again", to_text(proof.proof()));
+        bool const sent = exchange_->sent();
+        exchange_->cancel();
+        on_end(sent ? exchange_end::broken : exchange_end::not_sent);
+    }
 }
 
 // A backup in the zone could be kept, but no resumption may be sent there.
@@ -327,14 +341,14 @@
     directory_entry const* const destination = core_.directory.find(action.destination);
     if (source == nullptr || destination == nullptr)
     {
-        return;
+        return on_copy_unordered(action.last);
     }
     reserve_for_copy(action.destination);
     stop_ordered_ = stop_ordered_ || action.last;
     core_.metrics.add(action.last ? forward_count::copies_last : forward_count::copies_first);
     log(action.last ? "last copy ordered" : "first copy ordered", destination->info.name);
-    core_.orders.send(
-        action.source,
+    core_.orders.send_to(
+        action.source, action.source == member_ ? address_ : source->info.address,
         core_.dialect.copy_request(admitted_.headers.id, destination->info.address, action.last),
         copy_timeout,
         [weak = weak_from_this(), last = action.last](state::result<fetch_answer> const& answer)
@@ -347,6 +361,21 @@
         });
 }
 
+// Called later, as the answer to an order is.
+void stream_call::on_copy_unordered(bool last)
+{
+    net::post(core_.context,
+              [weak = weak_from_this(), last]
+              {
+                  auto const self = std::static_pointer_cast<stream_call>(weak.lock());
+                  if (self != nullptr && !self->finished_)
+                  {
+                      self->on_copy_answer(
+                          last, state::failure{state::error_kind::no_upstream, "unknown upstream"});
+                  }
+              });
+}
+
 void stream_call::on_copy_answer(bool last, state::result<fetch_answer> const& answer)
 {
     state::time_point const now = boot_now();
@@ -391,11 +420,9 @@
     {
         return abort_answer("upstreams ended under this request or a part of its prompt");
     }
-    // The next run may or may not bring once more what came after the last id, and nothing tells
-    // which: the caller would miss events or get them twice.
     if (!progress_.is_resumable())
     {
-        return abort_answer("events without a number follow the last id");
+        return abort_answer(unnumbered_events);
     }
     close_exchange();
     if (!pay_for_repeat(retry_priority::preferred))
@@ -411,6 +438,7 @@
     drop_load(copy_load_);
     streaming_ = false;
     resuming_ = true;
+    sends_.end(action.former.proof());
     log("resuming", at->info.name);
     open_exchange(action.at);
 }
--- a/tests/coordination/test_generation_failover.cpp
+++ b/tests/coordination/test_generation_failover.cpp
@@ -1,9 +1,10 @@
+#include "played_generation.hpp"
+
 #include <plumdale/coordination/generation_failover.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <random>
 #include <vector>
 
 using namespace plumdale;
@@ -31,12 +32,33 @@
     return std::nullopt;
 }
 
+std::size_t resumptions_in(failover_actions const& actions)
+{
+    return static_cast<std::size_t>(std::count_if(
+        actions.begin(), actions.end(),
+        [](auto const& each) { return std::holds_alternative<resume_generation>(each); }));
+}
+
 template <class Action>
 Action const* last(failover_actions const& actions)
 {
     return actions.empty() ? nullptr : std::get_if<Action>(&actions.back());
 }
 
+/// \brief The stream ends, and the order to stop, or one that was given before, finds that its
+/// upstream refuses connections.
+void end_without_process(generation_failover& failover, state::time_point now,
+                         failover_actions& actions)
+{
+    std::size_t const before = actions.size();
+    failover.source_ended(now, actions);
+    if (auto const* const order = last<order_copy>(actions))
+    {
+        CHECK((order->last || actions.size() == before));
+        failover.copy_refused(copy_refusal::process_gone, {}, now, actions);
+    }
+}
+
 } // namespace
 
 TEST_CASE("a generation is copied while it runs, stopped by a last copy, and resumed elsewhere",
@@ -81,7 +103,7 @@
     CHECK_FALSE(last<order_copy>(actions)->last);
     failover.copied("h2", start + 1'010ms, actions);
     CHECK(failover.next_deadline() == start + 2s);
-    failover.source_ended(start + 1'200ms, actions);
+    end_without_process(failover, start + 1'200ms, actions);
     REQUIRE(last<resume_generation>(actions) != nullptr);
     CHECK(last<resume_generation>(actions)->handle == "h2");
 }
@@ -100,7 +122,7 @@
         failover.copy_refused(copy_refusal::no_capacity, {}, start + 1'010ms, actions);
         CHECK(failover.next_deadline() == start + 2s);
     }
-    failover.source_ended(start + 1'200ms, actions);
+    end_without_process(failover, start + 1'200ms, actions);
     REQUIRE(last<resume_generation>(actions) != nullptr);
     CHECK(last<resume_generation>(actions)->handle == "h1");
 }
@@ -151,16 +173,17 @@
     failover_actions actions;
     failover.source_leaves({state::never, start + 1s}, start, actions);
     failover.copied("h1", start + 200ms, actions);
-    failover.source_ended(start + 300ms, actions);
+    end_without_process(failover, start + 300ms, actions);
     REQUIRE(last<resume_generation>(actions) != nullptr);
     CHECK(last<resume_generation>(actions)->handle == "h1");
+    CHECK(last<resume_generation>(actions)->former.proof() == send_proof::process_gone);
 }
 
 TEST_CASE("a crash without copy or backup ends the generation", "[generation_failover]")
 {
     generation_failover failover{source, choose};
     failover_actions actions;
-    failover.source_ended(start, actions);
+    end_without_process(failover, start, actions);
     CHECK(last<abandon_generation>(actions) != nullptr);
 }
 
@@ -172,7 +195,7 @@
     failover_actions actions;
     failover.source_leaves({state::never, start + 1s}, start, actions);
     CHECK(actions.empty());
-    failover.source_ended(start + 1s, actions);
+    end_without_process(failover, start + 1s, actions);
     REQUIRE(last<resume_generation>(actions) != nullptr);
     CHECK(last<resume_generation>(actions)->at == second_choice);
     CHECK(last<resume_generation>(actions)->handle.empty());
@@ -240,87 +263,24 @@
     CHECK(last<release_copy>(actions)->handle == "h1");
 }
 
-// Any order of answers, broken streams, timers and notices. Guards against duplicate output: a
-// generation resumed while its source's stream has neither ended nor been stopped by a last copy.
+// Any order of answers, broken streams, timers and notices, where answers tell the truth. Guards
+// against a generation that goes on while its former upstream may work on it.
 TEST_CASE("no order of events resumes a generation that is still running",
           "[generation_failover][seeds]")
 {
+    std::size_t resumed = 0;
     for (std::uint32_t seed = 1; seed <= 10'000; ++seed)
     {
-        std::minstd_rand random{seed};
-        generation_failover failover{source, choose};
-        state::time_point now = start;
-        bool runs = true;
-        bool stopped = false;
-        bool last_ordered = false;
-        bool given_up = false;
-        bool ended = false;
-        failover_actions actions;
-        for (int step = 0; step < 40 && !ended; ++step)
+        CAPTURE(seed);
+        test::played_generation played{seed};
+        for (int step = 0; step < 60 && !played.has_ended(); ++step)
         {
-            now += state::duration{std::chrono::milliseconds{random() % 400}};
-            actions.clear();
-            switch (random() % 9)
-            {
-            case 0:
-                failover.source_leaves(
-                    {random() % 2 == 0 ? state::never : now + 300ms, now + 500ms}, now, actions);
-                break;
-            case 1:
-                stopped = stopped || last_ordered;
-                failover.copied("h", now, actions);
-                break;
-            case 2:
-                // It says that nothing runs any more; that counts only if this VM gave the stream
-                // up.
-                runs = runs && !given_up;
-                failover.copy_refused(copy_refusal::unknown_generation, {}, now, actions);
-                break;
-            case 3:
-                failover.copy_refused(copy_refusal::no_capacity, last_ordered ? "h" : "", now,
-                                      actions);
-                stopped = stopped || last_ordered;
-                break;
-            case 4:
-                if (runs && !given_up)
-                {
-                    runs = false;
-                    failover.source_ended(now, actions);
-                }
-                break;
-            case 5:
-                failover.set_backup(second_choice);
-                break;
-            case 6:
-                failover.backup_leaves(second_choice, now, actions);
-                break;
-            case 7:
-                if (runs && !given_up)
-                {
-                    given_up = true;
-                    failover.stream_given_up(now, actions);
-                }
-                break;
-            default:
-                failover.advance(now, actions);
-                break;
-            }
-            for (failover_action const& action : actions)
-            {
-                if (auto const* const order = std::get_if<order_copy>(&action))
-                {
-                    last_ordered = last_ordered || order->last;
-                }
-                if (std::holds_alternative<resume_generation>(action))
-                {
-                    INFO("seed " << seed);
-                    CHECK((!runs || stopped));
-                    ended = true;
-                }
-                ended = ended || std::holds_alternative<abandon_generation>(action);
-            }
+            played.step();
+            REQUIRE(played.most_runs() <= 1);
         }
+        resumed += played.resumptions();
     }
+    CHECK(resumed > 5'000);
 }
 
 namespace
@@ -330,7 +290,7 @@
 {
     generation_failover failover{source, choose};
     failover.set_backup(second_choice);
-    failover.stream_given_up(start, actions);
+    failover.source_ended(start, actions);
     REQUIRE(actions.size() == 1);
     REQUIRE(last<order_copy>(actions) != nullptr);
     CHECK(last<order_copy>(actions)->source == source);
@@ -368,9 +328,14 @@
         CHECK(last<resume_generation>(actions)->holder == second_choice);
         CHECK(last<resume_generation>(actions)->handle.empty());
     }
-    SECTION("it can't be reached")
+    SECTION("its process is gone")
     {
-        failover.copy_refused(copy_refusal::unreachable, {}, start + 5ms, actions);
+        failover.copy_refused(copy_refusal::process_gone, {}, start + 5ms, actions);
+        CHECK(last<resume_generation>(actions) != nullptr);
+    }
+    SECTION("it states a later start")
+    {
+        failover.source_gone(*run_ended::by(send_proof::restarted), start + 5ms, actions);
         CHECK(last<resume_generation>(actions) != nullptr);
     }
 }
@@ -379,8 +344,8 @@
 {
     failover_actions actions;
     generation_failover failover = given_up_with_backup(actions);
-    auto const reason =
-        GENERATE(copy_refusal::no_capacity, copy_refusal::in_progress, copy_refusal::rejected);
+    auto const reason = GENERATE(copy_refusal::no_capacity, copy_refusal::in_progress,
+                                 copy_refusal::rejected, copy_refusal::unreachable);
     state::time_point now = start;
     while (last<abandon_generation>(actions) == nullptr)
     {
@@ -419,7 +384,7 @@
 
     // A copy that succeeds later is used.
     failover.copied("h1", now, actions);
-    failover.source_ended(now, actions);
+    end_without_process(failover, now, actions);
     REQUIRE(last<resume_generation>(actions) != nullptr);
 }
 
@@ -571,3 +536,51 @@
     }
     CHECK(actions.size() <= 13);
 }
+
+// Guards against a run in the queue of an upstream that an order to stop doesn't see.
+TEST_CASE("a resumption without an event is not sent again while its upstream knows no run",
+          "[generation_failover]")
+{
+    failover_actions actions;
+    generation_failover failover = given_up_with_backup(actions);
+    failover.copy_refused(copy_refusal::process_gone, {}, start, actions);
+    REQUIRE(last<resume_generation>(actions) != nullptr);
+    std::size_t const resumptions = resumptions_in(actions);
+    failover.source_ended(start + 10ms, actions);
+    state::time_point now = start + 10ms;
+    while (last<abandon_generation>(actions) == nullptr)
+    {
+        REQUIRE(last<order_copy>(actions) != nullptr);
+        CHECK(last<order_copy>(actions)->source == second_choice);
+        failover.copy_refused(copy_refusal::unknown_generation, {}, now, actions);
+        now = failover.next_deadline();
+        REQUIRE(now < start + 1s);
+        failover.advance(now, actions);
+    }
+    CHECK(resumptions_in(actions) == resumptions);
+}
+
+// Guards against a wait that is taken for an answer.
+TEST_CASE("an order to stop that is not answered moves nothing", "[generation_failover]")
+{
+    failover_actions actions;
+    generation_failover failover = given_up_with_backup(actions);
+    CHECK(failover.next_deadline() == state::never);
+    failover.advance(start + 1h, actions);
+    CHECK(actions.size() == 1);
+}
+
+// Guards against an answer that breaks off although its upstream could be asked for the memory.
+TEST_CASE("a cut generation without a backup is stopped and goes on elsewhere",
+          "[generation_failover]")
+{
+    generation_failover failover{source, choose};
+    failover_actions actions;
+    failover.source_ended(start, actions);
+    REQUIRE(last<order_copy>(actions) != nullptr);
+    CHECK(last<order_copy>(actions)->last);
+    failover.copied("h", start + 100ms, actions);
+    REQUIRE(last<resume_generation>(actions) != nullptr);
+    CHECK(last<resume_generation>(actions)->at == first_choice);
+    CHECK(last<resume_generation>(actions)->former.proof() == send_proof::stopped);
+}
--- a/tests/platform/forward_fixture.cpp
+++ b/tests/platform/forward_fixture.cpp
@@ -105,9 +105,14 @@
     accept();
 }
 
-void scripted_upstream::crash()
+void scripted_upstream::stop_listening()
 {
     acceptor_.close();
+}
+
+void scripted_upstream::crash()
+{
+    stop_listening();
     for (auto const& each : connections)
     {
         each->reset();
--- a/tests/platform/forward_fixture.hpp
+++ b/tests/platform/forward_fixture.hpp
@@ -62,6 +62,8 @@
     /// \brief Returns the number of calls that arrived, on all connections.
     [[nodiscard]] std::size_t call_count() const;
 
+    /// \brief Accepts no further connections; those that are open live on.
+    void stop_listening();
     /// \brief Resets all connections and accepts no further ones, like a process that crashed.
     void crash();
 
--- a/tests/platform/running_draft.cpp
+++ b/tests/platform/running_draft.cpp
@@ -9,6 +9,13 @@
 namespace plumdale::test
 {
 
+namespace
+{
+
+constexpr state::incarnation later_incarnation{first_incarnation + 60'000};
+
+} // namespace
+
 running_draft::running_draft(forward_fixture& fixture)
     : caller{fixture.call("/draft/1", "id-1", draft_fields)}, source{&fixture.upstream_of(
                                                                   "Plumdale-Request-Id: id-1")},
@@ -73,8 +80,17 @@
 void list_later_start(forward_fixture& fixture, scripted_upstream const& upstream)
 {
     state::service_member again = upstream.make_member("engine", 9);
-    again.started = state::incarnation{first_incarnation + 60'000};
+    again.started = later_incarnation;
     fixture.core.apply_members(std::array{again}, "test");
 }
 
+void restart(forward_fixture& fixture, scripted_upstream& upstream)
+{
+    constexpr std::string_view question = "GET /v1/report ";
+    list_later_start(fixture, upstream);
+    fixture.run_until([&] { return !upstream.connections_with(question).empty(); });
+    upstream.connections_with(question).back()->send(
+        answer_text(200, "", R"({"born":)" + std::to_string(later_incarnation.value) + "}"));
+}
+
 } // namespace plumdale::test
--- a/tests/platform/test_closed_answers.cpp
+++ b/tests/platform/test_closed_answers.cpp
@@ -151,7 +151,7 @@
     SECTION("with a reset")
     {
         closed_draft const draft{fixture};
-        draft.upstream->reset();
+        draft.source->crash();
         fixture.run_until([&] { return draft.caller->ended; });
         CHECK(draft.caller->received.find(last_chunk) == std::string::npos);
     }
@@ -172,6 +172,7 @@
     forward_fixture fixture;
     closed_draft const draft{fixture};
     draft.upstream->send("id: 4\ndata");
+    draft.source->stop_listening();
     draft.upstream->close();
     auto const resumed = fixture.upstream_connection("Last-Event-Id: 3\r\n");
     resumed->send(closed_head("id-1") + event(4) + event(5));
--- a/tests/platform/test_endless_answers.cpp
+++ b/tests/platform/test_endless_answers.cpp
@@ -157,6 +157,7 @@
     auto const connection = fixture.upstream_connection("Request-Id: id-1");
     connection->send(stream_head("id-1") + event_chunk(1));
     fixture.run_until([&] { return caller->received.find("data: e1\n") != std::string::npos; });
+    fixture.upstream_of("Request-Id: id-1").stop_listening();
     send_without_end(fixture, *connection, "", "4000\r\n" + std::string(piece_size, 'x') + "\r\n",
                      512UL * 1024);
     auto const resumed = fixture.upstream_connection("Kv-From: ");
--- a/tests/platform/test_repeats.cpp
+++ b/tests/platform/test_repeats.cpp
@@ -47,7 +47,7 @@
     forward_fixture fixture;
     fixture.settings.retry_limit = {0.0, 0.0, 10s};
     backed_up_draft draft{fixture};
-    draft.source->reset();
+    fixture.upstream_of("Request-Id: id-1").crash();
     fixture.run_until([&] { return draft.caller->ended; });
     CHECK(fixture.request_count(resumption_field) == 0);
     CHECK(draft.caller->received.find("0\r\n\r\n") == std::string::npos);
@@ -61,7 +61,7 @@
     fixture.settings.retry_limit = {0.8, 0.0, 10s};
     fixture.core.note_call("engine");
     backed_up_draft draft{fixture};
-    draft.source->reset();
+    fixture.upstream_of("Request-Id: id-1").crash();
     fixture.upstream_connection(resumption_field)
         ->send(answer_text(503, "id-1", "", "Plumdale-Not-Executed: 1\r\nConnection: close\r\n"));
     fixture.run_until([&] { return draft.caller->ended; });
--- a/tests/platform/test_spoiled_streams.cpp
+++ b/tests/platform/test_spoiled_streams.cpp
@@ -80,13 +80,12 @@
     draft.check_goes_on();
 }
 
-TEST_CASE("a draft whose stream is spoiled goes on if its upstream can't be reached",
-          "[spoiled_streams]")
+TEST_CASE("a draft whose stream is spoiled goes on if its upstream is gone", "[spoiled_streams]")
 {
     forward_fixture fixture;
     spoiled_draft const draft{fixture};
     draft.check_not_resumed_for(20ms);
-    draft.order->reset();
+    fixture.upstream_of(stop_order).crash();
     draft.check_goes_on();
 }
 
--- a/tests/platform/test_stream_calls.cpp
+++ b/tests/platform/test_stream_calls.cpp
@@ -47,6 +47,7 @@
     fill_engines(fixture);
     running_draft draft{fixture};
     draft.stream->send("20\r\nid: 4\ndata: e4 and more");
+    draft.source->stop_listening();
     draft.stream->close();
     fixture.run_until([&] { return draft.caller->ended; });
     CHECK(draft.caller->received.find(last_chunk) == std::string::npos);
@@ -71,7 +72,7 @@
     forward_fixture fixture;
     running_draft draft{fixture};
     REQUIRE(draft.stream->received.find("Plumdale-Kv-Backup: 127.0.0.1:") != std::string::npos);
-    draft.stream->reset();
+    draft.source->crash();
     auto const resumed = fixture.upstream_connection("Kv-From: 127.0.0.1:");
     CHECK(resumed->received.find("/id-1\r\n") != std::string::npos);
     CHECK(resumed->received.find("Last-Event-Id: 3\r\n") != std::string::npos);
@@ -284,7 +285,7 @@
     running_draft draft{fixture};
     scripted_upstream* const backup_engine = backup_engine_of(fixture, draft);
     REQUIRE(backup_engine != nullptr);
-    list_later_start(fixture, *draft.source);
+    restart(fixture, *draft.source);
     fixture.run_until([&] { return !backup_engine->connections_with("Last-Event-Id: 3").empty(); });
     auto const resumed = backup_engine->connections_with("Last-Event-Id: 3").front();
     resumed->send(stream_head("id-1") + event_chunk(4) + std::string{last_chunk});
@@ -307,7 +308,7 @@
         fixture.core.ledger.add(key, {key, 5, 22'000, 23'000, 0});
     }
     running_draft draft{fixture};
-    list_later_start(fixture, *draft.source);
+    restart(fixture, *draft.source);
     fixture.run_until([&] { return draft.caller->ended; });
     CHECK(draft.caller->received.find(last_chunk) == std::string::npos);
 }
@@ -321,8 +322,8 @@
     running_draft draft{fixture};
     scripted_upstream* const backup_engine = backup_engine_of(fixture, draft);
     REQUIRE(backup_engine != nullptr);
-    list_later_start(fixture, *backup_engine);
-    draft.stream->reset();
+    restart(fixture, *backup_engine);
+    draft.source->crash();
     fixture.run_until([&] { return draft.caller->ended; });
     CHECK(fixture.request_count("Kv-From: ") == 0);
 }
@@ -336,7 +337,7 @@
     announce_incarnations(fixture);
     auto const caller = fixture.call("/draft/1", "id-1", draft_fields);
     scripted_upstream& source = fixture.upstream_of("id-1");
-    list_later_start(fixture, source);
+    restart(fixture, source);
     fixture.run_until([&] { return caller->received.find("\r\n\r\n") != std::string::npos; });
     CHECK(caller->received.starts_with("HTTP/1.1 502 "));
     CHECK(fixture.request_count("id-1") == 1);
--- a/tests/platform/test_stream_events.cpp
+++ b/tests/platform/test_stream_events.cpp
@@ -87,6 +87,12 @@
         upstream->send(stream_head("id-1") + std::string{bytes});
     }
 
+    /// \brief Takes away the upstream's process but for the stream, which is then ended.
+    void lose_upstream()
+    {
+        fixture.upstream_of("Plumdale-Request-Id: id-1").stop_listening();
+    }
+
     forward_fixture fixture;
     std::shared_ptr<scripted_caller> caller = fixture.call("/draft/1", "id-1", draft_fields);
     std::shared_ptr<scripted_connection> upstream =
@@ -119,6 +125,7 @@
     draft.send(chunk("id: 1\ndata: a\n\n: at work\n\nretry: 5\n\n: at work\n\n"));
     draft.fixture.run_until(
         [&] { return body_of(*draft.caller).ends_with("retry: 5\n\n: at work\n\n"); });
+    draft.lose_upstream();
     draft.upstream->reset();
     auto const resumed = draft.fixture.upstream_connection("Kv-From: ");
     CHECK(resumed_after(*resumed) == 1);
@@ -153,6 +160,7 @@
                          last);
     draft.fixture.run_until(
         [&] { return body_of(*draft.caller).find("data: a") != std::string::npos; });
+    draft.lose_upstream();
     draft.upstream->close();
     auto const resumed = draft.fixture.upstream_connection("Kv-From: ");
     CHECK(resumed_after(*resumed) == 1);
@@ -206,6 +214,7 @@
             draft.send(chunk(text.substr(0, cut)));
             auto const arrived = read_events(text.substr(0, cut));
             draft.fixture.run_until([&] { return read_events(body_of(*draft.caller)) == arrived; });
+            draft.lose_upstream();
             draft.upstream->close();
             auto const is_resumed = [&]
             {
