soak: upstreams that work on when a channel closes, and answers that are unasked, twice, late or lost

Change (tests/soak/unkind.py, drawn apart from all other faults): half of the upstreams work on; 8 in 100 streams are cut by a reset, inside a chunk or after a whole event; 4 in 100 whole answers are followed by an unasked 503, 429, 408 or 400 without an id, at once to .2 s later; 1 in 10 refusals comes twice; 1 in 5 orders is carried out and answered up to 1.5 s late or not at all. A stopped run is known by its attempt: one that goes on at the same upstream no longer revives it. The runs are compared with the callers' answers as before. Upstreams of the reload soak and of the regression seeds are as they were.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -12,6 +12,7 @@
 
 from path_filter import reset
 from prompt_parts import CrashingParts
+from unkind import Unkindness
 
 SEAL = "Plumdale-Response-Seal"
 # Rule of the users: after a generation resumes elsewhere, its former upstream may work on it for at most this long,
@@ -141,14 +142,16 @@
 
 
 class Run:
-    """One generation: its attempts, the number of generated events, and the upstream that stopped after a last copy.
+    """One generation: its attempts and the number of generated events.
 
     `active_upstreams` maps each attempt that still runs to its upstream. An upstream may have
     two of them, started one after the other.
     """
 
     def __init__(self, length):
-        self.length, self.generated, self.active_upstreams, self.stopped, self.start_count = length, 0, {}, None, 1
+        self.length, self.generated, self.active_upstreams, self.start_count = length, 0, {}, 1
+        # Attempts that their upstream has stopped for a last copy.
+        self.stopped = set()
         # Address of the upstream that holds a backup, and its start time when the backup was requested.
         self.backup = None
 
@@ -240,7 +243,7 @@
         self.zone = zone
         self.born, self.address, self.stale_writers = 1_784_177_000_000, None, set()
         self.name, self.record, self.random = name, record, random.Random(seed)
-        self.shed_random = random.Random(f"shed {seed}")
+        self.shed_random, self.unkindness = random.Random(f"shed {seed}"), Unkindness(seed, is_kind=True)
         self.writers, self.alive, self.unreachable_until, self.leaves_at = set(), True, 0.0, None
         self.on_end = self.crash
         # The upstream says in its answers that it leaves; until when it refuses calls, and for how long VMs shall back off.
@@ -337,7 +340,7 @@
             self.record.leaving_answers[call] = self
         if self.is_refusing():
             self.statements.refused(vm, self.retry_after)
-            return writer.write(http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1"), ("Retry-After", f"{self.retry_after:g}")]))
+            return self.unkindness.repeat(writer, http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1"), ("Retry-After", f"{self.retry_after:g}")]))
         if "plumdale-key" in headers or headers.get("plumdale-tenant") != "customer":
             self.record.violations.append(f"{call}: the API key was forwarded, or the customer is wrong")
         if body == ENDING_BODY:
@@ -352,7 +355,7 @@
         if target.startswith("/draft/"):
             return await self.generate(call, headers, writer, fields)
         if self.random.random() < 0.03:
-            return writer.write(http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
+            return self.unkindness.repeat(writer, http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
         if self.room is not None and self.running >= self.room:
             self.refuse_for_room()
             return writer.write(http_response(503, b"", [*fields, ("Plumdale-Not-Executed", "1")]))
@@ -366,6 +369,7 @@
         if self.random.random() < 0.02:
             return reset(writer)
         writer.write(http_response(500 if failed else 200, f"answer {call}".encode(), [*fields, (SEAL, "s")]))
+        self.unkindness.follow(writer)
 
     def closes_answers(self, call):
         """Returns whether the answer to a call has no length: one in ten, drawn apart from all else."""
@@ -434,7 +438,9 @@
         handle = f"h{next(self.record.handles)}"
         self.record.copies[handle] = order["id"]
         if order["isLast"]:
-            run.stopped = self
+            run.stopped |= {attempt for attempt, upstream in run.active_upstreams.items() if upstream is self}
+        if not await self.unkindness.delay_order(writer):
+            return
         writer.write(http_response(200, json.dumps({"handleId": handle, "createdRev": run.generated}).encode(), fields))
 
     async def generate(self, call, headers, writer, fields):
@@ -449,7 +455,6 @@
                 self.record.violations.append(f"{call}: resumed from the memory of another call")
             for attempt in run.active_upstreams:
                 asyncio.get_running_loop().call_later(MAX_OVERLAP_S, self.check_stopped, call, run, attempt)
-            run.stopped = None
             first = int(headers["last-event-id"])
         elif call in runs:
             runs[call].start_count += 1
@@ -472,15 +477,20 @@
             self.record.violations.append(f"{call}: resumed at {self.name} while {other.name} still works on it")
 
     async def stream(self, run, first, writer, closes):
-        attempt = object()
+        attempt, cut_after = object(), self.unkindness.cut_after(first, run.length)
         run.active_upstreams[attempt] = self
         try:
             for index in range(first + 1, run.length + 1):
                 await asyncio.sleep(self.random.uniform(0.01, 0.05))
                 if writer in self.stale_writers:
                     return
-                if run.stopped is self or not self.alive or writer.is_closing():
+                if attempt in run.stopped or not self.alive or (writer.is_closing() and not self.unkindness.works_on):
                     return writer.close()
+                if writer.is_closing():
+                    continue
+                if cut_after is not None and index > cut_after:
+                    self.unkindness.cut(writer, closes)
+                    continue
                 event = f"id: {index}\ndata: {index} of {run.length}\n\n".encode()
                 writer.write(event if closes else f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 await writer.drain()
--- a/tests/soak/reloads.py
+++ b/tests/soak/reloads.py
@@ -105,7 +105,7 @@
 
 
 class PlannedFleet(Fleet):
-    upstream_type, grace_s = SoundUpstream, GRACE_S
+    upstream_type, grace_s, has_kind_upstreams = SoundUpstream, GRACE_S, True
 
     def __init__(self, seed, binary, folder):
         super().__init__(seed, binary, folder)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,7 +13,8 @@
 snapshot. Seeds with even numbers cut VMs, those with odd ones have brittle upstreams; --overlap does both. In every third seed upstreams are
 reclaimed while the store is silent, and tries of calls at those that are gone are counted. VMs of half the seeds may have all load
 parts on, or --load-parts in all seeds; --compare runs each seed without and with `shared_suspicions` and bounds the tries.
-Callers keep their connections until the VM closes them. Only processes that a seed started are signalled, by their ids. The last line is
+Half of the upstreams work on when a channel closes; all cut streams, send answers that nobody asked for, refusals twice, and answer orders late or
+not at all (unkind.py). Callers keep their connections until the VM closes them. Only processes that a seed started are signalled, by their ids. The last line is
 `N passed, N failed`; failed seeds print their violations and the folder of their logs.
 """
 
@@ -33,6 +34,7 @@
 from platform_standin import CONFIGURATION, ENDING_BODY, LOAD_ROUTES, Record, Store, Upstream
 from prompt_parts import crashing_prompt, prompt_of
 from repeats import WINDOW_S, RepeatCheck, has_kills_in_series, has_reclaims_in_series, limit_of
+from unkind import Unkindness
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 ZONES = ("a", "b")
@@ -112,7 +114,7 @@
 
 
 class Fleet:
-    upstream_type, grace_s = Upstream, 4
+    upstream_type, grace_s, has_kind_upstreams = Upstream, 4, False
 
     def __init__(self, seed, binary, folder, load_parts=()):
         self.seed, self.binary, self.folder, self.random = seed, binary, folder, random.Random(seed)
@@ -142,6 +144,7 @@
         self.next_name += 1
         zone = "a" if self.seed in REGRESSION_SEEDS or self.next_name % 2 else "b"
         upstream = self.upstream_type(f"i-{self.next_name}", self.record, self.seed * 1000 + self.next_name, zone)
+        upstream.unkindness = Unkindness(self.seed * 1000 + self.next_name, self.has_kind_upstreams or self.seed in REGRESSION_SEEDS)
         proxy = Proxy(await self.listen(upstream.serve), upstream)
         self.proxies.append(proxy)
         host, port = await self.listen(proxy.serve)
@@ -581,6 +584,11 @@
         await asyncio.sleep(duration)
         proxy.silent, proxy.delay = False, 0.0
 
+    def unkindness_summary(self):
+        kinds = [upstream.unkindness for upstream in self.upstreams.values()]
+        totals = {what: sum(each.counts[what] for each in kinds) for what in kinds[0].counts}
+        return ", ".join(f"{count} {what}" for what, count in totals.items()) + f", {sum(each.works_on for each in kinds)} of {len(kinds)} work on"
+
     def count_refused_by_order(self):
         """Returns the number of calls that were refused as not run while all zones were evacuated."""
         return sum(1 for observed in self.calls.values() if observed["status"] in NOT_RUN_STATUSES
@@ -704,7 +712,7 @@
     print(f"seed {seed}: {number} calls, {served} served whole, {refused_by_order} refused with all zones evacuated, {state}", flush=True)
     print(f"  load parts {', '.join(load_parts) or 'off'}; {fleet.gone.summary(tries) if has_reclaimed_upstreams(seed) else 'no upstream reclaimed'}", flush=True)
     print(f"  {fleet.record.crashing.summary()}; {fleet.crowd.summary(fleet.calls)}", flush=True)
-    print(f"  {fleet.record.repeats.summary()}", flush=True)
+    print(f"  {fleet.record.repeats.summary()}; {fleet.unkindness_summary()}", flush=True)
     for line in violations[:5]:
         print(f"  {line}", flush=True)
     return not violations, tries
