transport: bytes on a kept connection at rest are seen, told, and carry no call with them

What an upstream sends on an idle connection (an unasked 408 or 503, a second answer) belongs to no call. It was seen before the next call was written, but not told: nothing in the log showed that an upstream sends such bytes.

Change: `upstream_pool` reports the first bytes (one line, `bytes that belong to no call`, and the count of discarded answers). What arrives after the call was written is told apart by its id, as before.

--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -60,16 +60,21 @@
       suspicions{directory, self, state::id_from_name<state::zone_id>(process_settings.zone)},
       zones{state::id_from_name<state::zone_id>(process_settings.zone)},
       selector{directory, ledger, health, gate, subset, hints, settings.zone, random},
-      quarantine{logger, metrics}, prober{*this}, peers{fleet, random},
-      orders{loop,
-             process_settings.upstream_source,
-             platform_dialect,
-             directory,
-             gate,
-             [this](state::member_key member, protocol::upstream_statement const& statement)
-             {
-                 apply_statement(member, statement);
-             }},
+      quarantine{logger, metrics}, pool{[this](state::member_key member, std::string_view bytes)
+                                        {
+                                            note_unasked(member, bytes);
+                                        }},
+      prober{*this}, peers{fleet, random}, orders{loop,
+                                                  process_settings.upstream_source,
+                                                  platform_dialect,
+                                                  directory,
+                                                  gate,
+                                                  [this](
+                                                      state::member_key member,
+                                                      protocol::upstream_statement const& statement)
+                                                  {
+                                                      apply_statement(member, statement);
+                                                  }},
       departures{loop,
                  platform_dialect,
                  directory,
@@ -251,6 +256,15 @@
     }
 }
 
+void forward_core::note_unasked(state::member_key member, std::string_view bytes)
+{
+    coordination::directory_entry const* const entry = directory.find(member);
+    metrics.add(forward_count::answers_discarded);
+    log.write("connections", "bytes that belong to no call", {},
+              {{"upstream", entry == nullptr ? std::string_view{} : entry->info.name},
+               {"begin", bytes.substr(0, bytes.find('\r'))}});
+}
+
 void forward_core::note_connection_failed(state::member_key member, connection_failure failure)
 {
     // A process that can't open a connection learns nothing of the path.
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -136,6 +136,8 @@
     // -- paths to upstreams ------------------------------------------------------------
     /// \brief Records that a connection to an upstream was opened.
     void note_connected(state::member_key member);
+    /// \brief Records bytes that came on an idle connection to an upstream.
+    void note_unasked(state::member_key member, std::string_view bytes);
     /// \brief Records that a connection to an upstream could not be opened.
     void note_connection_failed(state::member_key member, connection_failure failure);
     /// \brief Records that an upstream sent anything.
--- a/src/transport/upstream_pool.hpp
+++ b/src/transport/upstream_pool.hpp
@@ -5,7 +5,10 @@
 #include <plumdale/state/service_member.hpp>
 #include <plumdale/state/time.hpp>
 
+#include <cstddef>
+#include <functional>
 #include <memory>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -29,6 +32,11 @@
 class upstream_pool
 {
 public:
+    /// \brief Called with the first bytes that came on an idle connection; they belong to no call.
+    using unasked_handler = std::function<void(state::member_key, std::string_view)>;
+
+    explicit upstream_pool(unasked_handler on_unasked = [](state::member_key, std::string_view) {});
+
     /// \brief Returns an idle connection that shows no sign of closure and was idle for less than
     /// `max_idle`; null if there is none.
     [[nodiscard]] std::unique_ptr<tcp::socket>
@@ -49,7 +57,13 @@
     /// upstream accepts.
     static constexpr std::size_t max_idle_connections = 8;
 
+    /// \brief Bytes of what came on an idle connection that are told: a status line.
+    static constexpr std::size_t max_logged_bytes = 32;
+
 private:
+    [[nodiscard]] bool is_reusable(state::member_key member, tcp::socket& socket) const;
+
+    unasked_handler on_unasked_;
     std::unordered_map<state::member_key, std::vector<kept_connection>> idle_;
 };
 
--- a/tests/platform/test_proved_sends.cpp
+++ b/tests/platform/test_proved_sends.cpp
@@ -90,6 +90,35 @@
     }
 }
 
+// Guards against a call that is lost to what came before it was written: it is seen at rest.
+TEST_CASE("a connection on which something came at rest carries no further call", "[proved_sends]")
+{
+    for (unsigned const status : {400U, 408U, 503U})
+    {
+        CAPTURE(status);
+        forward_fixture fixture;
+        call_on_kept_connection const call{fixture, "/event/1"};
+        call.connection->send(answer_text(200, call.id, "whole", signature_field));
+        fixture.run_until([&] { return call.caller->received.ends_with("whole"); });
+        call.connection->send(answer_without_id(status, not_run_field));
+        // A sender may hold small segments back until the ones before are acknowledged.
+        auto const arrived = std::chrono::steady_clock::now() + 100ms;
+        fixture.run_until([arrived] { return std::chrono::steady_clock::now() > arrived; });
+        for (int i = 0; i < 4; ++i)
+        {
+            std::string const id = "next-" + std::to_string(i);
+            auto const caller = fixture.call("/event/1", id);
+            fixture.upstream_connection(field_of(id))
+                ->send(answer_text(200, id, "right", signature_field));
+            fixture.run_until([&] { return has_answer(*caller); });
+            REQUIRE(caller->received.ends_with("right"));
+        }
+        CHECK(count(call.connection->received, field_of(call.id)) == 1);
+        CHECK(call.connection->received.find("next-") == std::string::npos);
+        CHECK(fixture.core.metrics.value(transport::forward_count::answers_discarded) >= 1);
+    }
+}
+
 // Guards against a caller that gets an answer which belongs to no call.
 TEST_CASE("a success without the call's id is not passed on", "[proved_sends]")
 {
