transport: the ends of streams stand in a file of their own; tests: a crash is told from a cut

Two tests stood for the former belief that the end of a stream is the end of its run: the fleet of which a sixth is reclaimed ends its streams with processes that are gone, and answers the order on its way so; and a read from an address that refuses connections fails with connection_refused, which is stricter than before.

--- /dev/null
+++ b/src/transport/stream_call_ends.cpp
@@ -0,0 +1,244 @@
+#include "boot_clock.hpp"
+#include "milliseconds.hpp"
+#include "stream_call.hpp"
+
+#include <plumdale/protocol/generation_text.hpp>
+
+#include <algorithm>
+#include <utility>
+
+// Ends of a stream, of its runs and of its caller's time; stream_call.cpp forwards its events, and
+// stream_failover.cpp has it go on elsewhere.
+
+namespace plumdale::transport
+{
+namespace
+{
+
+using namespace coordination;
+
+constexpr unsigned success = 200;
+
+} // namespace
+
+// -- ends -----------------------------------------------------------------------------------------
+
+std::optional<state::time_point> stream_call::runs_since() const
+{
+    bool const has_event = begun_ && !resuming_;
+    return has_event ? std::optional{run_began_at_} : std::nullopt;
+}
+
+// An upstream that stops a generation for its last copy closes the stream in the same way.
+bool stream_call::is_whole_if_closed() const
+{
+    if (!streaming_)
+    {
+        return true;
+    }
+    bool const runs = begun_ && !resuming_;
+    return runs && events_.is_between_blocks() && !(failover_ && failover_->is_stopping());
+}
+
+void stream_call::exchange_ended(exchange_end end)
+{
+    if (end == exchange_end::invalid || end == exchange_end::lost)
+    {
+        core_.health.note(member_, call_result::failed, boot_now());
+    }
+    if (!resuming_)
+    {
+        return begun_ ? answer_ended(end) : forward_call::exchange_ended(end);
+    }
+    state::time_point const now = boot_now();
+    failover_actions actions;
+    if (end == exchange_end::complete && streaming_)
+    {
+        return complete_stream();
+    }
+    bool const not_run = proves_never_ran(record_end(end));
+    core_.metrics.add(forward_count::resume_refused);
+    log("resumption failed", not_run ? "not run" : "it may run");
+    close_exchange();
+    not_run ? failover_->resume_refused(now, actions) : failover_->source_ended(now, actions);
+    apply(actions);
+}
+
+void stream_call::answer_ended(exchange_end end)
+{
+    if (end == exchange_end::complete && streaming_)
+    {
+        return complete_stream();
+    }
+    if (end == exchange_end::complete && !begun_ && has_unfounded_promise())
+    {
+        return retry_or_refuse("refusal without a statement that it did not run");
+    }
+    if (end == exchange_end::complete && !begun_ && head_.status != success)
+    {
+        core_.health.note(member_, call_result::failed, boot_now());
+        log("answered", "failed at the upstream");
+        note_outcome(call_outcome::failed);
+        auto const channel = channel_;
+        exchange_ = nullptr;
+        finish();
+        return channel->answer(head_.status, head_.reason, answer_fields(), failure_body_.text());
+    }
+    if (!begun_)
+    {
+        return refuse(state::error_kind::may_have_run, "the upstream broke off");
+    }
+    closed_while_stopping_ = framing_ == protocol::body_framing::until_close &&
+                             events_.is_between_blocks() && failover_ && failover_->is_stopping();
+    last_end_ = end;
+    source_ended(to_text(end));
+}
+
+void stream_call::complete_stream()
+{
+    core_.health.note(member_, call_result::good, boot_now());
+    core_.metrics.add(forward_count::streams_whole);
+    if (auto const ratio = shows_speed() ? pace_.finish() : std::nullopt)
+    {
+        core_.speeds.note_pace(member_, *ratio, boot_now());
+    }
+    begin_answer();
+    // The upstream's framing states that the stream ends here, inside a block or not.
+    unsent_ += events_.unfinished();
+    channel_->send_chunk(std::exchange(unsent_, {}));
+    log_timing();
+    note_held();
+    note_outcome(is_on_time() ? call_outcome::on_time : call_outcome::late);
+    failover_actions actions;
+    if (failover_)
+    {
+        failover_->finished(actions);
+    }
+    apply(actions);
+    auto const channel = channel_;
+    exchange_ = nullptr;
+    finish();
+    channel->end();
+}
+
+void stream_call::note_held()
+{
+    bool const is_long = admitted_.demand.output_tokens >= long_answer_tokens;
+    if (admitted_.service->engine && is_long)
+    {
+        core_.waiting.note_held(state::id_from_name<state::service_key>(admitted_.service->name),
+                                boot_now() - first_sent_at_);
+    }
+}
+
+bool stream_call::is_on_time() const
+{
+    bool const has_gap_objective = admitted_.route->target_gap > state::duration::zero();
+    return first_event_at_ - admitted_.call.read_at <= admitted_.route->target_latency &&
+           (!has_gap_objective || longest_gap_ <= admitted_.route->target_gap);
+}
+
+// The two figures that decide whether a stream was on time.
+void stream_call::log_timing()
+{
+    core_.log.write(
+        "call", "answered", admitted_.headers.id,
+        {{"upstream", member_name()},
+         {"request", protocol::to_hex(admitted_.request.value)},
+         {"parts", shared_parts_text()},
+         {"route", admitted_.route->name},
+         {"first_event_ms", whole_milliseconds(first_event_at_ - admitted_.call.read_at)},
+         {"objective_ms", whole_milliseconds(admitted_.route->target_latency)},
+         {"longest_gap_ms", whole_milliseconds(longest_gap_)},
+         {"gap_objective_ms", whole_milliseconds(admitted_.route->target_gap)},
+         {"on_time", is_on_time() ? 1 : 0},
+         {"events", events_forwarded_},
+         {"comes_back", admitted_.is_retry ? 1 : 0},
+         {"hinted_tokens", admitted_.demand.output_tokens},
+         {"prompt_tokens", admitted_.demand.prompt_tokens},
+         {"fullness_percent", static_cast<std::int64_t>(100.0 * best_.fullness)},
+         {"expected_first_event_ms", whole_milliseconds(best_.time_to_first_event)},
+         {"speed_percent", static_cast<std::int64_t>(100.0 * core_.speeds.factors(member_).pace)},
+         {"sent_after_ms", whole_milliseconds(first_sent_at_ - admitted_.call.read_at)},
+         {"age_ms", whole_milliseconds(boot_now() - admitted_.call.read_at)}});
+}
+
+// The upstream may work on though its connection is closed; the generation goes on elsewhere only
+// once that upstream has stopped it.
+void stream_call::source_ended(std::string_view why)
+{
+    log("source ended", why);
+    close_exchange();
+    if (!progress_.is_resumable() && !closed_while_stopping_)
+    {
+        return abort_answer(unnumbered_events);
+    }
+    failover_actions actions;
+    failover().source_ended(boot_now(), actions);
+    apply(actions);
+}
+
+void stream_call::abort_answer(std::string_view why)
+{
+    log("broken off", why);
+    note_outcome(call_outcome::failed);
+    core_.metrics.add(forward_count::streams_broken);
+    auto const channel = channel_;
+    finish();
+    channel->abort_answer();
+}
+
+void stream_call::on_caller_disconnected()
+{
+    failover_actions actions;
+    if (failover_)
+    {
+        failover_->finished(actions);
+    }
+    apply(actions);
+    forward_call::on_caller_disconnected();
+}
+
+// -- time -----------------------------------------------------------------------------------------
+
+state::duration stream_call::silence_timeout() const
+{
+    return std::max({min_silence_timeout,
+                     state::duration{silence_timeout_objectives * admitted_.route->target_latency},
+                     state::duration{silence_timeout_gaps * admitted_.route->target_gap}});
+}
+
+state::time_point stream_call::next_deadline() const
+{
+    state::time_point const copies = failover_ ? failover_->next_deadline() : state::never;
+    state::time_point const patience =
+        exchange_ == nullptr ? last_progress_ + silence_timeout() : state::never;
+    return std::min({forward_call::next_deadline(), copies, patience});
+}
+
+void stream_call::on_timer(state::time_point now)
+{
+    // With a run at an upstream its silence is no reason to end the answer. Without one nothing can
+    // come but a resumption, and the caller has left by then.
+    if (exchange_ == nullptr && now >= last_progress_ + silence_timeout())
+    {
+        return on_timeout();
+    }
+    if (failover_)
+    {
+        failover_actions actions;
+        failover_->advance(now, actions);
+        apply(actions);
+    }
+    if (!finished_)
+    {
+        forward_call::on_timer(now);
+    }
+}
+
+void stream_call::on_timeout()
+{
+    begun_ ? abort_answer("time is over") : refuse(state::error_kind::overloaded, "time is over");
+}
+
+} // namespace plumdale::transport
--- a/tests/coordination/test_copy_admission.cpp
+++ b/tests/coordination/test_copy_admission.cpp
@@ -132,6 +132,8 @@
         {
             failover_actions actions;
             each.failover->source_ended(end, actions);
+            // The order to stop, or one on its way, finds that the process is gone.
+            each.failover->copy_refused(copy_refusal::process_gone, {}, end, actions);
             each.is_saved =
                 !actions.empty() && std::holds_alternative<resume_generation>(actions.back());
             result_.saved += each.is_saved ? 1 : 0;
--- a/tests/transport/test_http_fetch.cpp
+++ b/tests/transport/test_http_fetch.cpp
@@ -139,7 +139,7 @@
     held_port const unserved;
     engine.send({unserved.where(), "GET", "/v1/load", {}, {}, std::chrono::seconds{20}});
     REQUIRE(run_until(engine.context, [&] { return engine.answers.size() == 1; }));
-    CHECK(engine.answers[0].error().kind == state::error_kind::connection_failed);
+    CHECK(engine.answers[0].error().kind == state::error_kind::connection_refused);
 }
 
 // A page of some 200 KB arrives slowly while hundreds of VMs read from one store. Guards against
