--- a/src/transport/stream_call_ends.cpp
+++ b/src/transport/stream_call_ends.cpp
@@ -91,7 +91,7 @@
     closed_while_stopping_ = framing_ == protocol::body_framing::until_close &&
                              events_.is_between_blocks() && failover_ && failover_->is_stopping();
     last_end_ = end;
-    source_ended(to_text(end));
+    source_ended(end == exchange_end::invalid ? "invalid answer" : "connection broke");
 }
 
 void stream_call::complete_stream()
