transport: a late answer to the order of a former run says nothing of the current one

Found by reading. An upstream is ordered to stop a draft, its answer is late, and the draft goes on elsewhere meanwhile, as the upstream states a later start. If the stream is cut there too, the first upstream's answer, 200, was taken for that of the second one's order: the draft would go on at a third upstream while the second works on it.

Change: an answer counts only for the run that was current when its order was given.

--- a/src/transport/departure_tracker.cpp
+++ b/src/transport/departure_tracker.cpp
@@ -21,7 +21,7 @@
 // Upstreams' reports describe their state of 500 ms ago.
 constexpr std::chrono::milliseconds report_lag{500};
 constexpr std::chrono::milliseconds report_slack{60};
-// Questions whether an upstream restarted: one that is starting may not listen yet.
+// Questions whether an upstream restarted: the way to it may be disturbed as well.
 constexpr std::uint32_t max_restart_questions = 4;
 
 } // namespace
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -351,10 +351,12 @@
         action.source, action.source == member_ ? address_ : source->info.address,
         core_.dialect.copy_request(admitted_.headers.id, destination->info.address, action.last),
         copy_timeout,
-        [weak = weak_from_this(), last = action.last](state::result<fetch_answer> const& answer)
+        [weak = weak_from_this(), last = action.last,
+         run = sends_.written()](state::result<fetch_answer> const& answer)
         {
             auto const self = std::static_pointer_cast<stream_call>(weak.lock());
-            if (self != nullptr)
+            // A late answer of a former run's upstream says nothing of the current run.
+            if (self != nullptr && self->sends_.written() == run)
             {
                 self->on_copy_answer(last, answer);
             }
--- a/tests/platform/running_draft.cpp
+++ b/tests/platform/running_draft.cpp
@@ -86,8 +86,13 @@
 
 void restart(forward_fixture& fixture, scripted_upstream& upstream)
 {
-    constexpr std::string_view question = "GET /v1/report ";
     list_later_start(fixture, upstream);
+    state_later_start(fixture, upstream);
+}
+
+void state_later_start(forward_fixture& fixture, scripted_upstream& upstream)
+{
+    constexpr std::string_view question = "GET /v1/report ";
     fixture.run_until([&] { return !upstream.connections_with(question).empty(); });
     upstream.connections_with(question).back()->send(
         answer_text(200, "", R"({"born":)" + std::to_string(later_incarnation.value) + "}"));
--- a/tests/platform/running_draft.hpp
+++ b/tests/platform/running_draft.hpp
@@ -43,6 +43,8 @@
 void announce_incarnations(forward_fixture& fixture);
 /// \brief Lists a later start of an engine, as its own entry or another writer's does.
 void list_later_start(forward_fixture& fixture, scripted_upstream const& upstream);
+/// \brief Has an engine state its later start, once it is asked.
+void state_later_start(forward_fixture& fixture, scripted_upstream& upstream);
 /// \brief Lists a later start of an engine, which states it too when it is asked.
 void restart(forward_fixture& fixture, scripted_upstream& upstream);
 
--- a/tests/platform/test_cut_streams.cpp
+++ b/tests/platform/test_cut_streams.cpp
@@ -31,7 +31,7 @@
             }};
 }
 
-void run_for(forward_fixture& fixture, std::chrono::milliseconds time)
+void run_for(forward_fixture& fixture, state::duration time)
 {
     auto const end = std::chrono::steady_clock::now() + time;
     fixture.run_until([end] { return std::chrono::steady_clock::now() > end; });
@@ -121,6 +121,31 @@
     fixture.run_until([&] { return draft.has_event(4); });
 }
 
+// The upstream of a former run answers its order late. Guards against that answer being taken for
+// the one of the current run's upstream, which works on.
+TEST_CASE("a late answer to the order of a former run proves nothing of the current one",
+          "[cut_streams]")
+{
+    forward_fixture fixture;
+    announce_incarnations(fixture);
+    running_draft const draft{fixture};
+    list_later_start(fixture, *draft.source);
+    draft.stream->reset();
+    auto const former_order = fixture.upstream_connection(stop_order);
+    state_later_start(fixture, *draft.source);
+    auto const resumed = fixture.upstream_connection("Kv-From: ");
+    resumed->send(stream_head("id-1") + event_chunk(4));
+    // Once it has gone on for some time, the end of a stream is no evidence against its request.
+    run_for(fixture, transport::forward_call::proving_time + 100ms);
+    resumed->send(event_chunk(5));
+    fixture.run_until([&] { return draft.has_event(5); });
+    resumed->reset();
+    fixture.run_until([&] { return fixture.request_count(stop_order) == 2; });
+    former_order->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":3})"));
+    run_for(fixture, 200ms);
+    CHECK(fixture.request_count("Kv-From: ") == 1);
+}
+
 // A copy of an earlier refusal comes where the answer to the resumption is expected.
 TEST_CASE("a resumption is not sent again for a refusal without its id", "[cut_streams]")
 {
