Log: how an answer's end is known, and which orders to stop its run were given

Lines have `framing`, a stream's `answered` line also `send_ended` (as the exchange ended, before it is judged) and `stop_orders`.

--- a/include/plumdale/protocol/message_framing.hpp
+++ b/include/plumdale/protocol/message_framing.hpp
@@ -27,6 +27,9 @@
     until_close ///< Ends when the connection is closed in order.
 };
 
+/// \brief Returns the word for a framing in log lines.
+[[nodiscard]] std::string_view to_text(body_framing framing) noexcept;
+
 /// \brief Progress of a check.
 enum class framing_progress : std::uint8_t
 {
--- a/src/protocol/message_framing.cpp
+++ b/src/protocol/message_framing.cpp
@@ -243,6 +243,13 @@
 
 } // namespace
 
+std::string_view to_text(body_framing framing) noexcept
+{
+    static constexpr std::array<std::string_view, 4> words{"none", "length", "chunks",
+                                                           "until close"};
+    return words[static_cast<std::size_t>(framing)];
+}
+
 // -- heads ----------------------------------------------------------------------------------------
 
 framing_progress head_framing::check(std::string_view head) noexcept
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -70,6 +70,7 @@
 {
     // The answer releases the channel's reference to this call.
     auto const self = shared_from_this();
+    last_end_ = end;
     exchange_end const resolved = resolve(end);
     note_evidence(resolved);
     if (resolved == exchange_end::broken)
@@ -111,7 +112,6 @@
 
 coordination::send_proof forward_call::record_end(exchange_end end)
 {
-    last_end_ = end;
     coordination::exchange_evidence seen;
     seen.is_written = end != exchange_end::unreachable && end != exchange_end::not_sent;
     seen.is_whole = end == exchange_end::complete;
--- a/src/transport/forward_call_log.cpp
+++ b/src/transport/forward_call_log.cpp
@@ -81,6 +81,7 @@
          {"sends", sends_.written()},
          {"may_have_run", sends_.possible_runs()},
          {"send_ended", last_end_ ? to_text(*last_end_) : std::string_view{}},
+         {"framing", has_head_ ? protocol::to_text(framing_) : std::string_view{}},
          {"answer_id", has_head_ ? std::string_view{answer_.id} : std::string_view{}},
          {"proof", coordination::to_text(sends_.newest_proof())},
          {"error", error},
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -171,8 +171,8 @@
     bool has_noted_no_retry_ = false;
     /// \brief The stream was closed after an event while its upstream had the order to stop it.
     bool closed_while_stopping_ = false;
-    /// \brief The upstream of this run has had the order to stop it.
-    bool stop_ordered_ = false;
+    /// \brief Orders to stop this run, whatever became of them.
+    std::uint32_t stop_orders_ = 0;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/stream_call_ends.cpp
+++ b/src/transport/stream_call_ends.cpp
@@ -90,7 +90,6 @@
     }
     closed_while_stopping_ = framing_ == protocol::body_framing::until_close &&
                              events_.is_between_blocks() && failover_ && failover_->is_stopping();
-    last_end_ = end;
     source_ended(end == exchange_end::invalid ? "invalid answer" : "connection broke");
 }
 
@@ -146,6 +145,9 @@
          {"request", protocol::to_hex(admitted_.request.value)},
          {"parts", shared_parts_text()},
          {"route", admitted_.route->name},
+         {"send_ended", last_end_ ? to_text(*last_end_) : std::string_view{}},
+         {"framing", protocol::to_text(framing_)},
+         {"stop_orders", stop_orders_},
          {"first_event_ms", whole_milliseconds(first_event_at_ - admitted_.call.read_at)},
          {"objective_ms", whole_milliseconds(admitted_.route->target_latency)},
          {"longest_gap_ms", whole_milliseconds(longest_gap_)},
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -344,7 +344,7 @@
         return on_copy_unordered(action.last);
     }
     reserve_for_copy(action.destination);
-    stop_ordered_ = stop_ordered_ || action.last;
+    stop_orders_ += action.last ? 1 : 0;
     core_.metrics.add(action.last ? forward_count::copies_last : forward_count::copies_first);
     log(action.last ? "last copy ordered" : "first copy ordered", destination->info.name);
     core_.orders.send_to(
@@ -472,7 +472,8 @@
 
 void stream_call::carry_out(abandon_generation const& /*action*/)
 {
-    abort_answer(stop_ordered_ ? "stopped for a copy, and not resumed" : "the upstream broke off");
+    abort_answer(stop_orders_ > 0 ? "stopped for a copy, and not resumed"
+                                  : "the upstream broke off");
 }
 
 } // namespace plumdale::transport
