An end is a proof: a stream is complete by its framing, or by a process that lived on

What callers saw: the last chunk after event 3 of a run that wasn't finished; they take the part for the whole and never come back.

Cause: a stream without length or chunks counted as whole when its connection was closed in order after an event, unless the phase of the failover said that it was being stopped. The phase forgets: an order whose answer was lost, cut, garbled or of another status went back to 'copied', and a later order's 404 was taken for 'it had ended before'. A process that is killed between two events closes in order as well, without any order.

Class: an end was inferred. Change: `complete_stream` takes a `stream_whole`, which only a proof makes: the framing says so, or the connection was closed in order, no order that may have stopped the run was ever written to its upstream, and the process of the run answered a question that was written after the close. `stream_end_record` remembers orders from before they are written, by upstream and beyond their run, and lets go of one only when nothing of it was written, it found no run (404), or it stopped the run. A 409, and a 503 without a handle, leave it open. The question is a report with the name of the incarnation: 421, a later start, a refused connection or silence prove nothing. Without a proof the run is ordered to stop and goes on elsewhere, or the answer breaks off.

Five of [closed_answers] held that a close alone is an end; their upstreams now say that they live when they are asked, and the checks are the same.

--- a/include/plumdale/coordination/generation_failover.hpp
+++ b/include/plumdale/coordination/generation_failover.hpp
@@ -136,12 +136,6 @@
         return phase_ == phase::stopped || phase_ == phase::resuming;
     }
 
-    /// \brief Returns whether the source has the order to stop the generation, or did stop it.
-    [[nodiscard]] bool is_stopping() const noexcept
-    {
-        return phase_ == phase::last_copy || phase_ == phase::stopped;
-    }
-
     /// \brief Delay of a retry when an order arrived before the generation began or during another
     /// order.
     static constexpr state::duration copy_retry_delay = std::chrono::milliseconds{40};
--- a/include/plumdale/protocol/dialect.hpp
+++ b/include/plumdale/protocol/dialect.hpp
@@ -165,6 +165,7 @@
     std::string method = "GET";
     std::string target;
     std::string body;
+    std::vector<header_field> fields{};
 };
 
 /// \brief Names, formats and calls of one platform. A dialect translates and makes no decisions.
@@ -198,7 +199,9 @@
     [[nodiscard]] virtual state::result<copy_answer>
     read_copy_answer(std::string_view body) const = 0;
     [[nodiscard]] virtual upstream_request copy_release_request(std::string_view handle) const = 0;
-    [[nodiscard]] virtual upstream_request report_request() const = 0;
+    /// \brief Request for a report; with a name, any other incarnation refuses it.
+    [[nodiscard]] virtual upstream_request
+    report_request(std::string_view expected_member = {}) const = 0;
     [[nodiscard]] virtual state::result<member_report> read_report(std::string_view body) const = 0;
 
     // -- the platform's store ------------------------------------------------------------
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -158,6 +158,7 @@
     leave_waiting(true);
     member_ = member;
     address_ = entry->info.address;
+    started_ = entry->info.started;
     std::uint32_t const at_end = admitted_.demand.prompt_tokens + admitted_.demand.output_tokens;
     load_ = {member, 1, tokens_held(), std::max(tokens_held(), at_end), pending_prefill_tokens()};
     core_.ledger.add(member, load_);
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -103,12 +103,12 @@
 protected:
     /// \brief Returns the headers to add to the next send.
     [[nodiscard]] virtual protocol::system_headers make_system_headers(state::time_point now) const;
-    /// \brief Returns whether the answer is whole if its upstream closes the connection now, and it
-    /// has no length.
-    [[nodiscard]] virtual bool is_whole_if_closed() const
-    {
-        return true;
-    }
+    /// \brief Called when the upstream closed the connection in order after an answer without
+    /// length or chunks. Such an answer of a plain call is whole.
+    virtual void on_closed();
+    /// \brief Records what the end shows of the upstream, and goes on with it; `end` is not
+    /// `closed`.
+    void conclude(exchange_end end);
     /// \brief Called when the exchange ended; `end` is not `closed`.
     virtual void exchange_ended(exchange_end end);
     /// \brief Returns when the upstream was first seen to run the call; none before.
@@ -258,6 +258,8 @@
     state::member_key member_;
     /// \brief Where it is sent; the directory may list another place meanwhile.
     state::endpoint address_{};
+    /// \brief Its start as listed when the call was sent; zero if that isn't known.
+    state::incarnation started_{};
     coordination::member_load load_;
     std::vector<state::member_key> excluded_;
     protocol::message_head head_;
@@ -318,8 +320,6 @@
     [[nodiscard]] request_attempt attempt() const noexcept;
     /// \brief Refuses the call as all upstreams back off, the first of them until `end`.
     void refuse_backed_off(state::time_point end, state::time_point now);
-    /// \brief Returns `complete` or `broken` in place of `closed`.
-    [[nodiscard]] exchange_end resolve(exchange_end end) const;
     /// \brief Records the evidence on the request that the end of its exchange gives.
     void note_evidence(exchange_end end);
     /// \brief Records how the upstream took the request that was sent last, once.
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -57,27 +57,27 @@
     exchange_->keep_alive(answer_.keep_alive, answer_.closes || has_mismatched_id());
 }
 
-exchange_end forward_call::resolve(exchange_end end) const
-{
-    if (end != exchange_end::closed)
-    {
-        return end;
-    }
-    return is_whole_if_closed() ? exchange_end::complete : exchange_end::broken;
-}
-
 void forward_call::on_end(exchange_end end)
 {
     // The answer releases the channel's reference to this call.
     auto const self = shared_from_this();
     last_end_ = end;
-    exchange_end const resolved = resolve(end);
-    note_evidence(resolved);
-    if (resolved == exchange_end::broken)
+    end == exchange_end::closed ? on_closed() : conclude(end);
+}
+
+void forward_call::on_closed()
+{
+    conclude(exchange_end::complete);
+}
+
+void forward_call::conclude(exchange_end end)
+{
+    note_evidence(end);
+    if (end == exchange_end::broken)
     {
         core_.probe_in_doubt(member_);
     }
-    exchange_ended(resolved);
+    exchange_ended(end);
 }
 
 void forward_call::settle(coordination::send_outcome outcome)
--- a/src/transport/forward_metrics.cpp
+++ b/src/transport/forward_metrics.cpp
@@ -17,6 +17,8 @@
     {"plumdale_forward_calls_total", "Calls read whole."},
     {"plumdale_forward_answered_total", "Upstreams' answers passed on whole."},
     {"plumdale_forward_streams_whole_total", "Streams passed on to their end."},
+    {"plumdale_forward_ends_asked_total",
+     "Questions to upstreams that closed a stream without length or chunks."},
     {"plumdale_forward_streams_broken_total", "Streams broken off."},
     {"plumdale_forward_refused_total", "Calls refused as not run."},
     {"plumdale_forward_refused_on_arrival_total",
--- a/src/transport/forward_metrics.hpp
+++ b/src/transport/forward_metrics.hpp
@@ -20,6 +20,7 @@
     calls,
     answered,
     streams_whole,
+    ends_asked,
     streams_broken,
     refused,
     refused_on_arrival,
--- a/src/transport/http_fetch.cpp
+++ b/src/transport/http_fetch.cpp
@@ -59,6 +59,10 @@
         {
             request_.set(http::field::authorization, "Bearer " + wanted.key);
         }
+        for (protocol::header_field const& field : wanted.fields)
+        {
+            request_.set(field.name, field.value);
+        }
         request_.body() = wanted.body;
         request_.prepare_payload();
         socket_->expires_after(wanted.timeout);
--- a/src/transport/http_fetch.hpp
+++ b/src/transport/http_fetch.hpp
@@ -25,6 +25,7 @@
     std::string method = "GET";
     std::string target;
     std::string body;
+    std::vector<protocol::header_field> fields{};
     /// \brief Bearer key; empty for none.
     std::string key;
     std::chrono::milliseconds timeout{2000};
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -7,6 +7,7 @@
 #include <plumdale/coordination/generation_backup.hpp>
 #include <plumdale/coordination/generation_failover.hpp>
 #include <plumdale/coordination/pace_meter.hpp>
+#include <plumdale/coordination/stream_end.hpp>
 #include <plumdale/protocol/event_progress.hpp>
 #include <plumdale/protocol/raw_event_splitter.hpp>
 
@@ -59,6 +60,10 @@
         "events without a number follow the last id";
     /// \brief Bytes of the largest event.
     static constexpr std::size_t max_event_bytes = 256UL * 1024;
+    /// \brief How long an upstream has to say that it lives on after it closed a stream.
+    static constexpr std::chrono::milliseconds end_question_timeout{300};
+    /// \brief Such questions that may get no answer: the way to the upstream may lose packets.
+    static constexpr std::uint32_t max_end_questions = 3;
 
 private:
     [[nodiscard]] protocol::system_headers
@@ -69,7 +74,7 @@
     [[nodiscard]] bool is_ranked() const override;
     [[nodiscard]] coordination::waiting_call waiting_place() const override;
     [[nodiscard]] coordination::caller_time time_of_caller() const;
-    [[nodiscard]] bool is_whole_if_closed() const override;
+    void on_closed() override;
     void exchange_ended(exchange_end end) override;
     [[nodiscard]] std::optional<state::time_point> runs_since() const override;
     void answer_ended(exchange_end end) override;
@@ -97,7 +102,7 @@
     void drop_backup();
     void on_backup_leaving(state::member_key member);
     [[nodiscard]] bool is_on_time() const;
-    void log_timing();
+    void log_timing(coordination::stream_whole proof);
     /// \brief Records how long this call held its capacity.
     void note_held();
     void reserve_for_copy(state::member_key destination);
@@ -125,7 +130,17 @@
     void send_pieces();
     void begin_answer();
     void update_loads();
-    void complete_stream();
+    /// \brief Returns what proves that the stream is whole, if its exchange ended so.
+    [[nodiscard]] std::optional<coordination::stream_whole> proof_of(exchange_end end) const;
+    void complete_stream(coordination::stream_whole proof);
+    /// \brief Asks the run's upstream whether its process lived on after it closed the stream.
+    void ask_end();
+    void send_end_question();
+    void on_end_answer(state::result<fetch_answer> const& answer);
+    /// \brief Returns whether an answer comes from the process that had the run.
+    [[nodiscard]] bool is_same_process(fetch_answer const& answer) const;
+    /// \brief The stream was closed in order, and nothing shows that it is whole.
+    void end_unproved();
     void source_ended(std::string_view why);
     void apply(coordination::failover_actions const& actions);
     void carry_out(coordination::order_copy const& action);
@@ -133,6 +148,10 @@
     void carry_out(coordination::release_copy const& action);
     void carry_out(coordination::abandon_generation const& action);
     void on_copy_answer(bool last, state::result<fetch_answer> const& answer);
+    /// \brief Returns what the answer to an order to stop shows of its effect.
+    [[nodiscard]] coordination::stop_outcome
+    outcome_of(state::result<fetch_answer> const& answer) const;
+    void refuse_copy(coordination::copy_refusal reason, std::string handle);
     /// \brief Treats an order that could not be given like one that got no answer.
     void on_copy_unordered(bool last);
     void postpone_resumption();
@@ -169,8 +188,15 @@
     bool has_noted_no_destination_ = false;
     /// \brief The log has the current wait for a retry.
     bool has_noted_no_retry_ = false;
-    /// \brief The stream was closed after an event while its upstream had the order to stop it.
-    bool closed_while_stopping_ = false;
+    coordination::stream_end_record ends_;
+    /// \brief Why an answer that ended with its connection is whole.
+    std::optional<coordination::stream_whole> closed_whole_;
+    /// \brief Unanswered questions whether the upstream lives on; none while it isn't asked.
+    std::optional<std::uint32_t> end_questions_;
+    /// \brief When it is asked once more.
+    state::time_point ask_again_at_ = state::never;
+    /// \brief The order to stop found no run, which may have ended before; its upstream is asked.
+    bool found_no_run_ = false;
     /// \brief Orders to stop this run, whatever became of them.
     std::uint32_t stop_orders_ = 0;
 };
--- a/src/transport/stream_call_ends.cpp
+++ b/src/transport/stream_call_ends.cpp
@@ -29,15 +29,14 @@
     return has_event ? std::optional{run_began_at_} : std::nullopt;
 }
 
-// An upstream that stops a generation for its last copy closes the stream in the same way.
-bool stream_call::is_whole_if_closed() const
+std::optional<stream_whole> stream_call::proof_of(exchange_end end) const
 {
-    if (!streaming_)
+    if (end != exchange_end::complete || !streaming_)
     {
-        return true;
+        return std::nullopt;
     }
-    bool const runs = begun_ && !resuming_;
-    return runs && events_.is_between_blocks() && !(failover_ && failover_->is_stopping());
+    return framing_ == protocol::body_framing::until_close ? closed_whole_
+                                                           : stream_whole::by(end_proof::framed);
 }
 
 void stream_call::exchange_ended(exchange_end end)
@@ -52,9 +51,9 @@
     }
     state::time_point const now = boot_now();
     failover_actions actions;
-    if (end == exchange_end::complete && streaming_)
+    if (auto const whole = proof_of(end))
     {
-        return complete_stream();
+        return complete_stream(*whole);
     }
     bool const not_run = proves_never_ran(record_end(end));
     core_.metrics.add(forward_count::resume_refused);
@@ -66,9 +65,9 @@
 
 void stream_call::answer_ended(exchange_end end)
 {
-    if (end == exchange_end::complete && streaming_)
+    if (auto const whole = proof_of(end))
     {
-        return complete_stream();
+        return complete_stream(*whole);
     }
     if (end == exchange_end::complete && !begun_ && has_unfounded_promise())
     {
@@ -88,12 +87,10 @@
     {
         return refuse(state::error_kind::may_have_run, "the upstream broke off");
     }
-    closed_while_stopping_ = framing_ == protocol::body_framing::until_close &&
-                             events_.is_between_blocks() && failover_ && failover_->is_stopping();
     source_ended(end == exchange_end::invalid ? "invalid answer" : "connection broke");
 }
 
-void stream_call::complete_stream()
+void stream_call::complete_stream(stream_whole proof)
 {
     core_.health.note(member_, call_result::good, boot_now());
     core_.metrics.add(forward_count::streams_whole);
@@ -105,7 +102,7 @@
     // The upstream's framing states that the stream ends here, inside a block or not.
     unsent_ += events_.unfinished();
     channel_->send_chunk(std::exchange(unsent_, {}));
-    log_timing();
+    log_timing(proof);
     note_held();
     note_outcome(is_on_time() ? call_outcome::on_time : call_outcome::late);
     failover_actions actions;
@@ -137,7 +134,7 @@
 }
 
 // The two figures that decide whether a stream was on time.
-void stream_call::log_timing()
+void stream_call::log_timing(stream_whole proof)
 {
     core_.log.write(
         "call", "answered", admitted_.headers.id,
@@ -148,6 +145,7 @@
          {"send_ended", last_end_ ? to_text(*last_end_) : std::string_view{}},
          {"framing", protocol::to_text(framing_)},
          {"stop_orders", stop_orders_},
+         {"end_proof", to_text(proof.proof())},
          {"first_event_ms", whole_milliseconds(first_event_at_ - admitted_.call.read_at)},
          {"objective_ms", whole_milliseconds(admitted_.route->target_latency)},
          {"longest_gap_ms", whole_milliseconds(longest_gap_)},
@@ -169,7 +167,7 @@
 {
     log("source ended", why);
     close_exchange();
-    if (!progress_.is_resumable() && !closed_while_stopping_)
+    if (!progress_.is_resumable() && !ends_.is_closed_in_order())
     {
         return abort_answer(unnumbered_events);
     }
@@ -199,6 +197,98 @@
     forward_call::on_caller_disconnected();
 }
 
+// -- ends without a length or chunks --------------------------------------------------------------
+
+// An upstream that stops a run closes its stream in the same way, and so does one whose process is
+// killed after an event.
+void stream_call::on_closed()
+{
+    if (!streaming_)
+    {
+        return conclude(exchange_end::complete);
+    }
+    bool const is_after_event = begun_ && !resuming_ && events_.is_between_blocks();
+    if (is_after_event)
+    {
+        ends_.closed_in_order(member_);
+    }
+    ends_.may_be_whole() ? ask_end() : conclude(exchange_end::broken);
+}
+
+void stream_call::ask_end()
+{
+    close_exchange();
+    end_questions_ = 0;
+    send_end_question();
+}
+
+void stream_call::send_end_question()
+{
+    ask_again_at_ = state::never;
+    core_.metrics.add(forward_count::ends_asked);
+    log("end asked", {});
+    core_.orders.send_to(
+        member_, address_, core_.dialect.report_request(member_name()), end_question_timeout,
+        [weak = weak_from_this(), run = sends_.written()](state::result<fetch_answer> const& answer)
+        {
+            auto const self = std::static_pointer_cast<stream_call>(weak.lock());
+            bool const is_due = self != nullptr && !self->finished_ && self->end_questions_ &&
+                                self->sends_.written() == run;
+            if (is_due)
+            {
+                self->on_end_answer(answer);
+            }
+        });
+    arm_timer();
+}
+
+void stream_call::on_end_answer(state::result<fetch_answer> const& answer)
+{
+    log("end answered", answer ? std::to_string(answer.value().status) : answer.error().detail);
+    if (answer)
+    {
+        closed_whole_ = is_same_process(answer.value()) ? ends_.proof_by_answer() : std::nullopt;
+        return closed_whole_ ? conclude(exchange_end::complete) : end_unproved();
+    }
+    state::time_point const now = boot_now();
+    switch (answer.error().kind)
+    {
+    case state::error_kind::connection_refused:
+        return end_unproved();
+    case state::error_kind::overloaded:
+        // It asked for a back-off, and nothing was sent.
+        ask_again_at_ = now + std::max(core_.backoffs.left(member_, now),
+                                       generation_failover::copy_retry_delay);
+        return arm_timer();
+    default:
+        return ++*end_questions_ < max_end_questions ? send_end_question() : end_unproved();
+    }
+}
+
+bool stream_call::is_same_process(fetch_answer const& answer) const
+{
+    protocol::message_head head;
+    head.status = answer.status;
+    head.fields = answer.fields;
+    if (core_.dialect.read_answer(head).misdirected)
+    {
+        return false;
+    }
+    auto const report = core_.dialect.read_report(answer.body);
+    bool const is_later = report && started_.value != 0 && started_ < report.value().started;
+    return !is_later;
+}
+
+void stream_call::end_unproved()
+{
+    end_questions_.reset();
+    if (!std::exchange(found_no_run_, false))
+    {
+        return conclude(exchange_end::broken);
+    }
+    refuse_copy(copy_refusal::unknown_generation, {});
+}
+
 // -- time -----------------------------------------------------------------------------------------
 
 state::duration stream_call::silence_timeout() const
@@ -210,7 +300,9 @@
 
 state::time_point stream_call::next_deadline() const
 {
-    state::time_point const copies = failover_ ? failover_->next_deadline() : state::never;
+    // Nothing is ordered of a run whose end is asked for.
+    state::time_point const copies =
+        failover_ && !end_questions_ ? failover_->next_deadline() : ask_again_at_;
     state::time_point const patience =
         exchange_ == nullptr ? last_progress_ + silence_timeout() : state::never;
     return std::min({forward_call::next_deadline(), copies, patience});
@@ -224,7 +316,11 @@
     {
         return on_timeout();
     }
-    if (failover_)
+    if (now >= ask_again_at_)
+    {
+        send_end_question();
+    }
+    else if (failover_ && !end_questions_)
     {
         failover_actions actions;
         failover_->advance(now, actions);
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -118,6 +118,9 @@
     {
         log("upstream started again", to_text(proof.proof()));
         close_exchange();
+        end_questions_.reset();
+        ask_again_at_ = state::never;
+        found_no_run_ = false;
         failover_actions actions;
         failover().source_gone(proof, boot_now(), actions);
         return apply(actions);
@@ -344,19 +347,31 @@
         return on_copy_unordered(action.last);
     }
     reserve_for_copy(action.destination);
-    stop_orders_ += action.last ? 1 : 0;
+    if (action.last)
+    {
+        ++stop_orders_;
+        ends_.stop_ordered(action.source);
+    }
     core_.metrics.add(action.last ? forward_count::copies_last : forward_count::copies_first);
     log(action.last ? "last copy ordered" : "first copy ordered", destination->info.name);
     core_.orders.send_to(
         action.source, action.source == member_ ? address_ : source->info.address,
         core_.dialect.copy_request(admitted_.headers.id, destination->info.address, action.last),
         copy_timeout,
-        [weak = weak_from_this(), last = action.last,
+        [weak = weak_from_this(), last = action.last, source = action.source,
          run = sends_.written()](state::result<fetch_answer> const& answer)
         {
             auto const self = std::static_pointer_cast<stream_call>(weak.lock());
+            if (self == nullptr)
+            {
+                return;
+            }
+            if (last)
+            {
+                self->ends_.order_ended(source, self->outcome_of(answer));
+            }
             // A late answer of a former run's upstream says nothing of the current run.
-            if (self != nullptr && self->sends_.written() == run)
+            if (self->sends_.written() == run)
             {
                 self->on_copy_answer(last, answer);
             }
@@ -389,27 +404,60 @@
         log(last ? "last copy complete" : "first copy complete", {});
         failover_->copied(copy.value().handle, now, actions);
     }
-    else if (last && closed_while_stopping_ &&
-             refusal_of(answer) == copy_refusal::unknown_generation)
-    {
-        // It had ended before the order came, and the stream with it.
-        return complete_stream();
-    }
     else
     {
-        drop_load(copy_load_);
         core_.metrics.add(forward_count::copies_refused);
         log(last ? "last copy refused" : "first copy refused",
             answer ? std::to_string(answer.value().status) : answer.error().detail);
-        failover_->copy_refused(refusal_of(answer), copy ? copy.value().handle : std::string{}, now,
-                                actions);
+        copy_refusal const reason = refusal_of(answer);
+        if (!finished_ && last && reason == copy_refusal::unknown_generation &&
+            ends_.may_be_whole())
+        {
+            // It had ended before the order came, unless its process is gone.
+            found_no_run_ = true;
+            return ask_end();
+        }
+        return refuse_copy(reason, copy ? copy.value().handle : std::string{});
+    }
+    if (!finished_)
+    {
+        apply(actions);
     }
+}
+
+void stream_call::refuse_copy(copy_refusal reason, std::string handle)
+{
+    drop_load(copy_load_);
+    failover_actions actions;
+    failover_->copy_refused(reason, std::move(handle), boot_now(), actions);
     if (!finished_)
     {
         apply(actions);
     }
 }
 
+// What the users' page says of a 409, and of a 503 without a handle, leaves open whether the run
+// was stopped first.
+stop_outcome stream_call::outcome_of(state::result<fetch_answer> const& answer) const
+{
+    if (!answer)
+    {
+        using state::error_kind;
+        error_kind const kind = answer.error().kind;
+        bool const is_unwritten = kind == error_kind::connection_refused ||
+                                  kind == error_kind::overloaded || kind == error_kind::no_upstream;
+        return is_unwritten ? stop_outcome::no_effect : stop_outcome::open;
+    }
+    unsigned const status = answer.value().status;
+    if (status == not_found)
+    {
+        return stop_outcome::no_effect;
+    }
+    bool const has_handle = core_.dialect.read_copy_answer(answer.value().body).has_value();
+    return has_handle && (status == success || status == unavailable) ? stop_outcome::stopped
+                                                                      : stop_outcome::open;
+}
+
 void stream_call::carry_out(resume_generation const& action)
 {
     directory_entry const* const holder = core_.directory.find(action.holder);
@@ -431,7 +479,8 @@
     {
         return postpone_resumption();
     }
-    closed_while_stopping_ = false;
+    ends_.run_begins();
+    closed_whole_.reset();
     resume_from_ = protocol::resume_point{
         holder->info.address, action.handle.empty() ? admitted_.headers.id : action.handle,
         progress_.last_id()};
--- a/src/transport/upstream_orders.cpp
+++ b/src/transport/upstream_orders.cpp
@@ -46,6 +46,7 @@
     request.method = std::move(order.method);
     request.target = std::move(order.target);
     request.body = std::move(order.body);
+    request.fields = std::move(order.fields);
     request.timeout = timeout;
     request.source = source_;
     request.max_answer_bytes = max_answer_bytes;
--- a/tests/platform/closed_draft.cpp
+++ b/tests/platform/closed_draft.cpp
@@ -41,6 +41,23 @@
     return caller->received.ends_with(last_chunk);
 }
 
+void closed_draft::run_until_complete(forward_fixture& fixture) const
+{
+    run_with_reports(fixture, *source, [this] { return is_complete(); });
+}
+
+void run_with_reports(forward_fixture& fixture, scripted_upstream& upstream,
+                      std::function<bool()> const& condition)
+{
+    request_answers answers{upstream};
+    fixture.run_until(
+        [&]
+        {
+            answers.send(report_question, answer_text(200, "", "{}"));
+            return condition();
+        });
+}
+
 std::shared_ptr<scripted_connection> order_stop(forward_fixture& fixture, closed_draft const& draft)
 {
     announce_departure(fixture, *draft.source);
--- a/tests/platform/closed_draft.hpp
+++ b/tests/platform/closed_draft.hpp
@@ -3,6 +3,7 @@
 #include "forward_fixture.hpp"
 #include "running_draft.hpp"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -33,6 +34,8 @@
     [[nodiscard]] bool has_event(int id) const;
     /// \brief Returns whether its caller was told that it is complete.
     [[nodiscard]] bool is_complete() const;
+    /// \brief Lets its upstream say that it lives, and waits until the caller is told the end.
+    void run_until_complete(forward_fixture& fixture) const;
 
     std::shared_ptr<scripted_caller> caller;
     scripted_upstream* source;
@@ -40,6 +43,9 @@
     std::shared_ptr<scripted_connection> stream;
 };
 
+/// \brief Lets an upstream say that it lives whenever it is asked, until `condition` holds.
+void run_with_reports(forward_fixture& fixture, scripted_upstream& upstream,
+                      std::function<bool()> const& condition);
 /// \brief Has a leaving upstream copy the draft, and returns the connection of the order to stop
 /// it.
 std::shared_ptr<scripted_connection> order_stop(forward_fixture& fixture,
--- a/tests/platform/test_closed_answers.cpp
+++ b/tests/platform/test_closed_answers.cpp
@@ -74,7 +74,7 @@
     closed_draft const draft{fixture};
     draft.stream->send(event(4));
     draft.stream->close();
-    fixture.run_until([&] { return draft.is_complete(); });
+    draft.run_until_complete(fixture);
     CHECK(draft.has_event(4));
     CHECK(fixture.request_count(id_field("id-1")) == 1);
 }
@@ -123,7 +123,8 @@
     auto const resumed = fixture.upstream_connection("Last-Event-Id: 3\r\n");
     resumed->send(closed_head("id-1") + event(4) + event(5));
     resumed->close();
-    fixture.run_until([&] { return draft.is_complete(); });
+    run_with_reports(fixture, fixture.upstream_of("Last-Event-Id: 3\r\n"),
+                     [&] { return draft.is_complete(); });
     CHECK(draft.has_event(5));
 }
 
@@ -133,13 +134,7 @@
     forward_fixture fixture;
     fill_engines(fixture);
     closed_draft const draft{fixture};
-    state::service_member leaving = draft.source->make_member("engine", 2);
-    leaving.leaving = true;
-    std::vector<state::service_member> const updates{leaving};
-    fixture.core.apply_members(updates, "test");
-    fixture.upstream_connection("\"isLast\":false")
-        ->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":3})"));
-    auto const last = fixture.upstream_connection("\"isLast\":true");
+    auto const last = order_stop(fixture, draft);
     SECTION("the copy is complete before the stream ends")
     {
         last->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":4})"));
@@ -156,7 +151,8 @@
     auto const resumed = fixture.upstream_connection("Last-Event-Id: 4\r\n");
     resumed->send(closed_head("id-1") + event(5));
     resumed->close();
-    fixture.run_until([&] { return draft.is_complete(); });
+    run_with_reports(fixture, fixture.upstream_of("Last-Event-Id: 4\r\n"),
+                     [&] { return draft.is_complete(); });
     CHECK(draft.has_event(5));
 }
 
@@ -166,17 +162,11 @@
     forward_fixture fixture;
     fill_engines(fixture);
     closed_draft const draft{fixture};
-    state::service_member leaving = draft.source->make_member("engine", 2);
-    leaving.leaving = true;
-    std::vector<state::service_member> const updates{leaving};
-    fixture.core.apply_members(updates, "test");
-    fixture.upstream_connection("\"isLast\":false")
-        ->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":3})"));
-    auto const last = fixture.upstream_connection("\"isLast\":true");
+    auto const last = order_stop(fixture, draft);
     draft.stream->close();
     fixture.run_until([&] { return draft.stream->ended; });
     last->send(answer_text(404, "", "{}"));
-    fixture.run_until([&] { return draft.is_complete(); });
+    draft.run_until_complete(fixture);
     CHECK(fixture.request_count("Last-Event-Id: 3\r\n") == 0);
 }
 
@@ -199,5 +189,6 @@
             return has_answer(*caller) && caller->received.find("data: e1\n") != std::string::npos;
         });
     CHECK(caller->received.starts_with("HTTP/1.1 200 "));
-    fixture.run_until([&] { return !is_draft || caller->received.ends_with(last_chunk); });
+    run_with_reports(fixture, fixture.upstream_of(id_field("id-1")),
+                     [&] { return !is_draft || caller->received.ends_with(last_chunk); });
 }
