A plain answer that ends with its connection is whole if its process lived on

What callers saw: the first half of an answer as a whole one, where the upstream's process is killed within a body without length or chunks: its connection closes in order.

Cause: the same as of the streams: a close in order was taken for an end.

Change: `end_question` (moved out of stream_call, which asks by it as before) asks the upstream for a report once a plain success was closed in order. Without an answer of that process the exchange is broken: the call is sent again where it may run twice, otherwise answered 502. Failures are not asked about.

Two of [closed_answers] let their upstreams answer the question; what they check is the same.

--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_channel.hpp"
+#include "end_question.hpp"
 #include "forward_core.hpp"
 #include "upstream_exchange.hpp"
 
@@ -104,8 +105,20 @@
     /// \brief Returns the headers to add to the next send.
     [[nodiscard]] virtual protocol::system_headers make_system_headers(state::time_point now) const;
     /// \brief Called when the upstream closed the connection in order after an answer without
-    /// length or chunks. Such an answer of a plain call is whole.
-    virtual void on_closed();
+    /// length or chunks.
+    virtual void on_closed() = 0;
+    /// \brief Asks the upstream of an answer that ended with its connection whether its process
+    /// lived on, and calls `on_answer` with that, unless the call has ended or the question was
+    /// dropped.
+    void ask_whether_it_lives(std::function<void(bool)> on_answer);
+    void drop_end_question() noexcept
+    {
+        end_question_.reset();
+    }
+    [[nodiscard]] bool is_end_asked() const noexcept
+    {
+        return end_question_ != nullptr;
+    }
     /// \brief Records what the end shows of the upstream, and goes on with it; `end` is not
     /// `closed`.
     void conclude(exchange_end end);
@@ -255,6 +268,9 @@
     admitted_call admitted_;
     net::steady_timer timer_;
     std::shared_ptr<upstream_exchange> exchange_;
+    /// \brief The question that is under way.
+    std::shared_ptr<end_question> end_question_;
+    std::uint32_t end_questions_ = 0;
     state::member_key member_;
     /// \brief Where it is sent; the directory may list another place meanwhile.
     state::endpoint address_{};
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -65,9 +65,27 @@
     end == exchange_end::closed ? on_closed() : conclude(end);
 }
 
-void forward_call::on_closed()
+void forward_call::ask_whether_it_lives(std::function<void(bool)> on_answer)
 {
-    conclude(exchange_end::complete);
+    close_exchange();
+    end_question::subject subject{admitted_.headers.id, member_, std::string{member_name()},
+                                  address_, started_};
+    end_question_ = std::make_shared<end_question>(
+        core_, std::move(subject),
+        [weak = weak_from_this(), serial = ++end_questions_,
+         on_answer = std::move(on_answer)](bool lived_on)
+        {
+            auto const self = weak.lock();
+            bool const is_due = self != nullptr && !self->finished_ && self->is_end_asked() &&
+                                self->end_questions_ == serial;
+            if (is_due)
+            {
+                self->drop_end_question();
+                on_answer(lived_on);
+            }
+        });
+    end_question_->start();
+    arm_timer();
 }
 
 void forward_call::conclude(exchange_end end)
--- a/src/transport/plain_call.cpp
+++ b/src/transport/plain_call.cpp
@@ -36,6 +36,17 @@
     }
 }
 
+// A process that is killed within its answer closes the connection in order, too.
+void plain_call::on_closed()
+{
+    if (!is_success())
+    {
+        return conclude(exchange_end::complete);
+    }
+    ask_whether_it_lives([this](bool lived_on)
+                         { conclude(lived_on ? exchange_end::complete : exchange_end::broken); });
+}
+
 void plain_call::answer_ended(exchange_end end)
 {
     if (end != exchange_end::complete)
--- a/src/transport/plain_call.hpp
+++ b/src/transport/plain_call.hpp
@@ -21,6 +21,7 @@
     void on_body(std::string bytes) override;
 
 private:
+    void on_closed() override;
     void answer_ended(exchange_end end) override;
     void on_timeout() override;
     void on_timer(state::time_point now) override;
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -60,10 +60,6 @@
         "events without a number follow the last id";
     /// \brief Bytes of the largest event.
     static constexpr std::size_t max_event_bytes = 256UL * 1024;
-    /// \brief How long an upstream has to say that it lives on after it closed a stream.
-    static constexpr std::chrono::milliseconds end_question_timeout{300};
-    /// \brief Such questions that may get no answer: the way to the upstream may lose packets.
-    static constexpr std::uint32_t max_end_questions = 3;
 
 private:
     [[nodiscard]] protocol::system_headers
@@ -133,12 +129,8 @@
     /// \brief Returns what proves that the stream is whole, if its exchange ended so.
     [[nodiscard]] std::optional<coordination::stream_whole> proof_of(exchange_end end) const;
     void complete_stream(coordination::stream_whole proof);
-    /// \brief Asks the run's upstream whether its process lived on after it closed the stream.
+    /// \brief The stream is complete if its upstream says that it lives.
     void ask_end();
-    void send_end_question();
-    void on_end_answer(state::result<fetch_answer> const& answer);
-    /// \brief Returns whether an answer comes from the process that had the run.
-    [[nodiscard]] bool is_same_process(fetch_answer const& answer) const;
     /// \brief The stream was closed in order, and nothing shows that it is whole.
     void end_unproved();
     void source_ended(std::string_view why);
@@ -191,10 +183,6 @@
     coordination::stream_end_record ends_;
     /// \brief Why an answer that ended with its connection is whole.
     std::optional<coordination::stream_whole> closed_whole_;
-    /// \brief Unanswered questions whether the upstream lives on; none while it isn't asked.
-    std::optional<std::uint32_t> end_questions_;
-    /// \brief When it is asked once more.
-    state::time_point ask_again_at_ = state::never;
     /// \brief The order to stop found no run, which may have ended before; its upstream is asked.
     bool found_no_run_ = false;
     /// \brief Orders to stop this run, whatever became of them.
--- a/src/transport/stream_call_ends.cpp
+++ b/src/transport/stream_call_ends.cpp
@@ -217,71 +217,16 @@
 
 void stream_call::ask_end()
 {
-    close_exchange();
-    end_questions_ = 0;
-    send_end_question();
-}
-
-void stream_call::send_end_question()
-{
-    ask_again_at_ = state::never;
-    core_.metrics.add(forward_count::ends_asked);
-    log("end asked", {});
-    core_.orders.send_to(
-        member_, address_, core_.dialect.report_request(member_name()), end_question_timeout,
-        [weak = weak_from_this(), run = sends_.written()](state::result<fetch_answer> const& answer)
+    ask_whether_it_lives(
+        [this](bool lived_on)
         {
-            auto const self = std::static_pointer_cast<stream_call>(weak.lock());
-            bool const is_due = self != nullptr && !self->finished_ && self->end_questions_ &&
-                                self->sends_.written() == run;
-            if (is_due)
-            {
-                self->on_end_answer(answer);
-            }
+            closed_whole_ = lived_on ? ends_.proof_by_answer() : std::nullopt;
+            closed_whole_ ? conclude(exchange_end::complete) : end_unproved();
         });
-    arm_timer();
-}
-
-void stream_call::on_end_answer(state::result<fetch_answer> const& answer)
-{
-    log("end answered", answer ? std::to_string(answer.value().status) : answer.error().detail);
-    if (answer)
-    {
-        closed_whole_ = is_same_process(answer.value()) ? ends_.proof_by_answer() : std::nullopt;
-        return closed_whole_ ? conclude(exchange_end::complete) : end_unproved();
-    }
-    state::time_point const now = boot_now();
-    switch (answer.error().kind)
-    {
-    case state::error_kind::connection_refused:
-        return end_unproved();
-    case state::error_kind::overloaded:
-        // It asked for a back-off, and nothing was sent.
-        ask_again_at_ = now + std::max(core_.backoffs.left(member_, now),
-                                       generation_failover::copy_retry_delay);
-        return arm_timer();
-    default:
-        return ++*end_questions_ < max_end_questions ? send_end_question() : end_unproved();
-    }
-}
-
-bool stream_call::is_same_process(fetch_answer const& answer) const
-{
-    protocol::message_head head;
-    head.status = answer.status;
-    head.fields = answer.fields;
-    if (core_.dialect.read_answer(head).misdirected)
-    {
-        return false;
-    }
-    auto const report = core_.dialect.read_report(answer.body);
-    bool const is_later = report && started_.value != 0 && started_ < report.value().started;
-    return !is_later;
 }
 
 void stream_call::end_unproved()
 {
-    end_questions_.reset();
     if (!std::exchange(found_no_run_, false))
     {
         return conclude(exchange_end::broken);
@@ -302,7 +247,7 @@
 {
     // Nothing is ordered of a run whose end is asked for.
     state::time_point const copies =
-        failover_ && !end_questions_ ? failover_->next_deadline() : ask_again_at_;
+        failover_ && !is_end_asked() ? failover_->next_deadline() : state::never;
     state::time_point const patience =
         exchange_ == nullptr ? last_progress_ + silence_timeout() : state::never;
     return std::min({forward_call::next_deadline(), copies, patience});
@@ -316,11 +261,7 @@
     {
         return on_timeout();
     }
-    if (now >= ask_again_at_)
-    {
-        send_end_question();
-    }
-    else if (failover_ && !end_questions_)
+    if (failover_ && !is_end_asked())
     {
         failover_actions actions;
         failover_->advance(now, actions);
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -118,8 +118,7 @@
     {
         log("upstream started again", to_text(proof.proof()));
         close_exchange();
-        end_questions_.reset();
-        ask_again_at_ = state::never;
+        drop_end_question();
         found_no_run_ = false;
         failover_actions actions;
         failover().source_gone(proof, boot_now(), actions);
--- a/tests/platform/test_closed_answers.cpp
+++ b/tests/platform/test_closed_answers.cpp
@@ -32,7 +32,8 @@
         upstream->send(closed_head("id-1") + "who");
         upstream->send("le");
         upstream->close();
-        fixture.run_until([&] { return has_answer(*caller); });
+        run_with_reports(fixture, fixture.upstream_of(id_field("id-1")),
+                         [&] { return has_answer(*caller); });
         CHECK(caller->received.starts_with("HTTP/1.1 200 "));
         CHECK(caller->received.ends_with("\r\n\r\nwhole"));
         CHECK(fixture.request_count(id_field("id-1")) == 1);
@@ -54,6 +55,24 @@
     CHECK(caller->received.find("half") == std::string::npos);
 }
 
+// Guards against half an answer that is passed on as whole: its process was killed within it, which
+// closes the connection in order.
+TEST_CASE("a plain answer whose process is killed within it is not whole", "[closed_answers]")
+{
+    bool const may_repeat = GENERATE(false, true);
+    forward_fixture fixture;
+    auto const caller = fixture.call(may_repeat ? "/fetch/1" : "/event/1", "id-1");
+    auto const upstream = fixture.upstream_connection(id_field("id-1"));
+    upstream->send(closed_head("id-1") + "half");
+    fixture.upstream_of(id_field("id-1")).stop_listening();
+    upstream->close();
+    fixture.run_until(
+        [&] { return has_answer(*caller) || fixture.request_count(id_field("id-1")) == 2; });
+    CHECK(caller->received.find("half") == std::string::npos);
+    CHECK(fixture.request_count(id_field("id-1")) == (may_repeat ? 2 : 1));
+    CHECK(caller->received.starts_with("HTTP/1.1 502 ") != may_repeat);
+}
+
 // Guards against a refusal without a length that counts as a call that may have run.
 TEST_CASE("a refusal that ends with its connection leaves the call as not run", "[closed_answers]")
 {
@@ -184,11 +203,8 @@
     auto const upstream = fixture.upstream_connection(id_field("id-1"));
     upstream->send(closed_head("id-1") + event(1));
     upstream->close();
-    fixture.run_until(
-        [&] {
-            return has_answer(*caller) && caller->received.find("data: e1\n") != std::string::npos;
-        });
-    CHECK(caller->received.starts_with("HTTP/1.1 200 "));
     run_with_reports(fixture, fixture.upstream_of(id_field("id-1")),
-                     [&] { return !is_draft || caller->received.ends_with(last_chunk); });
+                     [&] { return caller->received.ends_with(is_draft ? last_chunk : event(1)); });
+    CHECK(caller->received.starts_with("HTTP/1.1 200 "));
+    CHECK(caller->received.find("data: e1\n") != std::string::npos);
 }
