Statuses that no answer can have are refused with their first line

What callers got: 600 and 999 as an answer, with the upstream's body and its statements taken; after 101 nothing until their time was over, or whatever followed it. RFC 9110, 15: a status outside of 100 to 599 is invalid, and a 101 was never asked for.

Cause: each reader drew its own line. `check_status_line` took any three digits from 100 on, `skip_interim_answers` anything under 200 for interim. `kind_of_status` decides now for all: final 200 to 599, interim 100 to 199 without 101, none otherwise. A head whose status is none is malformed with its first line, so none of its fields is read: not its statements, not its word that the call did not run, no framing. The exchange ends as `invalid`, which is 502, or another upstream for idempotent calls, and counts against the upstream. Bytes behind an interim answer that can't begin another one (its supposed body) end the exchange, too, instead of a wait.

The model of the generated messages is as strict about statuses now.

--- a/include/plumdale/protocol/message_framing.hpp
+++ b/include/plumdale/protocol/message_framing.hpp
@@ -42,9 +42,9 @@
 /// \brief Checks each line of a head and decides from it how the body is framed.
 ///
 /// Refused are: a line that does not end with CRLF, a folded field, white space before a colon,
-/// control characters, repeated lengths or codings, both of them, a length that is not all digits,
-/// a coding other than `chunked`, any coding in HTTP/1.0, and a Connection field that is no list of
-/// names.
+/// control characters, a status that no answer has, repeated lengths or codings, both of them, a
+/// length that is not all digits, a coding other than `chunked`, any coding in HTTP/1.0, and a
+/// Connection field that is no list of names.
 class head_framing
 {
 public:
@@ -70,6 +70,7 @@
     }
 
 private:
+    [[nodiscard]] bool can_begin_message(std::string_view head) const noexcept;
     [[nodiscard]] bool check_line(std::string_view line) noexcept;
     [[nodiscard]] bool check_request_line(std::string_view line) noexcept;
     [[nodiscard]] bool check_status_line(std::string_view line) noexcept;
--- a/src/protocol/message_framing.cpp
+++ b/src/protocol/message_framing.cpp
@@ -1,3 +1,4 @@
+#include <plumdale/protocol/answer_status.hpp>
 #include <plumdale/protocol/message_framing.hpp>
 #include <plumdale/protocol/message_head.hpp>
 
@@ -15,8 +16,7 @@
 constexpr char line_feed = '\n';
 constexpr std::size_t line_end_bytes = 2;
 constexpr std::string_view coding_chunked = "chunked";
-constexpr unsigned first_status = 100;
-constexpr unsigned first_final_status = 200;
+constexpr std::string_view answer_begin = "HTTP/1.";
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
 /// \brief As many as 64 bits need: readers differ on what longer sizes mean, leading zeros or not.
@@ -260,7 +260,8 @@
         if (end == std::string_view::npos)
         {
             searched_ = head.size();
-            return framing_progress::incomplete;
+            return can_begin_message(head) ? framing_progress::incomplete
+                                           : framing_progress::malformed;
         }
         if (end == line_begin_ || head[end - 1] != carriage_return)
         {
@@ -279,6 +280,13 @@
     }
 }
 
+// What comes behind an interim answer may be a body that it can't have, and end without a line.
+bool head_framing::can_begin_message(std::string_view head) const noexcept
+{
+    std::string_view const first = head.substr(0, answer_begin.size());
+    return role_ == message_role::request || answer_begin.starts_with(first);
+}
+
 bool head_framing::check_line(std::string_view line) noexcept
 {
     if (!is_first_line_)
@@ -314,7 +322,8 @@
     std::string_view const status = line.substr(status_at, reason_at - 1 - status_at);
     std::from_chars(status.data(), status.data() + status.size(), status_);
     return check_version(line.substr(0, version_bytes)) && all(status, is_digit) &&
-           status_ >= first_status && all(line.substr(reason_at), is_field_char);
+           kind_of_status(status_) != status_kind::none &&
+           all(line.substr(reason_at), is_field_char);
 }
 
 bool head_framing::check_version(std::string_view version) noexcept
@@ -412,7 +421,7 @@
     {
         return role_ == message_role::answer_without_body;
     }
-    return status_ < first_final_status || status_ == status_no_content ||
+    return kind_of_status(status_) != status_kind::final_answer || status_ == status_no_content ||
            status_ == status_not_modified;
 }
 
--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include "boot_clock.hpp"
 
+#include <plumdale/protocol/answer_status.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
@@ -16,8 +18,6 @@
 
 using boost::system::error_code;
 
-constexpr unsigned first_final_status = 200;
-
 protocol::http_reader new_reader(bool without_body)
 {
     auto const role =
@@ -175,12 +175,17 @@
     }
 }
 
+bool upstream_exchange::has_interim_answer() const noexcept
+{
+    return reader_.progress() == protocol::read_progress::complete &&
+           protocol::kind_of_status(reader_.head().status) == protocol::status_kind::interim;
+}
+
 bool upstream_exchange::skip_interim_answers()
 {
-    while (reader_.progress() == protocol::read_progress::complete &&
-           reader_.head().status < first_final_status)
+    while (has_interim_answer())
     {
-        if (++interim_answers_ > max_interim_answers)
+        if (++interim_answers_ > protocol::max_interim_answers)
         {
             return false;
         }
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -104,8 +104,6 @@
     /// \brief Largest head of an upstream's answer in bytes.
     static constexpr std::uint32_t head_limit = 16 * 1024;
     static constexpr std::uint64_t body_limit = 64ULL * 1024 * 1024;
-    /// \brief Interim answers before the final one; more are no answer.
-    static constexpr std::uint32_t max_interim_answers = 16;
 
 private:
     void connect();
@@ -114,6 +112,7 @@
     void read();
     void on_read(boost::system::error_code error, std::size_t bytes);
     void append_bytes(std::string_view bytes);
+    [[nodiscard]] bool has_interim_answer() const noexcept;
     /// \brief Discards interim answers; returns false if there are too many.
     [[nodiscard]] bool skip_interim_answers();
     void report_progress();
--- a/tests/framing_model.hpp
+++ b/tests/framing_model.hpp
@@ -182,7 +182,7 @@
             std::string const status = start.substr(9, 3);
             require(status.find_first_not_of("0123456789") == std::string::npos);
             status_ = std::stoi(status);
-            require(status_ >= 100);
+            require(status_ >= 100 && status_ <= 599 && status_ != 101);
         }
         require(version_ == "HTTP/1.1" || version_ == "HTTP/1.0");
     }
--- a/tests/protocol/test_message_framing.cpp
+++ b/tests/protocol/test_message_framing.cpp
@@ -258,6 +258,42 @@
     CHECK(to_head.framing() == body_framing::length);
 }
 
+// Guards against statuses that readers take for different things, or for no failure.
+TEST_CASE("a head whose status is none is refused with its first line", "[message_framing]")
+{
+    for (char const* const status :
+         {"000", "001", "099", "101", "600", "999", "20", "2000", "2 0", "-20", "0200", "2.0"})
+    {
+        INFO(status);
+        std::string const line = "HTTP/1.1 " + std::string{status} + " Text\r\n";
+        for (message_role const role : {message_role::answer, message_role::answer_without_body})
+        {
+            CHECK(read(line, role).progress() == read_progress::malformed);
+        }
+    }
+    for (char const* const status : {"100", "102", "103", "199", "200", "299", "404", "599"})
+    {
+        INFO(status);
+        std::string const line = "HTTP/1.1 " + std::string{status} + " Text\r\n";
+        CHECK(read(line, message_role::answer).progress() == read_progress::head);
+    }
+}
+
+// Guards against a wait for more of what follows an interim answer and begins none.
+TEST_CASE("bytes that begin no answer are refused before their line ends", "[message_framing]")
+{
+    for (char const* const bytes : {"yes", "h", "HTTP/2", "HTTP 1", "H\r"})
+    {
+        INFO(bytes);
+        CHECK(read(bytes, message_role::answer).progress() == read_progress::malformed);
+    }
+    for (char const* const bytes : {"", "H", "HTTP/", "HTTP/1.1", "HTTP/1.0 200"})
+    {
+        INFO(bytes);
+        CHECK(read(bytes, message_role::answer).progress() == read_progress::head);
+    }
+}
+
 // -- generated ------------------------------------------------------------------------------------
 
 namespace
