Orders, reports and reads of the store: no answer of a status that is none

What callers saw: nothing directly. An upstream's or the store's head with a status of no class was an answer to the order or the read, its statements were taken, and an order has its proof from answers. An interim answer before the final one was taken for the answer: a page of the store behind a 103 counted as a failure, an order as answered with 102 while it ran.

Cause: `fetch` read with Beast alone, which takes any three digits and ends a message whose status is 1xx with its head. Now `kind_of_status` judges each head as soon as it is there: none is `connection_failed` at once (never `connection_refused`, which says that nothing listens), up to 16 interim answers are skipped, the body is waited for only behind a final status. Both ways of waiting share one loop; the one whose time isn't extended ends at its timeout as before.

Red before (x86-64, one run on the untouched `http_fetch.cpp`): three new cases of test_transport, three of the four new ones of [statuses] of test_platform (a page whose status is none was a failure before, too, and stays as a guard). After: test_transport all 49 cases, [statuses], [endless] and [store_reader] all 37.

--- a/src/transport/http_fetch.cpp
+++ b/src/transport/http_fetch.cpp
@@ -1,5 +1,7 @@
 #include "http_fetch.hpp"
 
+#include <plumdale/protocol/answer_status.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -9,6 +11,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace plumdale::transport
@@ -45,11 +48,11 @@
     exchange(connection socket, fetch_request const& wanted, bool keep, result_handler handler)
         : socket_{std::move(socket)}, handler_{std::move(handler)}, timeout_{wanted.timeout},
           extends_on_progress_{wanted.extends_on_progress},
-          last_deadline_{std::chrono::steady_clock::now() + max_extensions * wanted.timeout},
-          source_{wanted.source}
+          last_deadline_{std::chrono::steady_clock::now() +
+                         (wanted.extends_on_progress ? max_extensions : 1) * wanted.timeout},
+          source_{wanted.source}, max_answer_bytes_{wanted.max_answer_bytes}
     {
-        parser_.body_limit(wanted.max_answer_bytes);
-        parser_.eager(true);
+        make_parser();
         request_.version(11);
         request_.method_string(wanted.method);
         request_.target(wanted.target);
@@ -84,39 +87,59 @@
 private:
     void read()
     {
+        // The stream's own timer doesn't end a read that finds bytes.
+        if (std::chrono::steady_clock::now() >= last_deadline_)
+        {
+            return fail(beast::error::timeout);
+        }
         if (extends_on_progress_)
         {
-            return read_some();
+            socket_->expires_after(timeout_);
         }
-        http::async_read(*socket_, buffer_, parser_,
-                         [self = shared_from_this()](error_code error, std::size_t)
-                         { error ? self->fail(error) : self->finish(); });
+        http::async_read_some(*socket_, buffer_, *parser_,
+                              [self = shared_from_this()](error_code error, std::size_t)
+                              { error ? self->fail(error) : self->on_read(); });
     }
 
-    void read_some()
+    void on_read()
     {
-        // The stream's own timer doesn't end a read that finds bytes.
-        if (std::chrono::steady_clock::now() >= last_deadline_)
+        if (!parser_->is_header_done())
         {
-            return fail(beast::error::timeout);
+            return read();
         }
-        socket_->expires_after(timeout_);
-        http::async_read_some(*socket_, buffer_, parser_,
-                              [self = shared_from_this()](error_code error, std::size_t)
-                              {
-                                  if (error)
-                                  {
-                                      return self->fail(error);
-                                  }
-                                  self->parser_.is_done() ? self->finish() : self->read_some();
-                              });
+        // Beast takes any three digits for the status of the answer.
+        switch (protocol::kind_of_status(parser_->get().result_int()))
+        {
+        case protocol::status_kind::none:
+            return fail(http::error::bad_status);
+        case protocol::status_kind::interim:
+            return skip_interim_answer();
+        case protocol::status_kind::final_answer:
+            return parser_->is_done() ? finish() : read();
+        }
+    }
+
+    void skip_interim_answer()
+    {
+        if (++interim_answers_ > protocol::max_interim_answers)
+        {
+            return fail(http::error::bad_status);
+        }
+        make_parser();
+        read();
+    }
+
+    void make_parser()
+    {
+        parser_.emplace();
+        parser_->body_limit(max_answer_bytes_);
     }
 
     void finish()
     {
         exchange_result end;
-        end.answer = {parser_.get().result_int(), std::move(parser_.get().body()), fields()};
-        if (request_.keep_alive() && parser_.keep_alive() && buffer_.size() == 0)
+        end.answer = {parser_->get().result_int(), std::move(parser_->get().body()), fields()};
+        if (request_.keep_alive() && parser_->keep_alive() && buffer_.size() == 0)
         {
             socket_->expires_never();
             end.reusable = std::move(socket_);
@@ -127,7 +150,7 @@
     [[nodiscard]] std::vector<protocol::header_field> fields() const
     {
         std::vector<protocol::header_field> found;
-        for (auto const& each : parser_.get())
+        for (auto const& each : parser_->get())
         {
             found.push_back({std::string{each.name_string()}, std::string{each.value()}});
         }
@@ -148,7 +171,9 @@
     std::chrono::steady_clock::time_point last_deadline_;
     state::endpoint source_;
     http::request<http::string_body> request_;
-    http::response_parser<http::string_body> parser_;
+    std::uint64_t max_answer_bytes_;
+    std::uint32_t interim_answers_ = 0;
+    std::optional<http::response_parser<http::string_body>> parser_;
     beast::flat_buffer buffer_{max_unparsed_bytes};
 };
 
--- a/tests/platform/test_statuses.cpp
+++ b/tests/platform/test_statuses.cpp
@@ -334,3 +334,81 @@
         }
     }
 }
+
+// -- reports, orders and the store ----------------------------------------------------------------
+
+// Guards against the statement of a head that is no answer to an order.
+TEST_CASE("nothing of an answer to an order whose status is none is believed", "[statuses]")
+{
+    for (std::string_view const status : none_statuses)
+    {
+        INFO(status);
+        forward_fixture fixture;
+        scripted_upstream& engine = *fixture.upstreams.back();
+        state::member_key const key = key_of(engine, "engine");
+        std::optional<state::result<transport::fetch_answer>> answer;
+        fixture.core.orders.send(key, {"POST", "/v1/kv-move", "{}"}, 10s,
+                                 [&](auto const& arrived) { answer = arrived; });
+        fixture.run_until([&] { return !engine.connections_with("kv-move").empty(); });
+        engine.connections_with("kv-move").front()->send(
+            head_with(status, {}, "Server-Leaving: 1\r\nContent-Length: 2\r\n") + "{}");
+        fixture.run_until([&] { return answer.has_value(); });
+        REQUIRE_FALSE(*answer);
+        CHECK(answer->error().kind == state::error_kind::connection_failed);
+        CHECK(fixture.core.directory.find(key)->leaving_since == state::never);
+    }
+}
+
+// Guards against an order whose effect is proved by an interim answer, or by none.
+TEST_CASE("an order is answered by what follows an interim answer", "[statuses]")
+{
+    forward_fixture fixture;
+    scripted_upstream& engine = *fixture.upstreams.back();
+    std::optional<state::result<transport::fetch_answer>> answer;
+    fixture.core.orders.send(key_of(engine, "engine"), {"POST", "/v1/kv-move", "{}"}, 10s,
+                             [&](auto const& arrived) { answer = arrived; });
+    fixture.run_until([&] { return !engine.connections_with("kv-move").empty(); });
+    auto const connection = engine.connections_with("kv-move").front();
+    connection->send("HTTP/1.1 102 Processing\r\n\r\n");
+    run_for(fixture, 20ms);
+    CHECK_FALSE(answer);
+    connection->send(answer_text(404, "", "{}"));
+    fixture.run_until([&] { return answer.has_value(); });
+    REQUIRE(*answer);
+    CHECK(answer->value().status == 404);
+}
+
+// Guards against a VM that learns nothing from a store whose answers follow interim ones.
+TEST_CASE("a VM reads a store that sends interim answers first", "[statuses][store_reader]")
+{
+    starting_vm vm{true};
+    vm.reply = [](std::string_view request)
+    {
+        std::string const interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        return interim + (contains(request, "prefix=op")
+                              ? operator_entries_page(
+                                    R"(,{"key":"op/evacuate/east","value":"","revision":5})", 9)
+                              : std::string{not_published});
+    };
+    vm.run(200ms);
+    CHECK(vm.core.directory.evacuations().covers(state::id_from_name<state::zone_id>("east")));
+}
+
+// Guards against a page that is read though its head is no answer.
+TEST_CASE("a VM takes nothing from a page whose status is none", "[statuses][store_reader]")
+{
+    for (std::string_view const status : none_statuses)
+    {
+        INFO(status);
+        starting_vm vm{true};
+        vm.reply = [status](std::string_view /*request*/)
+        {
+            std::string page =
+                operator_entries_page(R"(,{"key":"op/evacuate/east","value":"","revision":5})", 9);
+            return page.replace(page.find("200"), 3, status);
+        };
+        vm.run(150ms);
+        CHECK_FALSE(
+            vm.core.directory.evacuations().covers(state::id_from_name<state::zone_id>("east")));
+    }
+}
--- a/tests/transport/test_http_fetch.cpp
+++ b/tests/transport/test_http_fetch.cpp
@@ -1,6 +1,8 @@
 #include "held_port.hpp"
 #include "loop.hpp"
 
+#include <plumdale/protocol/answer_status.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <transport/http_fetch.hpp>
@@ -233,3 +235,88 @@
         CHECK_FALSE(answer);
     }
 }
+
+namespace
+{
+
+/// \brief Reads once from an engine that sends `bytes`, and nothing more.
+state::result<fetch_answer> read_from(std::string const& bytes, bool extends_on_progress)
+{
+    fake_engine engine;
+    // Not a read, which would be sent again.
+    fetch_request request{engine.listener.where(), "POST", "/v1/orders", "{}", {}};
+    request.timeout = std::chrono::seconds{20};
+    request.extends_on_progress = extends_on_progress;
+    engine.send(request);
+    REQUIRE(run_until(engine.context, [&] { return engine.request_arrived(0); }));
+    engine.connections[0]->send(bytes);
+    auto const begin = std::chrono::steady_clock::now();
+    REQUIRE(run_until(engine.context, [&] { return !engine.answers.empty(); }));
+    CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds{5});
+    return engine.answers.front();
+}
+
+} // namespace
+
+// Guards against a status of no class that is taken for a report, or for an order that was refused.
+TEST_CASE("an answer whose status is none is a failure, and not a refused connection")
+{
+    for (bool const extends : {false, true})
+    {
+        for (std::string const status : {"000", "001", "099", "101", "600", "999", "20", "2000"})
+        {
+            for (std::string const fields : {"Content-Length: 2\r\n", "Content-Length: 9\r\n", "",
+                                             "Transfer-Encoding: chunked\r\n"})
+            {
+                for (std::string const before : {"", "HTTP/1.1 100 Continue\r\n\r\n"})
+                {
+                    INFO(status << ", " << fields << ", before: " << before);
+                    std::string const head = "HTTP/1.1 " + status + " Text\r\n" + fields + "\r\n";
+                    auto const answer = read_from(before + head + "ok" + ok_response, extends);
+                    REQUIRE_FALSE(answer);
+                    CHECK(answer.error().kind == state::error_kind::connection_failed);
+                }
+            }
+        }
+    }
+}
+
+// Guards against an interim answer that is taken for the answer: a page that looks like a failure.
+TEST_CASE("an answer follows interim answers, up to a bound")
+{
+    for (bool const extends : {false, true})
+    {
+        for (std::string const status : {"100", "102", "103", "199"})
+        {
+            INFO(status << ", " << extends);
+            std::string const interim = "HTTP/1.1 " + status + " Text\r\nName: value\r\n\r\n";
+            std::string text;
+            for (std::uint32_t i = 0; i < protocol::max_interim_answers; ++i)
+            {
+                text += interim;
+            }
+            auto const answer = read_from(text + ok_response, extends);
+            REQUIRE(answer);
+            CHECK(answer.value().status == 200);
+            CHECK(answer.value().body == "ok");
+            CHECK(answer.value().fields.size() == 1);
+            CHECK_FALSE(read_from(text + interim + ok_response, extends));
+        }
+    }
+}
+
+// Guards against a kept connection on which an interim answer is read as the answer to come.
+TEST_CASE("reads share a connection also where interim answers come first")
+{
+    fake_engine engine;
+    for (std::size_t read = 1; read <= 3; ++read)
+    {
+        engine.read();
+        REQUIRE(run_until(engine.context, [&] { return engine.request_arrived(0); }));
+        engine.connections[0]->send("HTTP/1.1 103 Early Hints\r\n\r\n" + ok_response);
+        REQUIRE(run_until(engine.context, [&] { return engine.answers.size() == read; }));
+        REQUIRE(engine.answers.back());
+        CHECK(engine.answers.back().value().body == "ok");
+    }
+    CHECK(engine.connections.size() == 1);
+}
