Own interface: an engine's status that is none fails the exchange

What callers saw: the answer to a call had the status 000, 600 or 999, or the 103 before the real one, and a generation behind an interim answer failed.

Cause: the reading of `engine_stream` by Beast, as in `fetch`. The same rule: `kind_of_status`, at most 16 interim answers, `invalid` otherwise.

--- a/src/transport/engine_stream.cpp
+++ b/src/transport/engine_stream.cpp
@@ -1,5 +1,6 @@
 #include "engine_stream.hpp"
 
+#include <plumdale/protocol/answer_status.hpp>
 #include <plumdale/protocol/engine_codec.hpp>
 #include <plumdale/protocol/generation_text.hpp>
 
@@ -39,7 +40,7 @@
         : socket_{context}, open_{std::move(open)}, model_{std::move(model)}, listener_{std::move(
                                                                                   listener)}
     {
-        parser_.body_limit(is_call() ? max_call_bytes : max_stream_bytes);
+        make_parser();
     }
 
     void start()
@@ -76,6 +77,12 @@
         return open_.kind == state::work_kind::call;
     }
 
+    void make_parser()
+    {
+        parser_.emplace();
+        parser_->body_limit(is_call() ? max_call_bytes : max_stream_bytes);
+    }
+
     void make_request()
     {
         std::string const id = protocol::to_text(open_.generation);
@@ -119,7 +126,12 @@
         {
             return fail(upstream_failure::broken);
         }
-        http::async_read_header(socket_, buffer_, parser_,
+        read_header();
+    }
+
+    void read_header()
+    {
+        http::async_read_header(socket_, buffer_, *parser_,
                                 [self = shared_from_this()](error_code failed, std::size_t)
                                 { self->on_header(failed); });
     }
@@ -130,7 +142,31 @@
         {
             return fail(upstream_failure::broken);
         }
-        auto const& answer = parser_.get();
+        // Beast takes any three digits for the status of the answer.
+        switch (protocol::kind_of_status(parser_->get().result_int()))
+        {
+        case protocol::status_kind::none:
+            return fail(upstream_failure::invalid);
+        case protocol::status_kind::interim:
+            return skip_interim_answer();
+        case protocol::status_kind::final_answer:
+            return on_final_header();
+        }
+    }
+
+    void skip_interim_answer()
+    {
+        if (++interim_answers_ > protocol::max_interim_answers)
+        {
+            return fail(upstream_failure::invalid);
+        }
+        make_parser();
+        read_header();
+    }
+
+    void on_final_header()
+    {
+        auto const& answer = parser_->get();
         if (answer.result() == http::status::not_found && open_.mode == stream_mode::resume)
         {
             return fail(upstream_failure::unknown_generation);
@@ -147,7 +183,7 @@
         emit(coordination::upstream_started{open_.stream});
         if (listener_ != nullptr)
         {
-            parser_.is_done() ? on_end() : read();
+            parser_->is_done() ? on_end() : read();
         }
     }
 
@@ -158,9 +194,9 @@
             read_deferred_ = true;
             return;
         }
-        parser_.get().body().data = read_buffer_.data();
-        parser_.get().body().size = read_buffer_.size();
-        http::async_read_some(socket_, buffer_, parser_,
+        parser_->get().body().data = read_buffer_.data();
+        parser_->get().body().size = read_buffer_.size();
+        http::async_read_some(socket_, buffer_, *parser_,
                               [self = shared_from_this()](error_code error, std::size_t)
                               { self->on_read(error); });
     }
@@ -179,12 +215,12 @@
         {
             return fail(upstream_failure::broken);
         }
-        std::size_t const got = read_buffer_.size() - parser_.get().body().size;
+        std::size_t const got = read_buffer_.size() - parser_->get().body().size;
         std::string_view const bytes{read_buffer_.data(), got};
         if (is_call())
         {
             call_body_ += bytes;
-            return parser_.is_done() ? on_end() : read();
+            return parser_->is_done() ? on_end() : read();
         }
         if (!splitter_.append(bytes))
         {
@@ -193,7 +229,7 @@
         emit_events();
         if (listener_ != nullptr)
         {
-            parser_.is_done() ? on_end() : read();
+            parser_->is_done() ? on_end() : read();
         }
     }
 
@@ -232,7 +268,7 @@
     {
         emit(
             coordination::upstream_token{open_.stream, open_.generation, 0, std::move(call_body_)});
-        auto const status = static_cast<std::uint16_t>(parser_.get().result_int());
+        auto const status = static_cast<std::uint16_t>(parser_->get().result_int());
         end(coordination::upstream_finished{open_.stream, open_.generation, 1, status});
     }
 
@@ -264,11 +300,12 @@
     std::string model_;
     stream_listener listener_;
     http::request<http::string_body> request_;
-    http::response_parser<http::buffer_body> parser_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
     beast::flat_buffer buffer_;
     std::array<char, read_buffer_bytes> read_buffer_{};
     protocol::event_data_splitter splitter_;
     std::string call_body_;
+    std::uint32_t interim_answers_ = 0;
     bool paused_ = false;
     bool read_deferred_ = false;
 };
--- a/tests/transport/test_upstream_stream.cpp
+++ b/tests/transport/test_upstream_stream.cpp
@@ -1,5 +1,6 @@
 #include "loop.hpp"
 
+#include <plumdale/protocol/answer_status.hpp>
 #include <plumdale/protocol/generation_text.hpp>
 
 #include <catch2/catch.hpp>
@@ -192,6 +193,58 @@
     CHECK_FALSE(conflict.failure());
 }
 
+// Guards against a status that no answer has, passed on to the caller of a call.
+TEST_CASE("a status that is none fails the exchange")
+{
+    for (auto const kind : {state::work_kind::call, state::work_kind::question})
+    {
+        for (std::string const status : {"000", "001", "099", "101", "600", "999", "20", "2000"})
+        {
+            for (std::string const before : {"", "HTTP/1.1 100 Continue\r\n\r\n"})
+            {
+                CAPTURE(status, before);
+                coordination::open_stream wanted;
+                wanted.kind = kind;
+                wanted.path = "/orders";
+                exchange made{before + "HTTP/1.1 " + status +
+                                  " Text\r\nPlumdale-Not-Run: true\r\nContent-Length: 2\r\n\r\nok",
+                              wanted};
+                auto const failure = made.failure();
+                bool const is_invalid = failure == upstream_failure::invalid;
+                CHECK((is_invalid || failure == upstream_failure::broken));
+                CHECK(made.tokens() == 0);
+            }
+        }
+    }
+}
+
+// Guards against an interim answer that is taken for the answer.
+TEST_CASE("an engine's answer follows interim answers, up to a bound")
+{
+    for (std::string const status : {"100", "102", "103", "199"})
+    {
+        CAPTURE(status);
+        std::string const one = "HTTP/1.1 " + status + " Text\r\n\r\n";
+        std::string interim;
+        for (std::uint32_t i = 0; i < protocol::max_interim_answers; ++i)
+        {
+            interim += one;
+        }
+        std::string const events = head + chunk(token_line(0, "a")) + chunk(done_line(1));
+        exchange stream{interim + events};
+        CHECK_FALSE(stream.failure());
+        CHECK(stream.tokens() == 1);
+        exchange endless{interim + one + events};
+        CHECK(endless.failure() == upstream_failure::invalid);
+        coordination::open_stream call;
+        call.kind = state::work_kind::call;
+        call.path = "/orders";
+        exchange answered{interim + "HTTP/1.1 507 Full\r\nContent-Length: 4\r\n\r\nfull", call};
+        CHECK_FALSE(answered.failure());
+        CHECK(std::get<upstream_finished>(answered.events.back()).status == 507);
+    }
+}
+
 TEST_CASE("a service's answer above the size limit breaks the exchange")
 {
     coordination::open_stream call;
