plumctl: no answer of a status that is none, and none that is interim

What an operator saw: a 000 or 600 as the VM's answer, or the 103 before it.

Cause: the tool's reading by Beast, as in `fetch`; the same rule now.

--- a/programs/plumctl/http_client.cpp
+++ b/programs/plumctl/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http_client.hpp"
 
+#include <plumdale/protocol/answer_status.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -8,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace plumdale::plumctl
 {
@@ -57,7 +60,7 @@
              body_handler const& on_body)
         : stream_{io_}, idle_timeout_{idle_timeout}, on_head_{on_head}, on_body_{on_body}
     {
-        parser_.body_limit(boost::none);
+        make_parser();
     }
 
     error_code run(tcp::endpoint const& to, http::request<http::string_body> const& request)
@@ -93,39 +96,73 @@
         return !failed;
     }
 
+    void make_parser()
+    {
+        parser_.emplace();
+        parser_->body_limit(boost::none);
+    }
+
     void read_head()
     {
-        http::async_read_header(
-            stream_, buffer_, parser_,
-            [this](error_code failed, std::size_t)
-            {
-                if (!record_result(failed))
-                {
-                    return;
-                }
-                answer.status = parser_.get().result_int();
-                for (auto const& field : parser_.get())
-                {
-                    std::string name{field.name_string()};
-                    std::transform(name.begin(), name.end(), name.begin(),
-                                   [](unsigned char c)
-                                   { return static_cast<char>(std::tolower(c)); });
-                    answer.headers.emplace_back(std::move(name), std::string{field.value()});
-                }
-                on_head_(answer);
-                read_body();
-            });
+        http::async_read_header(stream_, buffer_, *parser_,
+                                [this](error_code failed, std::size_t)
+                                {
+                                    if (record_result(failed))
+                                    {
+                                        take_head();
+                                    }
+                                });
+    }
+
+    void take_head()
+    {
+        // Beast takes any three digits for the status of the answer.
+        switch (protocol::kind_of_status(parser_->get().result_int()))
+        {
+        case protocol::status_kind::none:
+            error_ = http::error::bad_status;
+            return;
+        case protocol::status_kind::interim:
+            return skip_interim_answer();
+        case protocol::status_kind::final_answer:
+            return take_final_head();
+        }
+    }
+
+    void skip_interim_answer()
+    {
+        if (++interim_answers_ > protocol::max_interim_answers)
+        {
+            error_ = http::error::bad_status;
+            return;
+        }
+        make_parser();
+        read_head();
+    }
+
+    void take_final_head()
+    {
+        answer.status = parser_->get().result_int();
+        for (auto const& field : parser_->get())
+        {
+            std::string name{field.name_string()};
+            std::transform(name.begin(), name.end(), name.begin(),
+                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+            answer.headers.emplace_back(std::move(name), std::string{field.value()});
+        }
+        on_head_(answer);
+        read_body();
     }
 
     void read_body()
     {
-        if (parser_.is_done())
+        if (parser_->is_done())
         {
             return;
         }
-        parser_.get().body().data = read_buffer_.data();
-        parser_.get().body().size = read_buffer_.size();
-        http::async_read_some(stream_, buffer_, parser_,
+        parser_->get().body().data = read_buffer_.data();
+        parser_->get().body().size = read_buffer_.size();
+        http::async_read_some(stream_, buffer_, *parser_,
                               [this](error_code failed, std::size_t)
                               {
                                   deliver_part();
@@ -142,7 +179,7 @@
     void deliver_part()
     {
         std::string_view const part{read_buffer_.data(),
-                                    read_buffer_.size() - parser_.get().body().size};
+                                    read_buffer_.size() - parser_->get().body().size};
         if (answer.status == 200 && on_body_)
         {
             on_body_(part);
@@ -159,7 +196,8 @@
     head_handler const& on_head_;
     body_handler const& on_body_;
     beast::flat_buffer buffer_;
-    http::response_parser<http::buffer_body> parser_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
+    std::uint32_t interim_answers_ = 0;
     std::array<char, 8'192> read_buffer_{};
     error_code error_;
 };
