An answer's head has at most 256 fields: heads of many fill no memory

What was seen: no call of callers, but the memory of a VM (110 MB). A head of 16 KB in fields of four bytes takes 282,102 bytes per call while it is not whole, and 539,827 once it is and the body is waited for (100 calls at once on the scripted upstream, allocated bytes; x86-64): some 200 such calls fill a VM. Heads aren't counted by `held_answer`.

Cause: each field is two strings, 64 bytes at least, whatever it has, and the call copies them. The bytes of a head were bounded, its fields not. `http_reader` refuses an answer's head beyond 256 fields; its exchange ends as `invalid`. Requests of callers aren't touched: they are refused with a status of ours, and what they may have is the configuration's.

--- a/src/protocol/http_reader.cpp
+++ b/src/protocol/http_reader.cpp
@@ -16,6 +16,10 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+/// \brief Fields of an answer's head. Each takes many times its bytes while its call lasts, and a
+/// VM holds heads of many upstreams.
+constexpr std::size_t max_answer_fields = 256;
+
 std::string text(boost::beast::string_view view)
 {
     return {view.data(), view.size()};
@@ -50,8 +54,13 @@
     }
 
     void on_field_impl(http::field /*name*/, boost::beast::string_view name,
-                       boost::beast::string_view value, error_code& /*error*/) override
+                       boost::beast::string_view value, error_code& error) override
     {
+        if (!IsRequest && into_.fields.size() == max_answer_fields)
+        {
+            error = http::error::header_limit;
+            return;
+        }
         into_.fields.push_back({text(name), text(value)});
     }
 
--- a/tests/protocol/test_http_reader.cpp
+++ b/tests/protocol/test_http_reader.cpp
@@ -104,6 +104,32 @@
     CHECK(body.is_too_large());
 }
 
+// Guards against a head whose fields take many times its bytes; a caller's is bounded by its bytes.
+TEST_CASE("an answer has at most so many fields", "[http_reader]")
+{
+    constexpr int most = 256;
+    std::string fields;
+    for (int i = 0; i < most; ++i)
+    {
+        fields += "a:\r\n";
+    }
+    auto const read_head = [](message_role role, std::string const& text)
+    {
+        http_reader reader{role, {}};
+        reader.append(text);
+        return reader.progress();
+    };
+    std::string const line = "HTTP/1.1 204 No\r\n";
+    CHECK(read_head(message_role::answer, line + fields + "\r\n") == read_progress::complete);
+    // A field is known to end with its line only once the next byte is there.
+    for (char const* const rest : {"a:\r\na", "a:\r\n\r\n"})
+    {
+        CHECK(read_head(message_role::answer, line + fields + rest) == read_progress::malformed);
+    }
+    CHECK(read_head(message_role::request, "GET / HTTP/1.1\r\n" + fields + "a:\r\n\r\n") ==
+          read_progress::complete);
+}
+
 TEST_CASE("an answer without a length ends only with its connection", "[http_reader]")
 {
     http_reader reader = read("HTTP/1.1 200 OK\r\n\r\nabc", message_role::answer);
