Own interface: chunk lines and trailers of an engine have a bound

What could be seen: a VM whose memory grows with what an engine sends as a chunk's size, its extension or its trailers, at 12 MB of each (where the test stops) without an end.

Cause: Beast waits for the end of these however long they are, and the buffer before it had no bound, as `fetch` has one. 128 KB now; the exchange ends as `broken`.

--- a/src/transport/engine_stream.cpp
+++ b/src/transport/engine_stream.cpp
@@ -30,6 +30,9 @@
 constexpr std::uint64_t max_stream_bytes = 256ULL * 1024 * 1024;
 // The answer to a plain call is buffered completely.
 constexpr std::uint64_t max_call_bytes = 16ULL * 1024 * 1024;
+// Bytes that are read ahead of the parser. It waits for the end of a chunk's line or of trailers,
+// however long it is.
+constexpr std::size_t max_unparsed_bytes = 128ULL * 1024;
 
 /// \brief Implements the engines' HTTP protocol, or forwards a plain call.
 class http_stream final : public upstream_stream, public std::enable_shared_from_this<http_stream>
@@ -301,7 +304,7 @@
     stream_listener listener_;
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     std::array<char, read_buffer_bytes> read_buffer_{};
     protocol::event_data_splitter splitter_;
     std::string call_body_;
--- a/tests/transport/test_upstream_stream.cpp
+++ b/tests/transport/test_upstream_stream.cpp
@@ -254,6 +254,99 @@
     CHECK(made.failure() == upstream_failure::broken);
 }
 
+namespace
+{
+
+/// \brief What an engine sends instead of an answer, again and again behind `begin`.
+struct endless_answer
+{
+    std::string name;
+    std::string begin;
+    std::string piece;
+};
+
+std::vector<endless_answer> endless_answers()
+{
+    constexpr std::size_t piece_bytes = 16'384;
+    std::string const zeros(piece_bytes, '0');
+    std::string fields;
+    std::string interim;
+    while (fields.size() < piece_bytes)
+    {
+        fields += "Name: value\r\n";
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    return {{"a status line", "HTTP/1.1 200 ", zeros},
+            {"a field", "HTTP/1.1 200 OK\r\nName: ", zeros},
+            {"fields", "HTTP/1.1 200 OK\r\n", fields},
+            {"no HTTP", "", std::string(piece_bytes, '\x01')},
+            {"interim answers", "", interim},
+            {"an interim answer's field", "HTTP/1.1 103 Early Hints\r\nName: ", zeros},
+            {"a chunk's size", head, zeros},
+            {"a chunk's extension", head + "4;", zeros},
+            {"a chunk's quoted extension", head + "4;a=\"", zeros},
+            {"trailers", head + "0\r\n", fields},
+            {"a trailer", head + "0\r\nName: ", zeros}};
+}
+
+/// \brief Sends until the exchange ends; returns how many bytes that took, or `most`.
+std::size_t send_without_end(exchange& made, std::string const& piece, std::size_t most)
+{
+    REQUIRE(run_until(made.context, [&] { return made.upstream != nullptr; }));
+    std::size_t sent = 0;
+    while (!made.ended && sent < most)
+    {
+        made.upstream->send(piece);
+        sent += piece.size();
+        made.context.restart();
+        made.context.poll();
+    }
+    return sent;
+}
+
+} // namespace
+
+// Guards against a VM whose memory fills with what an engine sends for a head, or between chunks.
+TEST_CASE("an exchange with an engine ends at bytes without end", "[endless]")
+{
+    // Socket buffers, and what is read ahead of the parser.
+    constexpr std::size_t most = 12UL * 1024 * 1024;
+    for (auto const kind : {state::work_kind::call, state::work_kind::question})
+    {
+        for (endless_answer const& each : endless_answers())
+        {
+            CAPTURE(each.name, kind == state::work_kind::call);
+            coordination::open_stream wanted;
+            wanted.kind = kind;
+            wanted.path = "/orders";
+            exchange made{each.begin, wanted};
+            CHECK(send_without_end(made, each.piece, most) < most);
+            CHECK(made.ended);
+        }
+    }
+}
+
+// Guards against a call whose body fills the memory, and an event that is waited for without end.
+TEST_CASE("an exchange with an engine ends at a body without end", "[endless]")
+{
+    constexpr std::size_t most = 40UL * 1024 * 1024;
+    std::string const zeros(16'384, '0');
+    for (auto const kind : {state::work_kind::call, state::work_kind::question})
+    {
+        for (std::string const& begin : {std::string{"HTTP/1.1 200 OK\r\n\r\n"}, head})
+        {
+            CAPTURE(begin, kind == state::work_kind::call);
+            coordination::open_stream wanted;
+            wanted.kind = kind;
+            wanted.path = "/orders";
+            exchange made{begin, wanted};
+            std::string const piece = begin == head ? chunk(zeros) : zeros;
+            CHECK(send_without_end(made, piece, most) < most);
+            CHECK(made.ended);
+        }
+    }
+}
+
 TEST_CASE("mutated answers of an engine never stop the process")
 {
     std::minstd_rand random{20261202};
