plumctl: bytes without end end the tool's wait

What could be seen: the tool fills an operator's machine with a body, a chunk's line or trailers without an end, from whatever is at that address.

Cause: neither the body that it keeps nor what is read ahead of the parser had a bound. 16 MB and 128 KB now; what is streamed to the operator isn't kept and has none.

--- a/programs/plumctl/http_client.cpp
+++ b/programs/plumctl/http_client.cpp
@@ -23,6 +23,12 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+// Bytes that are read ahead of the parser. It waits for the end of a chunk's line or of trailers,
+// however long it is.
+constexpr std::size_t max_unparsed_bytes = 128ULL * 1024;
+/// \brief Bytes of a body that is kept until it is whole; a streamed one has no bound.
+constexpr std::size_t max_kept_bytes = 16ULL * 1024 * 1024;
+
 state::result<tcp::endpoint> parse_entry(std::string const& entry)
 {
     std::size_t const colon = entry.rfind(':');
@@ -165,7 +171,11 @@
         http::async_read_some(stream_, buffer_, *parser_,
                               [this](error_code failed, std::size_t)
                               {
-                                  deliver_part();
+                                  if (!deliver_part())
+                                  {
+                                      error_ = http::error::body_limit;
+                                      return;
+                                  }
                                   bool const more = failed == http::error::need_buffer || !failed;
                                   error_ = more ? error_code{} : failed;
                                   stream_.expires_after(idle_timeout_);
@@ -176,18 +186,18 @@
                               });
     }
 
-    void deliver_part()
+    /// \brief Returns false if the body is too large to be kept.
+    [[nodiscard]] bool deliver_part()
     {
         std::string_view const part{read_buffer_.data(),
                                     read_buffer_.size() - parser_->get().body().size};
         if (answer.status == 200 && on_body_)
         {
             on_body_(part);
+            return true;
         }
-        else
-        {
-            answer.body += part;
-        }
+        answer.body += part;
+        return answer.body.size() <= max_kept_bytes;
     }
 
     asio::io_context io_;
@@ -195,7 +205,7 @@
     std::chrono::milliseconds idle_timeout_;
     head_handler const& on_head_;
     body_handler const& on_body_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::uint32_t interim_answers_ = 0;
     std::array<char, 8'192> read_buffer_{};
--- a/tests/system/test_http_client.cpp
+++ b/tests/system/test_http_client.cpp
@@ -120,3 +120,22 @@
     scripted_entry endless{interim + one + ok_answer};
     CHECK_FALSE(ask(endless));
 }
+
+// Guards against a tool that fills an operator's machine with what is no answer.
+TEST_CASE("the tool ends at bytes without end", "[plumctl][endless]")
+{
+    // Socket buffers, and what is read ahead of the parser.
+    constexpr std::size_t most = 48UL * 1024 * 1024;
+    std::string const zeros(65'536, '0');
+    std::string const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::string const& begin :
+         {std::string{"HTTP/1.1 200 "}, std::string{"HTTP/1.1 200 OK\r\nName: "},
+          std::string{"HTTP/1.1 103 Early Hints\r\nName: "}, chunks, chunks + "4;",
+          chunks + "0\r\nName: ", std::string{"HTTP/1.1 200 OK\r\n\r\n"}})
+    {
+        INFO(begin);
+        scripted_entry entry{begin, zeros, most};
+        CHECK_FALSE(ask(entry));
+        CHECK(entry.sent() < most);
+    }
+}
