tests: frames of a link beyond their bound end it

Guards, green on the code as it is: a hello that claims more than 1,024 bytes ends the link with its length and MAC alone; a frame above `frame_limit` of an opened link is never handed on.

--- a/tests/transport/test_peer_link.cpp
+++ b/tests/transport/test_peer_link.cpp
@@ -179,6 +179,33 @@
     }
 }
 
+// Guards against memory that anyone fills who can open a connection, and one frame without an end.
+TEST_CASE("a link ends at a frame beyond its bound", "[endless]")
+{
+    boost::asio::io_context context;
+    loopback listener{context};
+    side b;
+    listener.acceptor.async_accept(
+        [&](boost::system::error_code, transport::tcp::socket socket)
+        { b.link = accept_link(std::move(socket), settings_of(2), b.listener()); });
+    tests::raw_peer peer{context, listener.where()};
+    // A hello may have 1,024 bytes. No more is sent of this one than its length and a MAC.
+    peer.send(std::string{"\x01\x04\x00\x00", 4} + std::string(64, 'x'));
+    auto const begin = std::chrono::steady_clock::now();
+    REQUIRE(run_until(context, [&] { return b.closed; }));
+    CHECK(std::chrono::steady_clock::now() - begin < settings_of(2).silence_timeout);
+
+    link_pair links;
+    transport::link_settings bounded = settings_of(2);
+    bounded.frame_limit = 10'000;
+    links.open(settings_of(1), bounded);
+    REQUIRE(run_until(links.context, [&] { return links.a.opened && links.b.opened; }));
+    links.a.link->send({1, coordination::relay_token{{1}, {}, {}, 0, std::string(9'000, 't')}});
+    links.a.link->send({1, coordination::relay_token{{1}, {}, {}, 0, std::string(10'000, 't')}});
+    REQUIRE(run_until(links.context, [&] { return links.b.closed; }));
+    CHECK(links.b.frames.size() == 1);
+}
+
 // The peer reads slowly. The bytes that wait for it are bounded: its streams must be paused, and
 // resumed when it reads again.
 TEST_CASE("a link above its buffer limit reports that it is blocked")
