Own interface: bodies of all calls of a shard have a common bound

What could be seen: each answer to a call was held up to 16 MB, any number at once: 20 upstreams that sent 4 MB each and went on had 80 MB held.

Cause: `engine_stream` held its body alone. It is a `held_answer` now, as on forwarding VMs: together 24 MB (`answer_memory::max_held`), up to 256 KB for any answer, whatever the others hold. The memory belongs to the shard, whose one thread opens its exchanges. What is too large ends as `invalid`.

Red before (x86-64, one run, with the new parameter but without its use): "bodies of many calls together are bounded", 83,886,080 bytes held. After: test_transport all 53 cases.

--- a/src/transport/engine_stream.cpp
+++ b/src/transport/engine_stream.cpp
@@ -39,9 +39,9 @@
 {
 public:
     http_stream(net::io_context& context, coordination::open_stream open, std::string model,
-                stream_listener listener)
-        : socket_{context}, open_{std::move(open)}, model_{std::move(model)}, listener_{std::move(
-                                                                                  listener)}
+                std::shared_ptr<answer_memory> answers_held, stream_listener listener)
+        : socket_{context}, open_{std::move(open)}, model_{std::move(model)},
+          listener_{std::move(listener)}, answers_held_{std::move(answers_held)}
     {
         make_parser();
     }
@@ -70,6 +70,7 @@
     void close() override
     {
         listener_ = nullptr;
+        call_body_.clear();
         error_code ignored;
         socket_.socket().close(ignored);
     }
@@ -222,8 +223,7 @@
         std::string_view const bytes{read_buffer_.data(), got};
         if (is_call())
         {
-            call_body_ += bytes;
-            return parser_->is_done() ? on_end() : read();
+            return append_to_call(bytes);
         }
         if (!splitter_.append(bytes))
         {
@@ -236,6 +236,15 @@
         }
     }
 
+    void append_to_call(std::string_view bytes)
+    {
+        if (!call_body_.append(bytes))
+        {
+            return fail(upstream_failure::invalid);
+        }
+        parser_->is_done() ? on_end() : read();
+    }
+
     void emit_events()
     {
         std::string data;
@@ -269,8 +278,7 @@
 
     void finish_call()
     {
-        emit(
-            coordination::upstream_token{open_.stream, open_.generation, 0, std::move(call_body_)});
+        emit(coordination::upstream_token{open_.stream, open_.generation, 0, call_body_.text()});
         auto const status = static_cast<std::uint16_t>(parser_->get().result_int());
         end(coordination::upstream_finished{open_.stream, open_.generation, 1, status});
     }
@@ -302,12 +310,13 @@
     coordination::open_stream open_;
     std::string model_;
     stream_listener listener_;
+    std::shared_ptr<answer_memory> answers_held_;
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     beast::flat_buffer buffer_{max_unparsed_bytes};
     std::array<char, read_buffer_bytes> read_buffer_{};
     protocol::event_data_splitter splitter_;
-    std::string call_body_;
+    held_answer call_body_{*answers_held_};
     std::uint32_t interim_answers_ = 0;
     bool paused_ = false;
     bool read_deferred_ = false;
@@ -315,12 +324,12 @@
 
 } // namespace
 
-std::shared_ptr<upstream_stream> open_engine_stream(net::io_context& context,
-                                                    coordination::open_stream open,
-                                                    std::string model, stream_listener listener)
+std::shared_ptr<upstream_stream>
+open_engine_stream(net::io_context& context, coordination::open_stream open, std::string model,
+                   std::shared_ptr<answer_memory> answers_held, stream_listener listener)
 {
     auto stream = std::make_shared<http_stream>(context, std::move(open), std::move(model),
-                                                std::move(listener));
+                                                std::move(answers_held), std::move(listener));
     stream->start();
     return stream;
 }
--- a/src/transport/engine_stream.hpp
+++ b/src/transport/engine_stream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "held_answer.hpp"
 #include "net.hpp"
 
 #include <plumdale/coordination/request_actions.hpp>
@@ -33,10 +34,10 @@
     virtual void close() = 0;
 };
 
-/// \brief Opens an exchange; `model` is the name that the engine knows.
-[[nodiscard]] std::shared_ptr<upstream_stream> open_engine_stream(net::io_context& context,
-                                                                  coordination::open_stream open,
-                                                                  std::string model,
-                                                                  stream_listener listener);
+/// \brief Opens an exchange; `model` is the name that the engine knows. `answers_held` counts the
+/// answers of all calls of its shard.
+[[nodiscard]] std::shared_ptr<upstream_stream>
+open_engine_stream(net::io_context& context, coordination::open_stream open, std::string model,
+                   std::shared_ptr<answer_memory> answers_held, stream_listener listener);
 
 } // namespace plumdale::transport
--- a/src/transport/shard_runner.cpp
+++ b/src/transport/shard_runner.cpp
@@ -122,7 +122,8 @@
         }
         handle(event);
     };
-    streams_[stream] = open_engine_stream(context_, action, std::move(model), std::move(listener));
+    streams_[stream] =
+        open_engine_stream(context_, action, std::move(model), answers_held_, std::move(listener));
 }
 
 void shard_runner::carry_out(coordination::close_stream const& action)
--- a/src/transport/shard_runner.hpp
+++ b/src/transport/shard_runner.hpp
@@ -59,6 +59,7 @@
     coordination::cached_reader<coordination::fleet_snapshot> fleet_;
     coordination::request_actions reusable_actions_;
     relay_client relay_client_;
+    std::shared_ptr<answer_memory> answers_held_ = std::make_shared<answer_memory>();
     std::unordered_map<state::stream_handle, std::shared_ptr<upstream_stream>> streams_;
 };
 
--- a/tests/transport/test_upstream_stream.cpp
+++ b/tests/transport/test_upstream_stream.cpp
@@ -46,7 +46,9 @@
 /// \brief An upstream that answers a connection with given bytes, and the events that result.
 struct exchange
 {
-    explicit exchange(std::string bytes, coordination::open_stream wanted = {})
+    explicit exchange(std::string bytes, coordination::open_stream wanted = {},
+                      std::shared_ptr<transport::answer_memory> const& held =
+                          std::make_shared<transport::answer_memory>())
     {
         listener.acceptor.async_accept(
             [this, answer = std::move(bytes)](boost::system::error_code,
@@ -59,7 +61,7 @@
         wanted.generation = id;
         wanted.body = std::make_shared<std::string const>("prompt");
         stream =
-            transport::open_engine_stream(context, wanted, "m",
+            transport::open_engine_stream(context, wanted, "m", held,
                                           [this](coordination::request_event event)
                                           {
                                               ended =
@@ -169,10 +171,10 @@
     }
     wanted.body = std::make_shared<std::string const>("prompt");
     std::optional<upstream_failure> cause;
-    auto const stream =
-        transport::open_engine_stream(context, wanted, "m",
-                                      [&](coordination::request_event const& event)
-                                      { cause = std::get<upstream_failed>(event).cause; });
+    auto const stream = transport::open_engine_stream(
+        context, wanted, "m", std::make_shared<transport::answer_memory>(),
+        [&](coordination::request_event const& event)
+        { cause = std::get<upstream_failed>(event).cause; });
     REQUIRE(run_until(context, [&] { return cause.has_value(); }));
     CHECK(*cause == upstream_failure::not_connected);
 }
@@ -347,6 +349,31 @@
     }
 }
 
+// Guards against bodies of many calls that fill a VM's memory together, and cost small ones.
+TEST_CASE("bodies of many calls together are bounded", "[endless]")
+{
+    constexpr int calls = 20;
+    constexpr std::size_t bytes_each = 4UL * 1024 * 1024;
+    std::string const piece(16'384, '0');
+    auto const held = std::make_shared<transport::answer_memory>();
+    coordination::open_stream call;
+    call.kind = state::work_kind::call;
+    call.path = "/orders";
+    std::vector<std::unique_ptr<exchange>> exchanges;
+    std::size_t bytes_waiting = 0;
+    for (int i = 0; i < calls; ++i)
+    {
+        exchanges.push_back(std::make_unique<exchange>("HTTP/1.1 200 OK\r\n\r\n", call, held));
+        std::size_t const sent = send_without_end(*exchanges.back(), piece, bytes_each);
+        bytes_waiting += exchanges.back()->ended ? 0 : sent;
+    }
+    CHECK(bytes_waiting <= transport::answer_memory::max_held + bytes_each);
+    exchange small{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull", call, held};
+    CHECK_FALSE(small.failure());
+    exchanges.clear();
+    CHECK(held->held() == 0);
+}
+
 TEST_CASE("mutated answers of an engine never stop the process")
 {
     std::minstd_rand random{20261202};
