--- a/tests/platform/test_endless_answers.cpp
+++ b/tests/platform/test_endless_answers.cpp
@@ -530,6 +530,39 @@
     }
 }
 
+// Guards against heads of many answers to orders that fill a VM's memory together.
+TEST_CASE("heads of many answers to orders together are bounded", "[endless]")
+{
+    constexpr std::size_t orders = 100;
+    constexpr std::size_t most_per_order = 256UL * 1024;
+    // Beast's bound of a head.
+    constexpr std::size_t head_bytes = 8'192;
+    forward_fixture fixture;
+    scripted_upstream& engine = *fixture.upstreams.back();
+    for (std::size_t i = 0; i < orders; ++i)
+    {
+        fixture.core.orders.send(state::key_of(engine.make_member("engine", 1)),
+                                 {"POST", "/v1/kv-move", "{}"}, 10s, [](auto const&) {});
+    }
+    fixture.run_until([&] { return engine.connections_with("kv-move").size() == orders; });
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n";
+    while (head.size() + 6 < head_bytes)
+    {
+        head += "a:\r\n";
+    }
+    std::size_t const before = allocated_bytes();
+    for (auto const& each : engine.connections_with("kv-move"))
+    {
+        each->send(head + "\r\n");
+    }
+    auto const end = std::chrono::steady_clock::now() + 200ms;
+    fixture.run_until([end] { return std::chrono::steady_clock::now() > end; });
+    std::size_t const after = allocated_bytes();
+    std::size_t const held = after > before ? (after - before) / orders : 0;
+    INFO(held << " held per order");
+    CHECK(held < most_per_order);
+}
+
 // Guards against a bound that sound heads reach.
 TEST_CASE("an answer with many fields is passed on", "[endless]")
 {
