--- a/src/transport/engine_stream.cpp
+++ b/src/transport/engine_stream.cpp
@@ -1,5 +1,6 @@
 #include "engine_stream.hpp"
 
+#include <plumdale/protocol/answer_status.hpp>
 #include <plumdale/protocol/engine_codec.hpp>
 #include <plumdale/protocol/generation_text.hpp>
 
@@ -29,17 +30,20 @@
 constexpr std::uint64_t max_stream_bytes = 256ULL * 1024 * 1024;
 // The answer to a plain call is buffered completely.
 constexpr std::uint64_t max_call_bytes = 16ULL * 1024 * 1024;
+// Bytes that are read ahead of the parser. It waits for the end of a chunk's line or of trailers,
+// however long it is.
+constexpr std::size_t max_unparsed_bytes = 128ULL * 1024;
 
 /// \brief Implements the engines' HTTP protocol, or forwards a plain call.
 class http_stream final : public upstream_stream, public std::enable_shared_from_this<http_stream>
 {
 public:
     http_stream(net::io_context& context, coordination::open_stream open, std::string model,
-                stream_listener listener)
-        : socket_{context}, open_{std::move(open)}, model_{std::move(model)}, listener_{std::move(
-                                                                                  listener)}
+                std::shared_ptr<answer_memory> answers_held, stream_listener listener)
+        : socket_{context}, open_{std::move(open)}, model_{std::move(model)},
+          listener_{std::move(listener)}, answers_held_{std::move(answers_held)}
     {
-        parser_.body_limit(is_call() ? max_call_bytes : max_stream_bytes);
+        make_parser();
     }
 
     void start()
@@ -66,6 +70,7 @@
     void close() override
     {
         listener_ = nullptr;
+        call_body_.clear();
         error_code ignored;
         socket_.socket().close(ignored);
     }
@@ -76,6 +81,12 @@
         return open_.kind == state::work_kind::call;
     }
 
+    void make_parser()
+    {
+        parser_.emplace();
+        parser_->body_limit(is_call() ? max_call_bytes : max_stream_bytes);
+    }
+
     void make_request()
     {
         std::string const id = protocol::to_text(open_.generation);
@@ -119,7 +130,12 @@
         {
             return fail(upstream_failure::broken);
         }
-        http::async_read_header(socket_, buffer_, parser_,
+        read_header();
+    }
+
+    void read_header()
+    {
+        http::async_read_header(socket_, buffer_, *parser_,
                                 [self = shared_from_this()](error_code failed, std::size_t)
                                 { self->on_header(failed); });
     }
@@ -130,7 +146,31 @@
         {
             return fail(upstream_failure::broken);
         }
-        auto const& answer = parser_.get();
+        // Beast takes any three digits for the status of the answer.
+        switch (protocol::kind_of_status(parser_->get().result_int()))
+        {
+        case protocol::status_kind::none:
+            return fail(upstream_failure::invalid);
+        case protocol::status_kind::interim:
+            return skip_interim_answer();
+        case protocol::status_kind::final_answer:
+            return on_final_header();
+        }
+    }
+
+    void skip_interim_answer()
+    {
+        if (++interim_answers_ > protocol::max_interim_answers)
+        {
+            return fail(upstream_failure::invalid);
+        }
+        make_parser();
+        read_header();
+    }
+
+    void on_final_header()
+    {
+        auto const& answer = parser_->get();
         if (answer.result() == http::status::not_found && open_.mode == stream_mode::resume)
         {
             return fail(upstream_failure::unknown_generation);
@@ -147,7 +187,7 @@
         emit(coordination::upstream_started{open_.stream});
         if (listener_ != nullptr)
         {
-            parser_.is_done() ? on_end() : read();
+            parser_->is_done() ? on_end() : read();
         }
     }
 
@@ -158,9 +198,9 @@
             read_deferred_ = true;
             return;
         }
-        parser_.get().body().data = read_buffer_.data();
-        parser_.get().body().size = read_buffer_.size();
-        http::async_read_some(socket_, buffer_, parser_,
+        parser_->get().body().data = read_buffer_.data();
+        parser_->get().body().size = read_buffer_.size();
+        http::async_read_some(socket_, buffer_, *parser_,
                               [self = shared_from_this()](error_code error, std::size_t)
                               { self->on_read(error); });
     }
@@ -179,12 +219,11 @@
         {
             return fail(upstream_failure::broken);
         }
-        std::size_t const got = read_buffer_.size() - parser_.get().body().size;
+        std::size_t const got = read_buffer_.size() - parser_->get().body().size;
         std::string_view const bytes{read_buffer_.data(), got};
         if (is_call())
         {
-            call_body_ += bytes;
-            return parser_.is_done() ? on_end() : read();
+            return append_to_call(bytes);
         }
         if (!splitter_.append(bytes))
         {
@@ -193,8 +232,17 @@
         emit_events();
         if (listener_ != nullptr)
         {
-            parser_.is_done() ? on_end() : read();
+            parser_->is_done() ? on_end() : read();
+        }
+    }
+
+    void append_to_call(std::string_view bytes)
+    {
+        if (!call_body_.append(bytes))
+        {
+            return fail(upstream_failure::invalid);
         }
+        parser_->is_done() ? on_end() : read();
     }
 
     void emit_events()
@@ -230,9 +278,8 @@
 
     void finish_call()
     {
-        emit(
-            coordination::upstream_token{open_.stream, open_.generation, 0, std::move(call_body_)});
-        auto const status = static_cast<std::uint16_t>(parser_.get().result_int());
+        emit(coordination::upstream_token{open_.stream, open_.generation, 0, call_body_.text()});
+        auto const status = static_cast<std::uint16_t>(parser_->get().result_int());
         end(coordination::upstream_finished{open_.stream, open_.generation, 1, status});
     }
 
@@ -263,24 +310,26 @@
     coordination::open_stream open_;
     std::string model_;
     stream_listener listener_;
+    std::shared_ptr<answer_memory> answers_held_;
     http::request<http::string_body> request_;
-    http::response_parser<http::buffer_body> parser_;
-    beast::flat_buffer buffer_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     std::array<char, read_buffer_bytes> read_buffer_{};
     protocol::event_data_splitter splitter_;
-    std::string call_body_;
+    held_answer call_body_{*answers_held_};
+    std::uint32_t interim_answers_ = 0;
     bool paused_ = false;
     bool read_deferred_ = false;
 };
 
 } // namespace
 
-std::shared_ptr<upstream_stream> open_engine_stream(net::io_context& context,
-                                                    coordination::open_stream open,
-                                                    std::string model, stream_listener listener)
+std::shared_ptr<upstream_stream>
+open_engine_stream(net::io_context& context, coordination::open_stream open, std::string model,
+                   std::shared_ptr<answer_memory> answers_held, stream_listener listener)
 {
     auto stream = std::make_shared<http_stream>(context, std::move(open), std::move(model),
-                                                std::move(listener));
+                                                std::move(answers_held), std::move(listener));
     stream->start();
     return stream;
 }
--- a/tests/transport/test_upstream_stream.cpp
+++ b/tests/transport/test_upstream_stream.cpp
@@ -1,5 +1,6 @@
 #include "loop.hpp"
 
+#include <plumdale/protocol/answer_status.hpp>
 #include <plumdale/protocol/generation_text.hpp>
 
 #include <catch2/catch.hpp>
@@ -45,7 +46,9 @@
 /// \brief An upstream that answers a connection with given bytes, and the events that result.
 struct exchange
 {
-    explicit exchange(std::string bytes, coordination::open_stream wanted = {})
+    explicit exchange(std::string bytes, coordination::open_stream wanted = {},
+                      std::shared_ptr<transport::answer_memory> const& held =
+                          std::make_shared<transport::answer_memory>())
     {
         listener.acceptor.async_accept(
             [this, answer = std::move(bytes)](boost::system::error_code,
@@ -58,7 +61,7 @@
         wanted.generation = id;
         wanted.body = std::make_shared<std::string const>("prompt");
         stream =
-            transport::open_engine_stream(context, wanted, "m",
+            transport::open_engine_stream(context, wanted, "m", held,
                                           [this](coordination::request_event event)
                                           {
                                               ended =
@@ -168,10 +171,10 @@
     }
     wanted.body = std::make_shared<std::string const>("prompt");
     std::optional<upstream_failure> cause;
-    auto const stream =
-        transport::open_engine_stream(context, wanted, "m",
-                                      [&](coordination::request_event const& event)
-                                      { cause = std::get<upstream_failed>(event).cause; });
+    auto const stream = transport::open_engine_stream(
+        context, wanted, "m", std::make_shared<transport::answer_memory>(),
+        [&](coordination::request_event const& event)
+        { cause = std::get<upstream_failed>(event).cause; });
     REQUIRE(run_until(context, [&] { return cause.has_value(); }));
     CHECK(*cause == upstream_failure::not_connected);
 }
@@ -192,6 +195,58 @@
     CHECK_FALSE(conflict.failure());
 }
 
+// Guards against a status that no answer has, passed on to the caller of a call.
+TEST_CASE("a status that is none fails the exchange")
+{
+    for (auto const kind : {state::work_kind::call, state::work_kind::question})
+    {
+        for (std::string const status : {"000", "001", "099", "101", "600", "999", "20", "2000"})
+        {
+            for (std::string const before : {"", "HTTP/1.1 100 Continue\r\n\r\n"})
+            {
+                CAPTURE(status, before);
+                coordination::open_stream wanted;
+                wanted.kind = kind;
+                wanted.path = "/orders";
+                exchange made{before + "HTTP/1.1 " + status +
+                                  " Text\r\nPlumdale-Not-Run: true\r\nContent-Length: 2\r\n\r\nok",
+                              wanted};
+                auto const failure = made.failure();
+                bool const is_invalid = failure == upstream_failure::invalid;
+                CHECK((is_invalid || failure == upstream_failure::broken));
+                CHECK(made.tokens() == 0);
+            }
+        }
+    }
+}
+
+// Guards against an interim answer that is taken for the answer.
+TEST_CASE("an engine's answer follows interim answers, up to a bound")
+{
+    for (std::string const status : {"100", "102", "103", "199"})
+    {
+        CAPTURE(status);
+        std::string const one = "HTTP/1.1 " + status + " Text\r\n\r\n";
+        std::string interim;
+        for (std::uint32_t i = 0; i < protocol::max_interim_answers; ++i)
+        {
+            interim += one;
+        }
+        std::string const events = head + chunk(token_line(0, "a")) + chunk(done_line(1));
+        exchange stream{interim + events};
+        CHECK_FALSE(stream.failure());
+        CHECK(stream.tokens() == 1);
+        exchange endless{interim + one + events};
+        CHECK(endless.failure() == upstream_failure::invalid);
+        coordination::open_stream call;
+        call.kind = state::work_kind::call;
+        call.path = "/orders";
+        exchange answered{interim + "HTTP/1.1 507 Full\r\nContent-Length: 4\r\n\r\nfull", call};
+        CHECK_FALSE(answered.failure());
+        CHECK(std::get<upstream_finished>(answered.events.back()).status == 507);
+    }
+}
+
 TEST_CASE("a service's answer above the size limit breaks the exchange")
 {
     coordination::open_stream call;
@@ -201,6 +256,124 @@
     CHECK(made.failure() == upstream_failure::broken);
 }
 
+namespace
+{
+
+/// \brief What an engine sends instead of an answer, again and again behind `begin`.
+struct endless_answer
+{
+    std::string name;
+    std::string begin;
+    std::string piece;
+};
+
+std::vector<endless_answer> endless_answers()
+{
+    constexpr std::size_t piece_bytes = 16'384;
+    std::string const zeros(piece_bytes, '0');
+    std::string fields;
+    std::string interim;
+    while (fields.size() < piece_bytes)
+    {
+        fields += "Name: value\r\n";
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    return {{"a status line", "HTTP/1.1 200 ", zeros},
+            {"a field", "HTTP/1.1 200 OK\r\nName: ", zeros},
+            {"fields", "HTTP/1.1 200 OK\r\n", fields},
+            {"no HTTP", "", std::string(piece_bytes, '\x01')},
+            {"interim answers", "", interim},
+            {"an interim answer's field", "HTTP/1.1 103 Early Hints\r\nName: ", zeros},
+            {"a chunk's size", head, zeros},
+            {"a chunk's extension", head + "4;", zeros},
+            {"a chunk's quoted extension", head + "4;a=\"", zeros},
+            {"trailers", head + "0\r\n", fields},
+            {"a trailer", head + "0\r\nName: ", zeros}};
+}
+
+/// \brief Sends until the exchange ends; returns how many bytes that took, or `most`.
+std::size_t send_without_end(exchange& made, std::string const& piece, std::size_t most)
+{
+    REQUIRE(run_until(made.context, [&] { return made.upstream != nullptr; }));
+    std::size_t sent = 0;
+    while (!made.ended && sent < most)
+    {
+        made.upstream->send(piece);
+        sent += piece.size();
+        made.context.restart();
+        made.context.poll();
+    }
+    return sent;
+}
+
+} // namespace
+
+// Guards against a VM whose memory fills with what an engine sends for a head, or between chunks.
+TEST_CASE("an exchange with an engine ends at bytes without end", "[endless]")
+{
+    // Socket buffers, and what is read ahead of the parser.
+    constexpr std::size_t most = 12UL * 1024 * 1024;
+    for (auto const kind : {state::work_kind::call, state::work_kind::question})
+    {
+        for (endless_answer const& each : endless_answers())
+        {
+            CAPTURE(each.name, kind == state::work_kind::call);
+            coordination::open_stream wanted;
+            wanted.kind = kind;
+            wanted.path = "/orders";
+            exchange made{each.begin, wanted};
+            CHECK(send_without_end(made, each.piece, most) < most);
+            CHECK(made.ended);
+        }
+    }
+}
+
+// Guards against a call whose body fills the memory, and an event that is waited for without end.
+TEST_CASE("an exchange with an engine ends at a body without end", "[endless]")
+{
+    constexpr std::size_t most = 40UL * 1024 * 1024;
+    std::string const zeros(16'384, '0');
+    for (auto const kind : {state::work_kind::call, state::work_kind::question})
+    {
+        for (std::string const& begin : {std::string{"HTTP/1.1 200 OK\r\n\r\n"}, head})
+        {
+            CAPTURE(begin, kind == state::work_kind::call);
+            coordination::open_stream wanted;
+            wanted.kind = kind;
+            wanted.path = "/orders";
+            exchange made{begin, wanted};
+            std::string const piece = begin == head ? chunk(zeros) : zeros;
+            CHECK(send_without_end(made, piece, most) < most);
+            CHECK(made.ended);
+        }
+    }
+}
+
+// Guards against bodies of many calls that fill a VM's memory together, and cost small ones.
+TEST_CASE("bodies of many calls together are bounded", "[endless]")
+{
+    constexpr int calls = 20;
+    constexpr std::size_t bytes_each = 4UL * 1024 * 1024;
+    std::string const piece(16'384, '0');
+    auto const held = std::make_shared<transport::answer_memory>();
+    coordination::open_stream call;
+    call.kind = state::work_kind::call;
+    call.path = "/orders";
+    std::vector<std::unique_ptr<exchange>> exchanges;
+    std::size_t bytes_waiting = 0;
+    for (int i = 0; i < calls; ++i)
+    {
+        exchanges.push_back(std::make_unique<exchange>("HTTP/1.1 200 OK\r\n\r\n", call, held));
+        std::size_t const sent = send_without_end(*exchanges.back(), piece, bytes_each);
+        bytes_waiting += exchanges.back()->ended ? 0 : sent;
+    }
+    CHECK(bytes_waiting <= transport::answer_memory::max_held + bytes_each);
+    exchange small{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull", call, held};
+    CHECK_FALSE(small.failure());
+    exchanges.clear();
+    CHECK(held->held() == 0);
+}
+
 TEST_CASE("mutated answers of an engine never stop the process")
 {
     std::minstd_rand random{20261202};
