Calls: nothing is sent so late in a stop that its answer can't be delivered

What callers saw: in a planned stop of one VM, calls that it had taken were passed on late in the grace and cut without an answer at its end; among them calls that may run once, whose callers can't send them again.

Cause: the stop was looked at only as a call was admitted, by its time of reading and its route's timeout. What was read before the stop, or within its first three seconds, was not looked at again: it waited in line, was refused by an upstream, or was handed to a peer, and then sent up to the process's last moment. Whoever still waited at that moment was cut as well. Routes with less than 4.7 s can't show it (their time is over before the grace); drafts and routes for long work do.

Why it works: coordination::closing_grace decides from the time, the stop's begin, the grace, the kind, the call's time and what it usually takes, and is asked at admission, at each turn in line, at the last look before bytes leave, before a second send, and for each peer that is asked. What is held back is told at once: 503 draining with Retry-After where no send of it may have run, else 502; a peer's call is declined, so that the peer asks another one. A stop that had a caller's time left out now counts it: a call with a short time of its own is taken where its route's was too long.

Changed for callers: a call that may run once and whose time is longer than the rest of the grace is refused from the SIGTERM on, not from 3 s after it.

--- a/src/transport/call_admission.cpp
+++ b/src/transport/call_admission.cpp
@@ -2,6 +2,7 @@
 #include "plain_call.hpp"
 #include "stream_call.hpp"
 
+#include <plumdale/coordination/closing_grace.hpp>
 #include <plumdale/protocol/digest.hpp>
 
 #include <algorithm>
@@ -18,13 +19,6 @@
 // answers.
 constexpr state::duration unconfigured_retry_after = std::chrono::milliseconds{300};
 
-// The balancer may still send calls for this long after the shutdown began; calls that start by
-// then end within the usual grace period of 8 s.
-constexpr state::duration admit_while_closing = std::chrono::seconds{3};
-// The process stops 0.15 s before its grace period ends, and checks every 50 ms whether it may
-// stop.
-constexpr state::duration final_answer_margin = std::chrono::milliseconds{300};
-
 std::string_view without_port(std::string_view host)
 {
     return host.substr(0, host.find(':'));
@@ -35,20 +29,18 @@
     return target.substr(0, target.find('?'));
 }
 
-// A call that this process accepts but can't answer before it stops is lost: its caller can't know
-// whether it ran. Streams outlast the grace period unless they start early in it; plain calls end
-// by their route's timeout.
-bool outlasts_shutdown(forward_core const& core, admitted_call const& admitted)
+coordination::call_demand demand_of(protocol::call_headers const& terms)
 {
-    if (core.closing_since == state::never)
-    {
-        return false;
-    }
-    state::duration const closing = admitted.call.read_at - core.closing_since;
-    bool const streams = admitted.route->kind == state::call_kind::streaming;
-    bool const outlasts =
-        closing + admitted.route->timeout + final_answer_margin > core.settings.grace;
-    return closing > admit_while_closing && (streams || outlasts);
+    std::uint32_t const expected =
+        terms.output_hint == 0 ? terms.output_limit / 2 : terms.output_hint;
+    return {terms.prompt_tokens, std::min(expected, terms.output_limit)};
+}
+
+// Of an upstream that a call waits for only its objective is known.
+coordination::call_need need_of(admitted_call const& admitted)
+{
+    return {admitted.route->kind, admitted.call.read_at, admitted.deadline,
+            admitted.route->target_latency};
 }
 
 /// \brief Why a call is rejected, and the error that its caller receives.
@@ -83,10 +75,6 @@
     {
         return rejection{error_kind::unauthenticated, "unknown key"};
     }
-    if (outlasts_shutdown(core, admitted))
-    {
-        return rejection{error_kind::draining, "this entry VM shuts down"};
-    }
     std::uniform_real_distribution<double> draw{0.0, 1.0};
     admitted.service = admitted.table->find_service(
         coordination::routing_table::service_of(*admitted.route, draw(core.random)));
@@ -94,6 +82,13 @@
     {
         return rejection{error_kind::no_upstream, "the route's service is not configured"};
     }
+    state::duration const left = admitted.headers.time_left.value_or(admitted.route->timeout);
+    admitted.deadline = admitted.call.read_at + std::min(left, admitted.route->timeout);
+    admitted.demand = demand_of(admitted.headers);
+    if (!may_send_before_stop(core, admitted, boot_now()))
+    {
+        return rejection{error_kind::draining, shutting_down};
+    }
     return std::nullopt;
 }
 
@@ -106,15 +101,15 @@
                                        customer, admitted.call.body);
 }
 
-coordination::call_demand demand_of(protocol::call_headers const& terms)
+} // namespace
+
+bool may_send_before_stop(forward_core const& core, admitted_call const& admitted,
+                          state::time_point now)
 {
-    std::uint32_t const expected =
-        terms.output_hint == 0 ? terms.output_limit / 2 : terms.output_hint;
-    return {terms.prompt_tokens, std::min(expected, terms.output_limit)};
+    coordination::closing_grace const grace{core.closing_since, core.settings.grace};
+    return !grace.is_closing() || grace.may_send(need_of(admitted), now);
 }
 
-} // namespace
-
 std::shared_ptr<call_handler> start_call(forward_core& core,
                                          std::shared_ptr<caller_channel> const& channel,
                                          received_call call, call_origin const& origin)
@@ -139,9 +134,6 @@
         return nullptr;
     }
     admitted.request = request_digest_of(admitted);
-    admitted.demand = demand_of(admitted.headers);
-    state::duration const left = admitted.headers.time_left.value_or(admitted.route->timeout);
-    admitted.deadline = admitted.call.read_at + std::min(left, admitted.route->timeout);
     bool const streams = admitted.route->kind == state::call_kind::streaming;
     std::shared_ptr<forward_call> started;
     if (streams)
--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -86,6 +86,10 @@
 void call_through_peer::ask_next()
 {
     state::time_point const now = boot_now();
+    if (!may_send_before_stop(core_, admitted_, now))
+    {
+        return refuse_draining();
+    }
     auto const peer =
         asked_.size() < max_peers ? core_.peers.choose(peers_, asked_, now) : std::nullopt;
     if (!peer || now >= admitted_.deadline)
@@ -111,7 +115,7 @@
     state::time_point const now = boot_now();
     bool const is_refused =
         !admitted_.origin.is_trial && core_.quarantine.refuses(admitted_.content());
-    if (now >= admitted_.deadline || is_refused)
+    if (now >= admitted_.deadline || is_refused || !may_send_before_stop(core_, admitted_, now))
     {
         return std::nullopt;
     }
@@ -197,7 +201,9 @@
     }
     if (end == exchange_end::not_sent)
     {
-        return refuse_unsent("not sent after all");
+        return may_send_before_stop(core_, admitted_, boot_now())
+                   ? refuse_unsent("not sent after all")
+                   : refuse_draining();
     }
     if (end != exchange_end::complete || !is_own_answer_)
     {
@@ -284,6 +290,12 @@
     refuse(error_kind::no_upstream, why, retry_after());
 }
 
+void call_through_peer::refuse_draining()
+{
+    note_outcome(coordination::call_outcome::refused);
+    refuse(error_kind::draining, shutting_down, draining_retry_after);
+}
+
 void call_through_peer::refuse(error_kind kind, std::string_view why, state::duration retry_after)
 {
     coordination::refusal const answer = sends_.refusal_as(kind);
--- a/src/transport/call_through_peer.hpp
+++ b/src/transport/call_through_peer.hpp
@@ -60,6 +60,8 @@
     void on_deadline();
     void refuse(state::error_kind kind, std::string_view why, state::duration retry_after);
     void refuse_unsent(std::string_view why);
+    /// \brief Refuses the call as its answer couldn't be delivered before the process ends.
+    void refuse_draining();
     /// \brief Records what the end of the exchange proves of the send to this peer.
     void record_end(exchange_end end);
     /// \brief Ends an answer that can't be completed.
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -53,6 +53,10 @@
     {
         return on_timeout();
     }
+    if (!may_send_before_stop(core_, admitted_, now))
+    {
+        return refuse_draining();
+    }
     if (is_quarantined())
     {
         return try_part_or_refuse();
@@ -212,8 +216,13 @@
     {
         return false;
     }
-    return is_resumption() ? core_.gate.may_resume(entry, now)
-                           : core_.gate.may_send(entry, *admitted_.service, now);
+    // A resumed answer goes on event by event, so that its caller gets what comes before the end.
+    if (is_resumption())
+    {
+        return core_.gate.may_resume(entry, now);
+    }
+    return may_send_before_stop(core_, admitted_, now) &&
+           core_.gate.may_send(entry, *admitted_.service, now);
 }
 
 std::optional<std::string> forward_call::request()
@@ -261,6 +270,10 @@
     excluded_.push_back(member_);
     close_exchange();
     log("upstream passed over", why);
+    if (!may_send_before_stop(core_, admitted_, boot_now()))
+    {
+        return refuse_draining();
+    }
     bool const is_repeat = sends_.written() > 0;
     bool const is_last = tries_ >= try_limit || core_.reach.is_lost();
     bool const may_hand_over = admitted_.origin.is_peer || !core_.is_any_zone_cut(boot_now());
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -64,6 +64,16 @@
 start_call(forward_core& core, std::shared_ptr<caller_channel> const& channel, received_call call,
            call_origin const& origin = {});
 
+/// \brief Returns whether the answer to a call that is sent now can be delivered before the process
+/// ends.
+[[nodiscard]] bool may_send_before_stop(forward_core const& core, admitted_call const& admitted,
+                                        state::time_point now);
+
+/// \brief Why a call is refused while the process is being stopped, for log lines.
+inline constexpr std::string_view shutting_down = "this entry VM shuts down";
+/// \brief A caller that is refused as this VM stops is served by any other VM at once.
+inline constexpr state::duration draining_retry_after = std::chrono::milliseconds{300};
+
 /// \brief Sends a call to one upstream after another, as long as it may be retried.
 ///
 /// The record of its sends decides whether it is sent again and what its caller is told: it may
@@ -312,6 +322,8 @@
     /// new one.
     [[nodiscard]] state::duration longest_idle(state::member_key member) const;
     void refuse_quarantined();
+    /// \brief Refuses the call as its answer couldn't be delivered before the process ends.
+    void refuse_draining();
     /// \brief Sends a quarantined call if a part of its prompt is to be tried again, here or at the
     /// VM that does so.
     void try_part_or_refuse();
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -258,6 +258,14 @@
                state::duration{spread(core_.random)});
 }
 
+// A peer's call is no caller of this VM's: the peer has another one take it.
+void forward_call::refuse_draining()
+{
+    refuse(admitted_.origin.is_peer ? state::error_kind::peer_declined
+                                    : state::error_kind::draining,
+           shutting_down, draining_retry_after);
+}
+
 // Another VM may not have been refused yet: callers that can't wait for the end retry as usual.
 void forward_call::refuse_backed_off(state::time_point end, state::time_point now)
 {
