Drafts: one that can't end before the stop is refused at once

What callers saw: drafts that reached a VM in the first three seconds of its stop were begun whatever they needed, streamed to the end of the grace and cut. Drafts that waited in line at the SIGTERM stayed there, and were begun as late.

Cause: all calls of the first three seconds passed, and nothing compared what a draft takes with what is left of the grace.

Why it works: the usual time of a call at an engine is the reading of its prompt and its caller's hint, at the pace of the engines' present mean load; closing_grace compares that with the last answer's time at admission and at each turn.

Not counted: prompts of which an engine has read parts already take less than that; a draft near the bound is then refused though it could end.

--- a/src/transport/call_admission.cpp
+++ b/src/transport/call_admission.cpp
@@ -36,11 +36,26 @@
     return {terms.prompt_tokens, std::min(expected, terms.output_limit)};
 }
 
-// Of an upstream that a call waits for only its objective is known.
-coordination::call_need need_of(admitted_call const& admitted)
+// Other upstreams than engines say nothing of their pace: their objective stands for it.
+state::duration usual_run(forward_core const& core, admitted_call const& admitted)
+{
+    state::service const& service = *admitted.service;
+    if (!service.engine)
+    {
+        return admitted.route->target_latency;
+    }
+    std::size_t const upstreams =
+        std::max<std::size_t>(1, core.directory.members_of(service.name).size());
+    auto const beside = static_cast<std::uint32_t>(core.running_calls(service) / upstreams);
+    coordination::engine_pace const& pace = core.selector.pace();
+    return pace.reading_time(admitted.demand.prompt_tokens) +
+           pace.generating_time(admitted.demand.output_tokens, beside + 1);
+}
+
+coordination::call_need need_of(forward_core const& core, admitted_call const& admitted)
 {
     return {admitted.route->kind, admitted.call.read_at, admitted.deadline,
-            admitted.route->target_latency};
+            usual_run(core, admitted)};
 }
 
 /// \brief Why a call is rejected, and the error that its caller receives.
@@ -107,7 +122,7 @@
                           state::time_point now)
 {
     coordination::closing_grace const grace{core.closing_since, core.settings.grace};
-    return !grace.is_closing() || grace.may_send(need_of(admitted), now);
+    return !grace.is_closing() || grace.may_send(need_of(core, admitted), now);
 }
 
 std::shared_ptr<call_handler> start_call(forward_core& core,
--- a/tests/platform/test_late_calls.cpp
+++ b/tests/platform/test_late_calls.cpp
@@ -125,6 +125,62 @@
     fixture.run_until([&] { return caller->received.ends_with("whole"); });
 }
 
+// -- drafts ---------------------------------------------------------------------------------------
+
+// Guards against drafts that are begun at a VM that ends long before they do.
+TEST_CASE("a draft that can't end before the stop is refused at once", "[late_calls][stream]")
+{
+    forward_fixture fixture;
+    auto const [ago, limit] = GENERATE(std::pair{0ms, 3'600}, std::pair{2'000ms, 1'800});
+    stop(fixture, 8s - ago, ago);
+    auto const caller = fixture.call(
+        "/draft/1", "id-101", "Plumdale-Token-Usage: 3000," + std::to_string(limit) + "\r\n");
+    run_for(fixture, several_steps);
+    CHECK(fixture.request_count(id_field("id-101")) == 0);
+    CHECK(is_refused_as_draining(*caller));
+}
+
+// Guards against a caller that is held in line for a draft that can't be begun any more.
+TEST_CASE("a waiting draft that can't end before the stop is refused at its begin",
+          "[late_calls][stream]")
+{
+    forward_fixture fixture;
+    auto const caller = waiting_call(fixture, "/draft/1", "Plumdale-Token-Usage: 3000,3600\r\n");
+    stop(fixture, 8s);
+    run_for(fixture, several_steps);
+    CHECK(is_refused_as_draining(*caller));
+}
+
+// Guards against an estimate of an idle engine's pace where each runs a full batch.
+TEST_CASE("what a draft takes before the stop is seen in its engines' load", "[late_calls][stream]")
+{
+    forward_fixture fixture;
+    bool const are_busy = GENERATE(false, true);
+    std::size_t const first_engine = forward_fixture::plain_upstreams;
+    for (std::size_t i = first_engine; are_busy && i < fixture.upstreams.size(); ++i)
+    {
+        state::member_key const key = state::key_of(fixture.upstreams[i]->make_member("engine", 1));
+        fixture.core.ledger.add(key, {key, 24, 0, 0, 0});
+    }
+    stop(fixture, 8s);
+    auto const caller = fixture.call("/draft/1", "id-101", "Plumdale-Token-Usage: 3000,1600\r\n");
+    run_for(fixture, several_steps);
+    CHECK(fixture.request_count(id_field("id-101")) == (are_busy ? 0 : 1));
+    CHECK(is_refused_as_draining(*caller) == are_busy);
+}
+
+// Guards against refusals of drafts that end in time.
+TEST_CASE("a draft that ends before the stop is served", "[late_calls][stream]")
+{
+    forward_fixture fixture;
+    stop(fixture, 5'100ms, 2'900ms);
+    auto const caller = fixture.call("/draft/1", "id-101", "Plumdale-Token-Usage: 3000,800\r\n");
+    fixture.upstream_connection(id_field("id-101"))
+        ->send(stream_head("id-101") + event_chunk(1) + "0\r\n\r\n");
+    fixture.run_until([&] { return caller->received.ends_with("0\r\n\r\n"); });
+    CHECK(caller->received.find("data: e1") != std::string::npos);
+}
+
 // -- second sends ---------------------------------------------------------------------------------
 
 // Guards against a second upstream that is at work on a call that may run once at the end.
