Stop: a call without an answer is told so before the process ends

What callers saw: a call that was still waiting, or at its upstream, when the grace was over saw its connection close without a word. Nothing told whether it had run; callers of calls that may run once give up then, also where nothing had been sent.

Cause: the process closed all channels at its end and left their calls unanswered.

Evidence: by reading; three of the four new tests are red with the channel's part taken out (the fourth guards begun streams and is green both ways).

Why it works: at the look before the last, 0.2 s before the grace is over, each channel whose answer has not begun has its call refused. The record of sends says what is told: 503 draining with Retry-After where none may have run, else 502; a peer's call is declined where nothing of it may have run here. Begun answers run on to the end and break off as before, since nobody takes them for whole.

--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -290,6 +290,11 @@
     refuse(error_kind::no_upstream, why, retry_after());
 }
 
+void call_through_peer::on_process_ending()
+{
+    refuse_draining();
+}
+
 void call_through_peer::refuse_draining()
 {
     note_outcome(coordination::call_outcome::refused);
--- a/src/transport/call_through_peer.hpp
+++ b/src/transport/call_through_peer.hpp
@@ -38,6 +38,7 @@
 
     void on_caller_disconnected() override;
     void on_caller_ready() override;
+    void on_process_ending() override;
     std::optional<std::string> request() override;
     void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
     void on_body(std::string bytes) override;
--- a/src/transport/caller_channel.cpp
+++ b/src/transport/caller_channel.cpp
@@ -152,6 +152,7 @@
 void caller_channel::begin_call()
 {
     stage_ = stage::in_call;
+    has_begun_answer_ = false;
     timer_.cancel();
     unparsed_ = reader_.unconsumed();
     received_call call{reader_.head(), reader_.take_body(), boot_now()};
@@ -178,6 +179,16 @@
     }
 }
 
+// A begun answer that breaks off can't be taken for a whole one; a call without any needs an answer
+// of its own.
+void caller_channel::end_unanswered_call()
+{
+    if (auto const handler = has_begun_answer_ ? nullptr : handler_)
+    {
+        handler->on_process_ending();
+    }
+}
+
 void caller_channel::refuse_malformed()
 {
     stage_ = stage::in_call;
@@ -261,6 +272,7 @@
 void caller_channel::begin(unsigned status, std::string_view reason,
                            std::vector<header_field> const& fields)
 {
+    has_begun_answer_ = true;
     append_head(protocol::upstream_answer, status, reason, fields);
     pending_.append("Transfer-Encoding: chunked\r\n\r\n");
     write();
--- a/src/transport/caller_channel.hpp
+++ b/src/transport/caller_channel.hpp
@@ -46,6 +46,8 @@
     virtual void on_caller_disconnected() = 0;
     /// \brief Called after a write when the caller's send buffer isn't full.
     virtual void on_caller_ready() = 0;
+    /// \brief Called as the process is about to end and no answer has begun: the call is refused.
+    virtual void on_process_ending() = 0;
 };
 
 /// \brief Creates the handler of a call. The handler answers through the channel, immediately or
@@ -89,6 +91,8 @@
     void start();
     /// \brief Has another handler take over the call in progress.
     void hand_over(std::shared_ptr<call_handler> handler);
+    /// \brief Has the call in progress refused as the process ends, unless its answer has begun.
+    void end_unanswered_call();
     /// \brief Closes the connection immediately, also during a call.
     void close_now();
 
@@ -201,6 +205,8 @@
     bool was_awaiting_ = false;
     bool close_after_answer_ = false;
     bool close_requested_ = false;
+    /// \brief The head of the answer to the call in progress was queued.
+    bool has_begun_answer_ = false;
     bool is_head_request_ = false;
 };
 
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -91,6 +91,7 @@
 
     void on_caller_disconnected() override;
     void on_caller_ready() override;
+    void on_process_ending() final;
     std::optional<std::string> request() override;
     void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
     void on_end(exchange_end end) final;
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -258,6 +258,11 @@
                state::duration{spread(core_.random)});
 }
 
+void forward_call::on_process_ending()
+{
+    refuse_draining();
+}
+
 // A peer's call is no caller of this VM's: the peer has another one take it.
 void forward_call::refuse_draining()
 {
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -45,6 +45,8 @@
 // The platform ends the process at the end of the grace period; the last answers need time to be
 // sent.
 constexpr state::duration grace_margin = std::chrono::milliseconds{150};
+// Calls without an answer get one at the look before the last.
+constexpr state::duration last_answers_margin = grace_margin + maintenance_interval;
 // A timer that is this late means that the process did not run.
 constexpr state::duration pause_tolerance = std::chrono::milliseconds{600};
 constexpr unsigned ok = 200;
@@ -229,19 +231,33 @@
         return options;
     }
 
-    // Calls use the core when they end, so they must end before it is destroyed.
-    void cut_channels()
+    [[nodiscard]] std::vector<std::shared_ptr<caller_channel>> open_channels() const
     {
         std::vector<std::shared_ptr<caller_channel>> open;
         for (caller_channel* const channel : channels_)
         {
             open.push_back(channel->shared_from_this());
         }
-        for (auto const& channel : open)
+        return open;
+    }
+
+    // A closed connection tells a caller nothing. One that was not sent anywhere may be sent by
+    // another VM, and it learns so while there is time.
+    void end_unanswered_calls()
+    {
+        for (auto const& channel : open_channels())
+        {
+            channel->end_unanswered_call();
+        }
+    }
+
+    // Calls use the core when they end, so they must end before it is destroyed.
+    void cut_channels()
+    {
+        for (auto const& channel : open_channels())
         {
             channel->close_now();
         }
-        open.clear();
         context_.restart();
         context_.poll();
     }
@@ -352,6 +368,12 @@
         core_.departures.sweep();
         log_readiness_change();
         log_.flush();
+        bool const is_ending = core_.closing_since != state::never &&
+                               now - core_.closing_since >= settings_.grace - last_answers_margin;
+        if (is_ending)
+        {
+            end_unanswered_calls();
+        }
         if (core_.closing_since != state::never && may_stop(now))
         {
             return context_.stop();
--- a/tests/platform/forward_fixture.cpp
+++ b/tests/platform/forward_fixture.cpp
@@ -262,6 +262,14 @@
     return caller;
 }
 
+void forward_fixture::end_grace()
+{
+    for (auto const& channel : channels_)
+    {
+        channel->end_unanswered_call();
+    }
+}
+
 void forward_fixture::run_until(std::function<bool()> const& condition)
 {
     auto const limit = std::chrono::steady_clock::now() + std::chrono::seconds{10};
--- a/tests/platform/forward_fixture.hpp
+++ b/tests/platform/forward_fixture.hpp
@@ -100,6 +100,8 @@
     {
         return caller_acceptor_.local_endpoint();
     }
+    /// \brief Refuses what has no answer, as the daemon does when its grace is nearly over.
+    void end_grace();
     /// \brief Runs the loop until `condition` holds; fails after ten seconds.
     void run_until(std::function<bool()> const& condition);
     /// \brief Returns the only connection of any upstream whose request holds `text`.
--- a/tests/platform/test_late_calls.cpp
+++ b/tests/platform/test_late_calls.cpp
@@ -293,3 +293,61 @@
     CHECK(fixture.request_count(id_field("id-202")) == 0);
     CHECK(is_refused_as_draining(*caller));
 }
+
+// -- the end of the grace -------------------------------------------------------------------------
+
+// Guards against calls that are cut without a word, so that nothing tells whether they ran.
+TEST_CASE("a call without an answer at the end of the grace is told what is known", "[late_calls]")
+{
+    forward_fixture fixture;
+    allow_long_calls(fixture);
+    std::string const path = GENERATE("/event/1", "/fetch/1", "/draft/1");
+    auto const caller = fixture.call(path, "id-101");
+    auto const run = fixture.upstream_connection(id_field("id-101"));
+    stop(fixture, 8s);
+    fixture.end_grace();
+    fixture.run_until([&] { return caller->ended && run->ended; });
+    CHECK(caller->received.starts_with("HTTP/1.1 502 "));
+    CHECK(fixture.core.calls_in_progress == 0);
+}
+
+// Guards against callers who wait in line as the process ends, and are cut though nothing was sent.
+TEST_CASE("a call that waits at the end of the grace is refused as not run", "[late_calls]")
+{
+    forward_fixture fixture;
+    auto const caller = waiting_call(fixture, "/event/1");
+    stop(fixture, 8s);
+    fixture.end_grace();
+    fixture.run_until([&] { return caller->ended; });
+    CHECK(is_refused_as_draining(*caller));
+}
+
+// Guards against an end of the grace that spoils an answer which its caller has a part of.
+TEST_CASE("a begun stream is not ended before the process", "[late_calls][stream]")
+{
+    forward_fixture fixture;
+    running_draft draft{fixture};
+    stop(fixture, 8s);
+    fixture.end_grace();
+    draft.stream->send(event_chunk(4));
+    fixture.run_until([&] { return draft.has_event(4); });
+    CHECK(draft.caller->received.find("HTTP/1.1 5") == std::string::npos);
+}
+
+// Guards against a call at a peer that is cut without a word as the VM that handed it over ends.
+TEST_CASE("a call at a peer is told that it may have run as the process ends",
+          "[late_calls][reach]")
+{
+    forward_fixture fixture;
+    allow_long_calls(fixture);
+    peer_vm peer{fixture, 1};
+    peer.join();
+    dead_address const nowhere{lost_path::refused};
+    cut_paths(fixture, fixture.core, nowhere);
+    auto const caller = fixture.call("/event/1", "id-101");
+    auto const run = fixture.upstream_connection(id_field("id-101"));
+    stop(fixture, 8s);
+    fixture.end_grace();
+    fixture.run_until([&] { return caller->ended && run->ended; });
+    CHECK(caller->received.starts_with("HTTP/1.1 502 "));
+}
