Calls: an answer is not given up for a repeat that a stop doesn't allow

What callers saw: none in production.

Cause: a silent upstream is given up after an equal part of the time, and a failure at an upstream is thrown away, for the repeat that follows. In a stop there may be none to follow.

Evidence: the two new tests of [late_calls], red on the commit before.

Why it works: plain_call::may_send_again, which decides both, asks whether a repeat may be sent before the stop: the upstream is waited for, and its own failure passed on.

--- a/src/transport/plain_call.cpp
+++ b/src/transport/plain_call.cpp
@@ -69,7 +69,8 @@
 
 bool plain_call::may_send_again() const
 {
-    return is_idempotent() && sends_.may_send_again(true, admitted_.route->max_attempts);
+    return is_idempotent() && sends_.may_send_again(true, admitted_.route->max_attempts) &&
+           may_send_before_stop(core_, admitted_, boot_now());
 }
 
 void plain_call::deliver_answer()
@@ -88,7 +89,8 @@
 }
 
 // Each send that the route allows has an equal part of the time that its caller has: an upstream
-// that is silent for longer takes the time in which another could answer.
+// that is silent for longer takes the time in which another could answer. Where a stop leaves no
+// time for another, its answer is all that can come.
 state::time_point plain_call::slow_at() const
 {
     bool const waits = exchange_ != nullptr && !is_connecting_ && may_send_again();
--- a/tests/platform/test_late_calls.cpp
+++ b/tests/platform/test_late_calls.cpp
@@ -231,6 +231,37 @@
     fixture.run_until([&] { return caller->received.ends_with("whole"); });
 }
 
+// Guards against an answer that is given up for a repeat which may not be sent any more.
+TEST_CASE("a silent upstream is waited for where a stop allows no repeat", "[late_calls][silence]")
+{
+    forward_fixture fixture;
+    allow_long_calls(fixture);
+    auto const caller =
+        fixture.call("/fetch/1", "id-101", "Plumdale-Request-Deadline-Ms: 1600\r\n");
+    auto const run = fixture.upstream_connection(id_field("id-101"));
+    stop(fixture, 1'100ms);
+    run_for(fixture, 950ms);
+    CHECK(caller->received.empty());
+    CHECK_FALSE(run->ended);
+    run->send(answer_text(200, "id-101", "whole", signature_field));
+    fixture.run_until([&] { return !caller->received.empty(); });
+    CHECK(caller->received.ends_with("whole"));
+}
+
+// Guards against an upstream's own answer that is thrown away for such a repeat.
+TEST_CASE("an upstream's failure is passed on where a stop allows no repeat", "[late_calls]")
+{
+    forward_fixture fixture;
+    allow_long_calls(fixture);
+    auto const caller = fixture.call("/fetch/1", "id-101");
+    auto const run = fixture.upstream_connection(id_field("id-101"));
+    stop(fixture, 400ms);
+    run->send(answer_text(500, "id-101", "failure", signature_field));
+    fixture.run_until([&] { return !caller->received.empty(); });
+    CHECK(caller->received.starts_with("HTTP/1.1 500 "));
+    CHECK(caller->received.ends_with("failure"));
+}
+
 // -- peers ----------------------------------------------------------------------------------------
 
 // Guards against a peer that is at work for a VM that has ended.
