--- a/src/transport/call_through_peer.hpp
+++ b/src/transport/call_through_peer.hpp
@@ -38,6 +38,7 @@
 
     void on_caller_disconnected() override;
     void on_caller_ready() override;
+    void on_process_ending() override;
     std::optional<std::string> request() override;
     void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
     void on_body(std::string bytes) override;
@@ -60,6 +61,8 @@
     void on_deadline();
     void refuse(state::error_kind kind, std::string_view why, state::duration retry_after);
     void refuse_unsent(std::string_view why);
+    /// \brief Refuses the call as its answer couldn't be delivered before the process ends.
+    void refuse_draining();
     /// \brief Records what the end of the exchange proves of the send to this peer.
     void record_end(exchange_end end);
     /// \brief Ends an answer that can't be completed.
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -276,6 +276,19 @@
                state::duration{spread(core_.random)});
 }
 
+void forward_call::on_process_ending()
+{
+    refuse_draining();
+}
+
+// A peer's call is no caller of this VM's: the peer has another one take it.
+void forward_call::refuse_draining()
+{
+    refuse(admitted_.origin.is_peer ? state::error_kind::peer_declined
+                                    : state::error_kind::draining,
+           shutting_down, draining_retry_after);
+}
+
 // Another VM may not have been refused yet: callers that can't wait for the end retry as usual.
 void forward_call::refuse_backed_off(state::time_point end, state::time_point now)
 {
