Requests of fetch keep the order of their members

test_transport didn't build since: `fetch_request::fields` stood before `key`, which five initializers of test_http_fetch.cpp name by place. It stands at the end now.

Measured: all targets build (x86-64).

--- a/src/transport/http_fetch.hpp
+++ b/src/transport/http_fetch.hpp
@@ -25,7 +25,6 @@
     std::string method = "GET";
     std::string target;
     std::string body;
-    std::vector<protocol::header_field> fields{};
     /// \brief Bearer key; empty for none.
     std::string key;
     std::chrono::milliseconds timeout{2000};
@@ -35,6 +34,7 @@
     bool extends_on_progress = false;
     /// \brief Size of the largest answer.
     std::uint64_t max_answer_bytes = 16ULL * 1024 * 1024;
+    std::vector<protocol::header_field> fields{};
 };
 
 /// \brief A whole answer.
