Stop: a VM doesn't end while a call is uploaded

What callers saw: a call whose body took a while, begun before the balancer knew of the stop, met a closed connection 2.8 s after the SIGTERM, with five seconds of the grace left.

Cause: a VM ended as soon as no call was in progress, and a call counts from its last byte.

Why it works: the VM waits for channels on which a call has begun to arrive, as it does for those that read their answers; the channel's own limit ends one that doesn't go on, and the end of the grace any.

--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -402,9 +402,12 @@
     [[nodiscard]] bool may_stop(state::time_point now) const
     {
         state::duration const closing = now - core_.closing_since;
+        // A call that is being uploaded is owed an answer, too; its channel's limit ends a slow
+        // one.
         bool const idle = core_.calls_in_progress == 0 && closing >= balancer_detection_time &&
                           std::none_of(channels_.begin(), channels_.end(),
-                                       [](caller_channel* each) { return each->awaits_reader(); });
+                                       [](caller_channel* each)
+                                       { return each->awaits_reader() || each->is_reading(); });
         return idle || closing >= settings_.grace - grace_margin;
     }
 
