Stop: callers that are held back return within a third of their time

What callers saw: each call that a stopping VM refused was told to return after 0.3 s, those that had waited in line at one moment, and those with less than 0.9 s left after more than callers honour.

Cause: the delay was a constant, made for VMs without a configuration.

Why it works: draw_retry_after, as for all other refusals: 0.15 to 0.3 s where the caller has 0.9 s or more, else a sixth to a third of what is left.

--- a/src/transport/call_admission.cpp
+++ b/src/transport/call_admission.cpp
@@ -3,6 +3,7 @@
 #include "stream_call.hpp"
 
 #include <plumdale/coordination/closing_grace.hpp>
+#include <plumdale/coordination/retry_delay.hpp>
 #include <plumdale/protocol/digest.hpp>
 
 #include <algorithm>
@@ -19,6 +20,9 @@
 // answers.
 constexpr state::duration unconfigured_retry_after = std::chrono::milliseconds{300};
 
+// Another VM takes the calls of one that stops at once.
+constexpr state::duration other_vm_retry_after = std::chrono::milliseconds{150};
+
 std::string_view without_port(std::string_view host)
 {
     return host.substr(0, host.find(':'));
@@ -125,6 +129,14 @@
     return !grace.is_closing() || grace.may_send(need_of(core, admitted), now);
 }
 
+// Those that wait are refused within moments of each other.
+state::duration draining_retry_after(forward_core& core, admitted_call const& admitted)
+{
+    std::uniform_real_distribution<double> draw{0.0, 1.0};
+    return coordination::draw_retry_after(admitted.deadline - boot_now(), other_vm_retry_after,
+                                          draw(core.random));
+}
+
 std::shared_ptr<call_handler> start_call(forward_core& core,
                                          std::shared_ptr<caller_channel> const& channel,
                                          received_call call, call_origin const& origin)
@@ -145,7 +157,9 @@
                              : static_cast<std::int64_t>(core.routing->configuration().version)}});
         core.metrics.add(forward_count::refused);
         channel->refuse(coordination::send_record{origin.possible_runs}.refusal_as(rejected->kind),
-                        unconfigured_retry_after);
+                        rejected->kind == error_kind::draining
+                            ? draining_retry_after(core, admitted)
+                            : unconfigured_retry_after);
         return nullptr;
     }
     admitted.request = request_digest_of(admitted);
--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -298,7 +298,7 @@
 void call_through_peer::refuse_draining()
 {
     note_outcome(coordination::call_outcome::refused);
-    refuse(error_kind::draining, shutting_down, draining_retry_after);
+    refuse(error_kind::draining, shutting_down, draining_retry_after(core_, admitted_));
 }
 
 void call_through_peer::refuse(error_kind kind, std::string_view why, state::duration retry_after)
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -71,8 +71,9 @@
 
 /// \brief Why a call is refused while the process is being stopped, for log lines.
 inline constexpr std::string_view shutting_down = "this entry VM shuts down";
-/// \brief A caller that is refused as this VM stops is served by any other VM at once.
-inline constexpr state::duration draining_retry_after = std::chrono::milliseconds{300};
+/// \brief Draws how long a caller that is refused so should wait before it goes to another VM.
+[[nodiscard]] state::duration draining_retry_after(forward_core& core,
+                                                   admitted_call const& admitted);
 
 /// \brief Sends a call to one upstream after another, as long as it may be retried.
 ///
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -268,7 +268,7 @@
 {
     refuse(admitted_.origin.is_peer ? state::error_kind::peer_declined
                                     : state::error_kind::draining,
-           shutting_down, draining_retry_after);
+           shutting_down, draining_retry_after(core_, admitted_));
 }
 
 // Another VM may not have been refused yet: callers that can't wait for the end retry as usual.
--- a/tests/platform/test_late_calls.cpp
+++ b/tests/platform/test_late_calls.cpp
@@ -112,6 +112,24 @@
     CHECK(is_refused_as_draining(*caller));
 }
 
+// Guards against a crowd that waited and returns at one moment, and callers with no time to return.
+TEST_CASE("a call that is held back returns within a third of its time", "[late_calls]")
+{
+    forward_fixture fixture;
+    std::string const path = GENERATE("/event/1", "/fetch/1", "/draft/1");
+    bool const has_waited = GENERATE(false, true);
+    std::string_view const fields = "Plumdale-Request-Deadline-Ms: 600\r\n";
+    auto caller = has_waited ? waiting_call(fixture, path, fields) : nullptr;
+    stop(fixture, 300ms);
+    caller = has_waited ? caller : fixture.call(path, "id-101", fields);
+    fixture.run_until([&] { return !caller->received.empty(); });
+    REQUIRE(is_refused_as_draining(*caller));
+    std::size_t const at = caller->received.find("Retry-After: ") + 13;
+    double const delay_s = std::stod(caller->received.substr(at));
+    CHECK(delay_s > 0.0);
+    CHECK(delay_s <= 0.2);
+}
+
 // Guards against refusals of calls that are served in time.
 TEST_CASE("a call that waited is sent while its answer comes before the end", "[late_calls]")
 {
