Soak: orders that take effect and lose their answers, processes that are killed

The soak had unkind calls, not unkind orders: an answer to an order was late or reset at one in five, one stream in ten had no length or chunks, and no process ended between two events with its connections closed in order.

Streams end by chunks, by the close or by a length.

`GET /v1/report` and orders that name another upstream are answered 421. The check of whole streams moved into a function that both services use; it is as strict as before, and says after which event a false end came.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -141,6 +141,20 @@
         writer.close()
 
 
+def event_of(index, length):
+    """Returns an event of a generation as it stands in an answer without chunks."""
+    return f"id: {index}\ndata: {index} of {length}\n\n".encode()
+
+
+def stream_violations(call, length, observed):
+    """A complete stream has each event of its run once and in order; a part of one begins so."""
+    events, body = b"".join(event_of(index, length) for index in range(1, length + 1)), observed["body"]
+    if observed["whole"] and body != events:
+        told = f"complete after event {body.count(b'id: ')} of {length}" if events.startswith(body) else "a complete stream"
+        return [f"{call}: {told} with missing, duplicate or reordered events"]
+    return [] if events.startswith(body) else [f"{call}: events that do not belong to the generation"]
+
+
 class Run:
     """One generation: its attempts and the number of generated events.
 
@@ -315,6 +329,9 @@
         method, target, _ = start.split(" ")
         vm = self.record.senders.get(writer.get_extra_info("peername"))
         leaving_fields = [("Server-Leaving", "1")] if self.says_leaving else []
+        expected = headers.get("plumdale-expect-instance")
+        if target.startswith("/v1/") and expected not in (None, self.name):
+            return writer.write(http_response(421, b"", [*leaving_fields, ("Plumdale-Not-Executed", "1")]))
         if target.startswith("/v1/kv-move"):
             return await self.move(json.loads(body), writer, leaving_fields, vm)
         if target.startswith("/v1/report"):
@@ -323,7 +340,7 @@
             released_call = self.record.copies.get(target.rsplit("/", 1)[1])
             self.record.violations += self.statements.arrived(released_call, vm, self.name, self.unreachable_until)
             return writer.write(http_response(200, b"{}", leaving_fields))
-        call, expected = headers.get("plumdale-request-id", ""), headers.get("plumdale-expect-instance")
+        call = headers.get("plumdale-request-id", "")
         fields = [("Plumdale-Request-Id", call), *leaving_fields]
         if self.brittle is not None:
             fields.append(("Server-Brittle", str(self.brittle)))
@@ -435,14 +452,37 @@
         if run is None or self not in run.active_upstreams.values():
             return writer.write(http_response(404, b"", fields))
         await asyncio.sleep(0.02)
-        handle = f"h{next(self.record.handles)}"
-        self.record.copies[handle] = order["id"]
+        handle = self.new_handle(order["id"])
         if order["isLast"]:
-            run.stopped |= {attempt for attempt, upstream in run.active_upstreams.items() if upstream is self}
+            self.stop_run(run)
         if not await self.unkindness.delay_order(writer):
             return
         writer.write(http_response(200, json.dumps({"handleId": handle, "createdRev": run.generated}).encode(), fields))
 
+    def new_handle(self, call):
+        handle = f"h{next(self.record.handles)}"
+        self.record.copies[handle] = call
+        return handle
+
+    def stop_run(self, run):
+        """Stops the attempts that run here; returns how many that were."""
+        stopped = {attempt for attempt, upstream in run.active_upstreams.items() if upstream is self} - run.stopped
+        run.stopped |= stopped
+        return len(stopped)
+
+    def draw_length(self, _):
+        """Returns the number of events of a call's generation."""
+        return self.random.randint(10, 90)
+
+    def framing_of(self, call, first):
+        """Returns how the end of a stream's answer is known: `chunks`, `close` or `length`."""
+        return "close" if self.closes_answers(f"{call} from {first}") else "chunks"
+
+    @staticmethod
+    def framing_field(framing, run, first):
+        size = sum(len(event_of(index, run.length)) for index in range(first + 1, run.length + 1))
+        return {"chunks": "Transfer-Encoding: chunked", "close": "Connection: close", "length": f"Content-Length: {size}"}[framing]
+
     async def generate(self, call, headers, writer, fields):
         runs = self.record.runs
         if resumed := headers.get("kv-from"):
@@ -460,15 +500,15 @@
             runs[call].start_count += 1
             return writer.write(http_response(500, b"", fields))
         else:
-            run, first = Run(self.random.randint(10, 90)), 0
+            run, first = Run(self.draw_length(call)), 0
             runs[call] = run
         backup_address = headers.get("plumdale-kv-backup")
         run.backup = (backup_address, self.record.upstream_starts.get(backup_address)) if backup_address else None
-        closes = self.closes_answers(f"{call} from {first}")
+        framing = self.framing_of(call, first)
         head = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in fields), f"{SEAL}: s", "Content-Type: text/event-stream",
-                "Connection: close" if closes else "Transfer-Encoding: chunked"]
+                self.framing_field(framing, run, first)]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
-        await self.stream(run, first, writer, closes)
+        await self.stream(run, first, writer, framing)
 
     def check_stopped(self, call, run, attempt):
         """Reports a violation when a reachable upstream still works on an attempt after its connection was closed."""
@@ -476,7 +516,7 @@
         if other is not None and other.alive and asyncio.get_running_loop().time() > other.unreachable_until:
             self.record.violations.append(f"{call}: resumed at {self.name} while {other.name} still works on it")
 
-    async def stream(self, run, first, writer, closes):
+    async def stream(self, run, first, writer, framing):
         attempt, cut_after = object(), self.unkindness.cut_after(first, run.length)
         run.active_upstreams[attempt] = self
         try:
@@ -489,12 +529,15 @@
                 if writer.is_closing():
                     continue
                 if cut_after is not None and index > cut_after:
-                    self.unkindness.cut(writer, closes)
+                    self.unkindness.cut(writer, closes=framing != "chunks")
                     continue
-                event = f"id: {index}\ndata: {index} of {run.length}\n\n".encode()
-                writer.write(event if closes else f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                event = event_of(index, run.length)
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n" if framing == "chunks" else event)
                 await writer.drain()
                 run.generated = max(run.generated, index)
-            writer.close() if closes else writer.write(b"0\r\n\r\n")
+            if framing == "chunks":
+                writer.write(b"0\r\n\r\n")
+            if framing == "close":
+                writer.close()
         finally:
             del run.active_upstreams[attempt]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,7 +14,8 @@
 reclaimed while the store is silent, and tries of calls at those that are gone are counted. VMs of half the seeds may have all load
 parts on, or --load-parts in all seeds; --compare runs each seed without and with `shared_suspicions` and bounds the tries.
 Half of the upstreams work on when a channel closes; all cut streams, send answers that nobody asked for, refusals twice, and answer orders late or
-not at all (unkind.py). Callers keep their connections until the VM closes them. Only processes that a seed started are signalled, by their ids. The last line is
+not at all (unkind.py). Drafts of a service of their own are stopped by orders whose answers are lost, and by processes that are killed
+(unkind_orders.py). Callers keep their connections until the VM closes them. Only processes that a seed started are signalled, by their ids. The last line is
 `N passed, N failed`; failed seeds print their violations and the folder of their logs.
 """
 
@@ -31,10 +32,11 @@
 from crowds import CALLS_PER_S, DESCRIPTORS, Crowd, has_crowd
 from gone_upstreams import GoneUpstreams, avoidable, comparison_violations
 from path_filter import PathFilter, reset
-from platform_standin import CONFIGURATION, ENDING_BODY, LOAD_ROUTES, Record, Store, Upstream
+from platform_standin import CONFIGURATION, ENDING_BODY, LOAD_ROUTES, Record, Store, Upstream, stream_violations
 from prompt_parts import crashing_prompt, prompt_of
 from repeats import WINDOW_S, RepeatCheck, has_kills_in_series, has_reclaims_in_series, limit_of
 from unkind import Unkindness
+from unkind_orders import MovedDrafts
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 ZONES = ("a", "b")
@@ -114,7 +116,7 @@
 
 
 class Fleet:
-    upstream_type, grace_s, has_kind_upstreams = Upstream, 4, False
+    upstream_type, proxy_type, grace_s, has_kind_upstreams = Upstream, Proxy, 4, False
 
     def __init__(self, seed, binary, folder, load_parts=()):
         self.seed, self.binary, self.folder, self.random = seed, binary, folder, random.Random(seed)
@@ -658,23 +660,21 @@
         if observed["kind"] != "draft":
             right = observed["body"] == f"answer {call}".encode()
             return [] if right or not observed["whole"] else [f"{call}: an answer that does not belong to the call"]
-        length = self.record.runs[call].length
-        events = [f"id: {i}\ndata: {i} of {length}\n\n".encode() for i in range(1, length + 1)]
-        if observed["whole"] and observed["body"] != b"".join(events):
-            return [f"{call}: a complete stream with missing, duplicate or reordered events"]
-        return [] if b"".join(events).startswith(observed["body"]) else [f"{call}: events that do not belong to the generation"]
+        return stream_violations(call, self.record.runs[call].length, observed)
 
 
 async def soak(seed, binary, seconds, overlap, load_parts):
     """Returns the violations of a seed, and the tries at upstreams that were gone."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"plumdale-soak-{seed}-"))
     fleet = Fleet(seed, binary, folder, load_parts)
-    loop = asyncio.get_running_loop()
+    moved, loop = MovedDrafts(fleet), asyncio.get_running_loop()
     try:
         await fleet.start()
         await asyncio.sleep(1.0)
         tasks, end, number = [], loop.time() + seconds, 0
         if seed not in REGRESSION_SEEDS:
+            await moved.start()
+            tasks += moved.tasks(end)
             tasks.append(asyncio.create_task(fleet.send_ending_calls(end)))
             tasks.append(asyncio.create_task(fleet.weaken_upstreams(end)))
             if seed % 2 == 0 or overlap:
@@ -702,7 +702,7 @@
         for task in pending:
             task.cancel()
         served = sum(1 for observed in fleet.calls.values() if observed["status"] == 200 and observed["whole"])
-        violations = fleet.violations() + fleet.record.repeats.end()
+        violations = fleet.violations() + fleet.record.repeats.end() + moved.violations(NOT_RUN_STATUSES)
         refused_by_order = fleet.count_refused_by_order()
         violations += fleet.service_violations(number, served)
     finally:
@@ -713,6 +713,7 @@
     print(f"  load parts {', '.join(load_parts) or 'off'}; {fleet.gone.summary(tries) if has_reclaimed_upstreams(seed) else 'no upstream reclaimed'}", flush=True)
     print(f"  {fleet.record.crashing.summary()}; {fleet.crowd.summary(fleet.calls)}", flush=True)
     print(f"  {fleet.record.repeats.summary()}; {fleet.unkindness_summary()}", flush=True)
+    print(f"  {moved.summary()}", flush=True)
     for line in violations[:5]:
         print(f"  {line}", flush=True)
     return not violations, tries
