Soak: orders that are carried out twice are answered soundly more often

Where an order is answered 503 with its handle, the run may go on at the same upstream, and the order's second effect stops it there. That took two draws that seldom meet.

--- a/tests/soak/unkind_orders.py
+++ b/tests/soak/unkind_orders.py
@@ -23,7 +23,9 @@
 # What becomes of an upstream: reset, or closed in order as a killed process is. Its port refuses then, or a new incarnation
 # comes there, under another name or the same.
 ENDS = ("reset", "refuses", "another name", "same name")
-SOUND_SHARE, SECOND_LOST_SHARE, BACKUP_SHARE = 0.3, 0.3, 1 / 3
+SECOND_LOST_SHARE, BACKUP_SHARE = 0.3, 1 / 3
+# Share of sound answers. With one the run may go on at the same upstream, where an order's second effect meets it.
+SOUND_SHARES = {"once": 0.3, "twice": 0.6}
 EFFECT_WEIGHTS, FRAMING_WEIGHTS = (5, 2, 2), (2, 3, 1)
 # The VMs' time limit of an order.
 ORDER_TIMEOUT_S = 2.5
@@ -50,7 +52,7 @@
         effect = self.random.choices(EFFECTS, EFFECT_WEIGHTS)[0]
         if effect == "late":
             return Order(effect, self.late_effect_delay(), self.random.choice(LATE_ANSWERS), 0.0)
-        answer = self.random.choice(SOUND_ANSWERS if self.random.random() < SOUND_SHARE else LOST_ANSWERS)
+        answer = self.random.choice(SOUND_ANSWERS if self.random.random() < SOUND_SHARES[effect] else LOST_ANSWERS)
         return Order(effect, self.random.uniform(0.1, 2.5), answer, self.answer_delay(answer))
 
     def second_answer(self):
