--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_channel.hpp"
+#include "end_question.hpp"
 #include "forward_core.hpp"
 #include "upstream_exchange.hpp"
 
@@ -64,6 +65,16 @@
 start_call(forward_core& core, std::shared_ptr<caller_channel> const& channel, received_call call,
            call_origin const& origin = {});
 
+/// \brief Returns whether the answer to a call that is sent now can be delivered before the process
+/// ends.
+[[nodiscard]] bool may_send_before_stop(forward_core const& core, admitted_call const& admitted,
+                                        state::time_point now);
+
+/// \brief Why a call is refused while the process is being stopped, for log lines.
+inline constexpr std::string_view shutting_down = "this entry VM shuts down";
+/// \brief A caller that is refused as this VM stops is served by any other VM at once.
+inline constexpr state::duration draining_retry_after = std::chrono::milliseconds{300};
+
 /// \brief Sends a call to one upstream after another, as long as it may be retried.
 ///
 /// The record of its sends decides whether it is sent again and what its caller is told: it may
@@ -81,6 +92,7 @@
 
     void on_caller_disconnected() override;
     void on_caller_ready() override;
+    void on_process_ending() final;
     std::optional<std::string> request() override;
     void on_head(protocol::message_head const& head, protocol::body_framing framing) override;
     void on_end(exchange_end end) final;
@@ -104,8 +116,20 @@
     /// \brief Returns the headers to add to the next send.
     [[nodiscard]] virtual protocol::system_headers make_system_headers(state::time_point now) const;
     /// \brief Called when the upstream closed the connection in order after an answer without
-    /// length or chunks. Such an answer of a plain call is whole.
-    virtual void on_closed();
+    /// length or chunks.
+    virtual void on_closed() = 0;
+    /// \brief Asks the upstream of an answer that ended with its connection whether its process
+    /// lived on, and calls `on_answer` with that, unless the call has ended or the question was
+    /// dropped.
+    void ask_whether_it_lives(std::function<void(bool)> on_answer);
+    void drop_end_question() noexcept
+    {
+        end_question_.reset();
+    }
+    [[nodiscard]] bool is_end_asked() const noexcept
+    {
+        return end_question_ != nullptr;
+    }
     /// \brief Records what the end shows of the upstream, and goes on with it; `end` is not
     /// `closed`.
     void conclude(exchange_end end);
@@ -255,6 +279,9 @@
     admitted_call admitted_;
     net::steady_timer timer_;
     std::shared_ptr<upstream_exchange> exchange_;
+    /// \brief The question that is under way.
+    std::shared_ptr<end_question> end_question_;
+    std::uint32_t end_questions_ = 0;
     state::member_key member_;
     /// \brief Where it is sent; the directory may list another place meanwhile.
     state::endpoint address_{};
@@ -314,6 +341,8 @@
     /// new one.
     [[nodiscard]] state::duration longest_idle(state::member_key member) const;
     void refuse_quarantined();
+    /// \brief Refuses the call as its answer couldn't be delivered before the process ends.
+    void refuse_draining();
     /// \brief Sends a quarantined call if a part of its prompt is to be tried again, here or at the
     /// VM that does so.
     void try_part_or_refuse();
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -65,9 +65,27 @@
     end == exchange_end::closed ? on_closed() : conclude(end);
 }
 
-void forward_call::on_closed()
+void forward_call::ask_whether_it_lives(std::function<void(bool)> on_answer)
 {
-    conclude(exchange_end::complete);
+    close_exchange();
+    end_question::subject subject{admitted_.headers.id, member_, std::string{member_name()},
+                                  address_, started_};
+    end_question_ = std::make_shared<end_question>(
+        core_, std::move(subject),
+        [weak = weak_from_this(), serial = ++end_questions_,
+         on_answer = std::move(on_answer)](bool lived_on)
+        {
+            auto const self = weak.lock();
+            bool const is_due = self != nullptr && !self->finished_ && self->is_end_asked() &&
+                                self->end_questions_ == serial;
+            if (is_due)
+            {
+                self->drop_end_question();
+                on_answer(lived_on);
+            }
+        });
+    end_question_->start();
+    arm_timer();
 }
 
 void forward_call::conclude(exchange_end end)
@@ -258,6 +276,19 @@
                state::duration{spread(core_.random)});
 }
 
+void forward_call::on_process_ending()
+{
+    refuse_draining();
+}
+
+// A peer's call is no caller of this VM's: the peer has another one take it.
+void forward_call::refuse_draining()
+{
+    refuse(admitted_.origin.is_peer ? state::error_kind::peer_declined
+                                    : state::error_kind::draining,
+           shutting_down, draining_retry_after);
+}
+
 // Another VM may not have been refused yet: callers that can't wait for the end retry as usual.
 void forward_call::refuse_backed_off(state::time_point end, state::time_point now)
 {
