An order to stop counts however it was answered; the question has time, and its answers are judged

Cause: an order answered with a handle was let go of; the one answer after the close was taken for life whoever gave it and whenever; the question had no time of its own.

Change: only 'no effect' lets go of an order. A close within 50 ms of the run's time may be part of one. A report that states another start, or less than .6 s to go (reports are .5 s old), proves nothing. Questions are repeated after .1 and .2 s; while one is under way the caller's patience doesn't end the answer; a call that ends drops its question.

Tests: six new ones of [stream_ends], and the one of [stream_end] that let a stopped run's order go is replaced by a stricter one.

--- a/include/plumdale/coordination/stream_end.hpp
+++ b/include/plumdale/coordination/stream_end.hpp
@@ -52,16 +52,16 @@
 /// \brief What is known of an order that may stop a run.
 enum class stop_outcome : std::uint8_t
 {
-    open,      ///< It may take effect, now or at any later time.
-    no_effect, ///< Nothing of it was written, or its upstream knew no such run.
-    stopped    ///< The upstream stopped the run.
+    open,     ///< It may take effect, now or at any later time.
+    no_effect ///< Nothing of it was written, or its upstream knew no such run.
 };
 
 /// \brief Remembers which orders may stop the runs of a generation, and says whether a close in
 /// order may be the end of its stream.
 ///
-/// Orders are remembered by upstream and beyond the run that they were written for: one that is
-/// late may stop a later run of the same generation there. Example:
+/// Orders are remembered by upstream, however they were answered, and beyond the run that they were
+/// written for: one that is late, or arrives twice, may stop a later run of the same generation
+/// there. Example:
 /// \code
 /// stream_end_record ends;
 /// ends.stop_ordered(upstream);
@@ -103,8 +103,6 @@
     std::vector<state::member_key> open_;
     /// \brief Where the run's stream was closed in order.
     std::optional<state::member_key> closed_at_;
-    /// \brief Upstream that carried out an order since the run began.
-    std::optional<state::member_key> stopped_at_;
 };
 
 } // namespace plumdale::coordination
--- a/src/coordination/stream_end.cpp
+++ b/src/coordination/stream_end.cpp
@@ -16,7 +16,6 @@
 void stream_end_record::run_begins() noexcept
 {
     closed_at_.reset();
-    stopped_at_.reset();
 }
 
 void stream_end_record::stop_ordered(state::member_key at)
@@ -27,14 +26,9 @@
 void stream_end_record::order_ended(state::member_key at, stop_outcome outcome) noexcept
 {
     auto const found = std::find(open_.begin(), open_.end(), at);
-    if (found == open_.end() || outcome == stop_outcome::open)
+    if (found != open_.end() && outcome == stop_outcome::no_effect)
     {
-        return;
-    }
-    open_.erase(found);
-    if (outcome == stop_outcome::stopped)
-    {
-        stopped_at_ = at;
+        open_.erase(found);
     }
 }
 
@@ -45,8 +39,7 @@
 
 bool stream_end_record::may_be_whole() const noexcept
 {
-    return closed_at_ && stopped_at_ != closed_at_ &&
-           std::find(open_.begin(), open_.end(), *closed_at_) == open_.end();
+    return closed_at_ && std::find(open_.begin(), open_.end(), *closed_at_) == open_.end();
 }
 
 std::optional<stream_whole> stream_end_record::proof_by_answer() const noexcept
--- a/src/transport/end_question.cpp
+++ b/src/transport/end_question.cpp
@@ -2,8 +2,6 @@
 
 #include "boot_clock.hpp"
 
-#include <plumdale/coordination/generation_failover.hpp>
-
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
@@ -33,8 +31,8 @@
 {
     if (answer)
     {
-        bool const lived_on = is_same_process(answer.value());
-        return end(lived_on, lived_on ? "its process lives" : "another process");
+        bool const lived_on = shows_life(answer.value());
+        return end(lived_on, lived_on ? "its process lives" : "another process, or one that ends");
     }
     switch (answer.error().kind)
     {
@@ -42,16 +40,19 @@
         return end(false, answer.error().detail);
     case state::error_kind::overloaded:
         // It asked for a back-off, and nothing was sent.
-        return ask_after_backoff();
+        return ask_again_in(
+            std::max(core_.backoffs.left(subject_.member, boot_now()), repeat_delay));
     default:
-        return ++unanswered_ < max_unanswered ? start() : end(false, answer.error().detail);
+        ++unanswered_;
+        return unanswered_ < max_unanswered
+                   ? ask_again_in(repeat_delay * (std::int64_t{1} << (unanswered_ - 1)))
+                   : end(false, answer.error().detail);
     }
 }
 
-void end_question::ask_after_backoff()
+void end_question::ask_again_in(state::duration delay)
 {
-    timer_.expires_after(std::max(core_.backoffs.left(subject_.member, boot_now()),
-                                  coordination::generation_failover::copy_retry_delay));
+    timer_.expires_after(delay);
     timer_.async_wait(
         [weak = weak_from_this()](boost::system::error_code error)
         {
@@ -70,8 +71,8 @@
     on_answer_(lived_on);
 }
 
-// Any answer shows that a process lives there; not whose it is.
-bool end_question::is_same_process(fetch_answer const& answer) const
+// Any answer shows that a process lives there; not whose it is, nor for how long.
+bool end_question::shows_life(fetch_answer const& answer) const
 {
     protocol::message_head head;
     head.status = answer.status;
@@ -81,9 +82,16 @@
         return false;
     }
     auto const report = core_.dialect.read_report(answer.body);
-    bool const is_later =
-        report && subject_.started.value != 0 && subject_.started < report.value().started;
-    return !is_later;
+    if (!report)
+    {
+        return true;
+    }
+    state::incarnation const stated = report.value().started;
+    bool const is_other =
+        subject_.started.value != 0 && stated.value != 0 && subject_.started != stated;
+    auto const leaves_in = report.value().leaves_in;
+    bool const may_be_ending = leaves_in && *leaves_in < last_moments;
+    return !is_other && !may_be_ending;
 }
 
 } // namespace plumdale::transport
--- a/src/transport/end_question.hpp
+++ b/src/transport/end_question.hpp
@@ -49,12 +49,19 @@
     static constexpr std::chrono::milliseconds timeout{300};
     /// \brief Questions that may get no answer: the way to the upstream may lose packets.
     static constexpr std::uint32_t max_unanswered = 3;
+    /// \brief Before a question is repeated; doubled each time. An upstream with too many
+    /// connections resets new ones at once.
+    static constexpr state::duration repeat_delay = std::chrono::milliseconds{100};
+    /// \brief Reports are half a second old: a process that states less than this may be past its
+    /// time, and answers while it ends.
+    static constexpr state::duration last_moments = std::chrono::milliseconds{600};
 
 private:
     void on_result(state::result<fetch_answer> const& answer);
-    void ask_after_backoff();
+    void ask_again_in(state::duration delay);
     void end(bool lived_on, std::string_view why);
-    [[nodiscard]] bool is_same_process(fetch_answer const& answer) const;
+    /// \brief Returns whether the process that had the run answered, and stays.
+    [[nodiscard]] bool shows_life(fetch_answer const& answer) const;
 
     forward_core& core_;
     subject subject_;
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -435,6 +435,7 @@
         core_.quarantine.end_trial(*tried_part_);
     }
     leave_waiting(false);
+    drop_end_question();
     close_exchange();
 }
 
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -60,6 +60,9 @@
         "events without a number follow the last id";
     /// \brief Bytes of the largest event.
     static constexpr std::size_t max_event_bytes = 256UL * 1024;
+    /// \brief An upstream ends a run at the time that it was told, by its own clock: a stream that
+    /// is closed later than this before that time may be part of one.
+    static constexpr state::duration run_time_margin = std::chrono::milliseconds{50};
 
 private:
     [[nodiscard]] protocol::system_headers
@@ -141,8 +144,8 @@
     void carry_out(coordination::abandon_generation const& action);
     void on_copy_answer(bool last, state::result<fetch_answer> const& answer);
     /// \brief Returns what the answer to an order to stop shows of its effect.
-    [[nodiscard]] coordination::stop_outcome
-    outcome_of(state::result<fetch_answer> const& answer) const;
+    [[nodiscard]] static coordination::stop_outcome
+    outcome_of(state::result<fetch_answer> const& answer);
     void refuse_copy(coordination::copy_refusal reason, std::string handle);
     /// \brief Treats an order that could not be given like one that got no answer.
     void on_copy_unordered(bool last);
@@ -152,6 +155,11 @@
     [[nodiscard]] std::optional<state::member_key>
     choose_destination(state::member_key source, std::span<state::member_key const> excluded);
     [[nodiscard]] state::duration silence_timeout() const;
+    /// \brief Returns whether nothing can come but a resumption.
+    [[nodiscard]] bool awaits_next_run() const noexcept
+    {
+        return exchange_ == nullptr && !is_end_asked();
+    }
 
     std::optional<coordination::generation_failover> failover_;
     std::optional<protocol::resume_point> resume_from_;
--- a/src/transport/stream_call_ends.cpp
+++ b/src/transport/stream_call_ends.cpp
@@ -208,7 +208,8 @@
         return conclude(exchange_end::complete);
     }
     bool const is_after_event = begun_ && !resuming_ && events_.is_between_blocks();
-    if (is_after_event)
+    bool const is_in_time = boot_now() < admitted_.deadline - run_time_margin;
+    if (is_after_event && is_in_time)
     {
         ends_.closed_in_order(member_);
     }
@@ -249,7 +250,7 @@
     state::time_point const copies =
         failover_ && !is_end_asked() ? failover_->next_deadline() : state::never;
     state::time_point const patience =
-        exchange_ == nullptr ? last_progress_ + silence_timeout() : state::never;
+        awaits_next_run() ? last_progress_ + silence_timeout() : state::never;
     return std::min({forward_call::next_deadline(), copies, patience});
 }
 
@@ -257,7 +258,7 @@
 {
     // With a run at an upstream its silence is no reason to end the answer. Without one nothing can
     // come but a resumption, and the caller has left by then.
-    if (exchange_ == nullptr && now >= last_progress_ + silence_timeout())
+    if (awaits_next_run() && now >= last_progress_ + silence_timeout())
     {
         return on_timeout();
     }
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -367,7 +367,7 @@
             }
             if (last)
             {
-                self->ends_.order_ended(source, self->outcome_of(answer));
+                self->ends_.order_ended(source, outcome_of(answer));
             }
             // A late answer of a former run's upstream says nothing of the current run.
             if (self->sends_.written() == run)
@@ -437,24 +437,17 @@
 
 // What the users' page says of a 409, and of a 503 without a handle, leaves open whether the run
 // was stopped first.
-stop_outcome stream_call::outcome_of(state::result<fetch_answer> const& answer) const
+stop_outcome stream_call::outcome_of(state::result<fetch_answer> const& answer)
 {
-    if (!answer)
-    {
-        using state::error_kind;
-        error_kind const kind = answer.error().kind;
-        bool const is_unwritten = kind == error_kind::connection_refused ||
-                                  kind == error_kind::overloaded || kind == error_kind::no_upstream;
-        return is_unwritten ? stop_outcome::no_effect : stop_outcome::open;
-    }
-    unsigned const status = answer.value().status;
-    if (status == not_found)
+    if (answer)
     {
-        return stop_outcome::no_effect;
+        return answer.value().status == not_found ? stop_outcome::no_effect : stop_outcome::open;
     }
-    bool const has_handle = core_.dialect.read_copy_answer(answer.value().body).has_value();
-    return has_handle && (status == success || status == unavailable) ? stop_outcome::stopped
-                                                                      : stop_outcome::open;
+    using state::error_kind;
+    error_kind const kind = answer.error().kind;
+    bool const is_unwritten = kind == error_kind::connection_refused ||
+                              kind == error_kind::overloaded || kind == error_kind::no_upstream;
+    return is_unwritten ? stop_outcome::no_effect : stop_outcome::open;
 }
 
 void stream_call::carry_out(resume_generation const& action)
--- a/tests/coordination/test_stream_end.cpp
+++ b/tests/coordination/test_stream_end.cpp
@@ -97,7 +97,7 @@
             // Lost, unreadable, or of a status that says nothing.
             bool const says_nothing = !each.is_carried_out || random_() % 2 == 0;
             stop_outcome const truth =
-                each.found_run ? stop_outcome::stopped : stop_outcome::no_effect;
+                each.found_run ? stop_outcome::open : stop_outcome::no_effect;
             return record_.order_ended(source, says_nothing ? stop_outcome::open : truth);
         }
     }
@@ -181,8 +181,6 @@
     record.run_begins();
     record.closed_in_order(source);
     CHECK(record.may_be_whole());
-    record.order_ended(other, stop_outcome::stopped);
-    CHECK(record.may_be_whole());
 }
 
 TEST_CASE("an order that found no run leaves the end proved by the process", "[stream_end]")
@@ -196,17 +194,20 @@
     CHECK(record.may_be_whole());
 }
 
-TEST_CASE("a run that was stopped is not whole, and the next one at its upstream may be",
-          "[stream_end]")
+// The order may arrive twice, and stop the next run too.
+TEST_CASE("an order that was carried out leaves closes at its upstream unproved", "[stream_end]")
 {
     stream_end_record record;
     record.run_begins();
     record.stop_ordered(source);
-    record.order_ended(source, stop_outcome::stopped);
+    record.order_ended(source, stop_outcome::open);
     record.closed_in_order(source);
     CHECK_FALSE(record.may_be_whole());
     record.run_begins();
     record.closed_in_order(source);
+    CHECK_FALSE(record.may_be_whole());
+    record.run_begins();
+    record.closed_in_order(other);
     CHECK(record.may_be_whole());
 }
 
--- a/tests/platform/test_stream_ends.cpp
+++ b/tests/platform/test_stream_ends.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -251,6 +252,130 @@
     CHECK_FALSE(draft.is_complete());
 }
 
+// An order that reaches the upstream twice stops the run there, and later the next one.
+TEST_CASE("an order that was carried out may stop a later run at the same upstream",
+          "[stream_ends]")
+{
+    forward_fixture fixture;
+    fill_engines(fixture);
+    closed_draft const draft{fixture};
+    draft.stream->reset();
+    fixture.upstream_connection(stop_order)
+        ->send(answer_with_status("503", R"({"handleId":"h-2","createdRev":3})"));
+    auto const resumed = fixture.upstream_connection(resumption);
+    REQUIRE(&fixture.upstream_of(resumption) == draft.source);
+    resumed->send(closed_head("id-1") + event(4));
+    fixture.run_until([&] { return draft.has_event(4); });
+    resumed->close();
+    request_answers answers{*draft.source};
+    fixture.run_until(
+        [&]
+        {
+            answers.send(report_question, answer_with_status("200", "{}"));
+            return draft.caller->ended || draft.is_complete() ||
+                   draft.source->connections_with(stop_order).size() > 1;
+        });
+    CHECK_FALSE(draft.is_complete());
+}
+
+// An upstream ends its work at the time that it is told, and lives on.
+TEST_CASE("a stream that is closed as the time of its run is over is not complete", "[stream_ends]")
+{
+    forward_fixture fixture;
+    fill_engines(fixture);
+    auto const caller = fixture.call("/draft/1", "id-1",
+                                     "Plumdale-Token-Usage: 3000,1800\r\n"
+                                     "Plumdale-Request-Deadline-Ms: 700\r\n");
+    auto const asked_at = std::chrono::steady_clock::now();
+    scripted_upstream& source = fixture.upstream_of(id_field("id-1"));
+    auto const stream = source.connections_with(id_field("id-1")).front();
+    stream->send(closed_head("id-1") + event(1));
+    fixture.run_until([&] { return std::chrono::steady_clock::now() > asked_at + 680ms; });
+    stream->close();
+    run_with_reports(fixture, source,
+                     [&] { return caller->ended || caller->received.ends_with(last_chunk); });
+    CHECK_FALSE(caller->received.ends_with(last_chunk));
+}
+
+// A process that leaves may close its streams and answer once more before it ends.
+TEST_CASE("a stream that is closed as its upstream's time is over is not complete", "[stream_ends]")
+{
+    forward_fixture fixture;
+    closed_draft const draft{fixture};
+    draft.stream->close();
+    request_answers answers{*draft.source};
+    fixture.run_until(
+        [&]
+        {
+            answers.send(report_question,
+                         answer_with_status("200", R"({"state":"draining","leaves_ms":400})"));
+            return draft.caller->ended || draft.is_complete() ||
+                   fixture.request_count(stop_order) > 0;
+        });
+    CHECK_FALSE(draft.is_complete());
+}
+
+TEST_CASE("an earlier process at its upstream's address proves no end", "[stream_ends]")
+{
+    forward_fixture fixture;
+    announce_incarnations(fixture);
+    closed_draft const draft{fixture};
+    draft.stream->close();
+    auto const earlier = R"({"born":)" + std::to_string(first_incarnation - 60'000) + "}";
+    request_answers answers{*draft.source};
+    fixture.run_until(
+        [&]
+        {
+            answers.send(report_question, answer_with_status("200", earlier));
+            return draft.caller->ended || draft.is_complete() ||
+                   fixture.request_count(stop_order) > 0;
+        });
+    CHECK_FALSE(draft.is_complete());
+}
+
+// Guards against a whole stream that is broken off: its caller's patience counted while its end was
+// asked for.
+TEST_CASE("a stream that was silent for long before its end is complete", "[stream_ends]")
+{
+    forward_fixture fixture;
+    fill_engines(fixture);
+    closed_draft const draft{fixture};
+    run_for(fixture, 7'300ms);
+    REQUIRE_FALSE(draft.caller->ended);
+    draft.stream->close();
+    run_with_reports(fixture, *draft.source,
+                     [&] { return draft.caller->ended || draft.is_complete(); });
+    CHECK(draft.is_complete());
+}
+
+// Guards against a whole stream that is broken off: an upstream with too many connections resets
+// new ones, and all questions were over within a millisecond.
+TEST_CASE("a question whose connections are reset for a moment is asked again", "[stream_ends]")
+{
+    forward_fixture fixture;
+    fill_engines(fixture);
+    closed_draft const draft{fixture};
+    draft.stream->close();
+    auto const begin = std::chrono::steady_clock::now();
+    request_answers answers{*draft.source};
+    fixture.run_until(
+        [&]
+        {
+            for (auto const& each : draft.source->connections_with(report_question))
+            {
+                if (std::chrono::steady_clock::now() < begin + 60ms)
+                {
+                    answers.skip(each);
+                    each->reset();
+                }
+            }
+            answers.send(report_question, answer_with_status("200", "{}"));
+            return draft.caller->ended || draft.is_complete();
+        });
+    CHECK(draft.is_complete());
+    CHECK(fixture.request_count(stop_order) == 0);
+}
+
 TEST_CASE("a resumed stream that is closed without an event is not complete", "[stream_ends]")
 {
     forward_fixture fixture;
