--- a/tests/transport/test_upstream_stream.cpp
+++ b/tests/transport/test_upstream_stream.cpp
@@ -181,6 +181,19 @@
 
 // The service ran the call and answered with its own status: the caller must receive it instead of
 // an error of the system.
+// Guards against half an answer that passes for whole: its process was killed within it.
+TEST_CASE("a service's answer without a length isn't whole as its upstream is gone")
+{
+    coordination::open_stream call;
+    call.kind = state::work_kind::call;
+    call.path = "/orders";
+    exchange half{"HTTP/1.1 200 OK\r\n\r\nhalf", call};
+    REQUIRE(run_until(half.context, [&] { return half.upstream != nullptr; }));
+    half.listener.acceptor.close();
+    half.upstream->close();
+    CHECK(half.failure());
+}
+
 TEST_CASE("a service's answer keeps its status")
 {
     coordination::open_stream call;
