--- a/tests/soak/reloads.py
+++ b/tests/soak/reloads.py
@@ -12,6 +12,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import collections
 import json
 import pathlib
@@ -237,7 +238,9 @@
         try:
             await asyncio.wait_for(self.vms[vm].wait(), GRACE_S)
         except asyncio.TimeoutError:
-            self.vms[vm].kill()
+            # It may end by itself at this moment.
+            with contextlib.suppress(ProcessLookupError):
+                self.vms[vm].kill()
             await self.vms[vm].wait()
         await self.start_vm(vm)
         self.starting.discard(vm)
