--- a/tests/soak/reloads.py
+++ b/tests/soak/reloads.py
@@ -12,8 +12,8 @@
 
 import argparse
 import asyncio
-import contextlib
 import collections
+import contextlib
 import json
 import pathlib
 import random
