--- a/tests/platform/test_stream_ends.cpp
+++ b/tests/platform/test_stream_ends.cpp
@@ -98,6 +98,21 @@
         });
 }
 
+/// \brief From now on the upstream gives this answer to questions for its report. Waits until the
+/// caller is told an end, or the upstream is ordered to stop once more than `orders` times.
+void run_with_report(forward_fixture& fixture, closed_draft const& draft, std::string_view answer,
+                     std::size_t orders = 0)
+{
+    request_answers answers{*draft.source};
+    fixture.run_until(
+        [&]
+        {
+            answers.send(report_question, answer);
+            return draft.caller->ended || draft.is_complete() ||
+                   draft.source->connections_with(stop_order).size() > orders;
+        });
+}
+
 /// \brief The draft goes on after its third event, and is complete then.
 void check_goes_on(forward_fixture& fixture, closed_draft const& draft)
 {
@@ -180,14 +195,7 @@
     resumed->send(closed_head("id-1") + event(4));
     fixture.run_until([&] { return draft.has_event(4); });
     resumed->close();
-    request_answers answers{*draft.source};
-    fixture.run_until(
-        [&]
-        {
-            answers.send(report_question, answer_with_status("200", "{}"));
-            return draft.caller->ended || draft.is_complete() ||
-                   draft.source->connections_with(stop_order).size() > 2;
-        });
+    run_with_report(fixture, draft, answer_with_status("200", "{}"), 2);
     CHECK_FALSE(draft.is_complete());
 }
 
@@ -224,15 +232,9 @@
     closed_draft const draft{fixture};
     draft.stream->close();
     auto const later = R"({"born":)" + std::to_string(first_incarnation + 60'000) + "}";
-    request_answers answers{*draft.source};
-    fixture.run_until(
-        [&]
-        {
-            answers.send(report_question, states_start ? answer_with_status("200", later)
-                                                       : answer_with_status("421", ""));
-            return draft.caller->ended || draft.is_complete() ||
-                   fixture.request_count(stop_order) > 0;
-        });
+    run_with_report(fixture, draft,
+                    states_start ? answer_with_status("200", later)
+                                 : answer_with_status("421", ""));
     CHECK_FALSE(draft.is_complete());
     CHECK(fixture.request_count(stop_order) == 1);
 }
@@ -267,14 +269,7 @@
     resumed->send(closed_head("id-1") + event(4));
     fixture.run_until([&] { return draft.has_event(4); });
     resumed->close();
-    request_answers answers{*draft.source};
-    fixture.run_until(
-        [&]
-        {
-            answers.send(report_question, answer_with_status("200", "{}"));
-            return draft.caller->ended || draft.is_complete() ||
-                   draft.source->connections_with(stop_order).size() > 1;
-        });
+    run_with_report(fixture, draft, answer_with_status("200", "{}"), 1);
     CHECK_FALSE(draft.is_complete());
 }
 
@@ -303,15 +298,8 @@
     forward_fixture fixture;
     closed_draft const draft{fixture};
     draft.stream->close();
-    request_answers answers{*draft.source};
-    fixture.run_until(
-        [&]
-        {
-            answers.send(report_question,
-                         answer_with_status("200", R"({"state":"draining","leaves_ms":400})"));
-            return draft.caller->ended || draft.is_complete() ||
-                   fixture.request_count(stop_order) > 0;
-        });
+    run_with_report(fixture, draft,
+                    answer_with_status("200", R"({"state":"draining","leaves_ms":400})"));
     CHECK_FALSE(draft.is_complete());
 }
 
@@ -322,14 +310,7 @@
     closed_draft const draft{fixture};
     draft.stream->close();
     auto const earlier = R"({"born":)" + std::to_string(first_incarnation - 60'000) + "}";
-    request_answers answers{*draft.source};
-    fixture.run_until(
-        [&]
-        {
-            answers.send(report_question, answer_with_status("200", earlier));
-            return draft.caller->ended || draft.is_complete() ||
-                   fixture.request_count(stop_order) > 0;
-        });
+    run_with_report(fixture, draft, answer_with_status("200", earlier));
     CHECK_FALSE(draft.is_complete());
 }
 
