Cut streams: a line and counters say whose limit ended an answer

A stream that was broken off had one line and one counter, whether its upstream ended it, an order of this VM had stopped its run, a bound of this VM was met or its caller's time was over. An 'answer cut' line has the cause, the orders to stop, the resumptions and how many of them were written, the time since the first of them, where the memory was asked for, and what was left of the caller's time; five counters add up to streams_broken. 'resumption failed' says what was proved of the send: not written, or refused by its id.

No decision changes.

--- a/src/transport/call_through_peer.cpp
+++ b/src/transport/call_through_peer.cpp
@@ -311,7 +311,7 @@
     channel->refuse(answer, retry_after);
 }
 
-void call_through_peer::fail(std::string_view why)
+void call_through_peer::fail(std::string_view why, coordination::cut_cause cause)
 {
     note_outcome(coordination::call_outcome::failed);
     if (!begun_)
@@ -319,7 +319,7 @@
         return refuse(error_kind::may_have_run, why, retry_after());
     }
     log("broken off", why);
-    core_.metrics.add(forward_count::streams_broken);
+    core_.metrics.add_cut(cause);
     auto const channel = channel_;
     finish();
     channel->abort_answer();
@@ -333,7 +333,8 @@
 
 void call_through_peer::on_deadline()
 {
-    sends_.prove_never_ran() ? refuse_unsent("time is over") : fail("time is over");
+    sends_.prove_never_ran() ? refuse_unsent("time is over")
+                             : fail("time is over", coordination::cut_cause::caller_time);
 }
 
 void call_through_peer::on_caller_disconnected()
--- a/src/transport/call_through_peer.hpp
+++ b/src/transport/call_through_peer.hpp
@@ -66,7 +66,7 @@
     /// \brief Records what the end of the exchange proves of the send to this peer.
     void record_end(exchange_end end);
     /// \brief Ends an answer that can't be completed.
-    void fail(std::string_view why);
+    void fail(std::string_view why, coordination::cut_cause cause = coordination::cut_cause::peer);
     void note_outcome(coordination::call_outcome outcome);
     void finish();
     [[nodiscard]] state::duration retry_after();
--- a/src/transport/forward_metrics.cpp
+++ b/src/transport/forward_metrics.cpp
@@ -20,6 +20,15 @@
     {"plumdale_forward_ends_asked_total",
      "Questions to upstreams that closed a stream without length or chunks."},
     {"plumdale_forward_streams_broken_total", "Streams broken off."},
+    {"plumdale_forward_streams_cut_by_upstream_total",
+     "Streams broken off as their upstream ended them and nothing was left to go on from."},
+    {"plumdale_forward_streams_cut_after_own_stop_total",
+     "Streams broken off after an order of this VM had stopped their run."},
+    {"plumdale_forward_streams_cut_by_own_limit_total",
+     "Streams broken off by a bound of this VM."},
+    {"plumdale_forward_streams_cut_by_caller_time_total",
+     "Streams broken off as the time of their caller or route was over."},
+    {"plumdale_forward_streams_cut_by_peer_total", "Streams that a peer broke off."},
     {"plumdale_forward_refused_total", "Calls refused as not run."},
     {"plumdale_forward_refused_on_arrival_total",
      "Calls refused at once, as no capacity was expected in their callers' time."},
@@ -119,6 +128,17 @@
     out.append(name).append("_count ").append(std::to_string(sum)).append("\n");
 }
 
+void forward_metrics::add_cut(coordination::cut_cause cause) noexcept
+{
+    static constexpr std::array<forward_count,
+                                static_cast<std::size_t>(coordination::cut_cause::count)>
+        counts{forward_count::cut_by_upstream, forward_count::cut_after_own_stop,
+               forward_count::cut_by_own_limit, forward_count::cut_by_caller_time,
+               forward_count::cut_by_peer};
+    add(forward_count::streams_broken);
+    add(counts[static_cast<std::size_t>(cause)]);
+}
+
 void forward_metrics::add_failed_connection(connection_failure failure) noexcept
 {
     static constexpr std::array<forward_count, 6> counts{
--- a/src/transport/forward_metrics.hpp
+++ b/src/transport/forward_metrics.hpp
@@ -3,6 +3,8 @@
 #include "connection_failure.hpp"
 #include "metrics.hpp"
 
+#include <plumdale/coordination/cut_cause.hpp>
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +24,11 @@
     streams_whole,
     ends_asked,
     streams_broken,
+    cut_by_upstream,
+    cut_after_own_stop,
+    cut_by_own_limit,
+    cut_by_caller_time,
+    cut_by_peer,
     refused,
     refused_on_arrival,
     refused_after_wait,
@@ -90,6 +97,8 @@
     {
         counts_[static_cast<std::size_t>(which)] += by;
     }
+    /// \brief Counts an answer that began and did not get whole, by its cause.
+    void add_cut(coordination::cut_cause cause) noexcept;
     /// \brief Counts a connection to an upstream that could not be opened, by its reason.
     void add_failed_connection(connection_failure failure) noexcept;
     [[nodiscard]] std::uint64_t value(forward_count which) const noexcept
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -3,6 +3,7 @@
 #include "forward_call.hpp"
 
 #include <plumdale/coordination/copy_admission.hpp>
+#include <plumdale/coordination/cut_cause.hpp>
 #include <plumdale/coordination/generation_admission.hpp>
 #include <plumdale/coordination/generation_backup.hpp>
 #include <plumdale/coordination/generation_failover.hpp>
@@ -21,6 +22,31 @@
 namespace plumdale::transport
 {
 
+/// \brief What was tried to have a generation go on, since its run ended or was ordered to stop.
+struct move_attempts
+{
+    std::optional<state::time_point> began_at;
+    /// \brief Orders to stop the run, whatever became of them.
+    std::uint32_t stop_orders = 0;
+    std::uint32_t resumptions = 0;
+    /// \brief Resumptions that were written to an upstream.
+    std::uint32_t resumptions_sent = 0;
+    /// \brief An order to stop was written while the run's stream was open.
+    bool stopped_running = false;
+    /// \brief Where the memory was last known to be held.
+    state::member_key held_at;
+
+    void begin(state::time_point now) noexcept
+    {
+        began_at = began_at.value_or(now);
+    }
+    /// \brief Returns why the answer is cut: an order of this VM comes before `otherwise`.
+    [[nodiscard]] coordination::cut_cause cause(coordination::cut_cause otherwise) const noexcept
+    {
+        return stopped_running ? coordination::cut_cause::own_stop : otherwise;
+    }
+};
+
 /// \brief Forwards whole events as they arrive, each once and in order, across the upstreams that
 /// run the generation one after another.
 class stream_call final : public forward_call, public departure_listener
@@ -150,7 +176,9 @@
     /// \brief Treats an order that could not be given like one that got no answer.
     void on_copy_unordered(bool last);
     void postpone_resumption();
-    void abort_answer(std::string_view why);
+    void abort_answer(coordination::cut_cause cause, std::string_view why);
+    /// \brief Logs what was tried before the answer was broken off.
+    void log_cut(coordination::cut_cause cause, std::string_view why);
     void check_departure();
     [[nodiscard]] std::optional<state::member_key>
     choose_destination(state::member_key source, std::span<state::member_key const> excluded);
@@ -193,8 +221,7 @@
     std::optional<coordination::stream_whole> closed_whole_;
     /// \brief The order to stop found no run, which may have ended before; its upstream is asked.
     bool found_no_run_ = false;
-    /// \brief Orders to stop this run, whatever became of them.
-    std::uint32_t stop_orders_ = 0;
+    move_attempts attempts_;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/stream_call_ends.cpp
+++ b/src/transport/stream_call_ends.cpp
@@ -57,7 +57,7 @@
     }
     bool const not_run = proves_never_ran(record_end(end));
     core_.metrics.add(forward_count::resume_refused);
-    log("resumption failed", not_run ? "not run" : "it may run");
+    log("resumption failed", not_run ? to_text(sends_.newest_proof()) : "it may run");
     close_exchange();
     not_run ? failover_->resume_refused(now, actions) : failover_->source_ended(now, actions);
     apply(actions);
@@ -144,7 +144,7 @@
          {"route", admitted_.route->name},
          {"send_ended", last_end_ ? to_text(*last_end_) : std::string_view{}},
          {"framing", protocol::to_text(framing_)},
-         {"stop_orders", stop_orders_},
+         {"stop_orders", attempts_.stop_orders},
          {"end_proof", to_text(proof.proof())},
          {"first_event_ms", whole_milliseconds(first_event_at_ - admitted_.call.read_at)},
          {"objective_ms", whole_milliseconds(admitted_.route->target_latency)},
@@ -166,26 +166,46 @@
 void stream_call::source_ended(std::string_view why)
 {
     log("source ended", why);
+    attempts_.begin(boot_now());
     close_exchange();
     if (!progress_.is_resumable() && !ends_.is_closed_in_order())
     {
-        return abort_answer(unnumbered_events);
+        return abort_answer(cut_cause::own_limit, unnumbered_events);
     }
     failover_actions actions;
     failover().source_ended(boot_now(), actions);
     apply(actions);
 }
 
-void stream_call::abort_answer(std::string_view why)
+void stream_call::abort_answer(cut_cause cause, std::string_view why)
 {
+    log_cut(cause, why);
     log("broken off", why);
     note_outcome(call_outcome::failed);
-    core_.metrics.add(forward_count::streams_broken);
+    core_.metrics.add_cut(cause);
     auto const channel = channel_;
     finish();
     channel->abort_answer();
 }
 
+void stream_call::log_cut(cut_cause cause, std::string_view why)
+{
+    state::time_point const now = boot_now();
+    core_.log.write(
+        "call", "answer cut", admitted_.headers.id,
+        {{"cause", to_text(cause)},
+         {"why", why},
+         {"upstream", member_name()},
+         {"held_at", name_of(attempts_.held_at)},
+         {"moving_ms", attempts_.began_at ? whole_milliseconds(now - *attempts_.began_at) : -1},
+         {"stop_orders", attempts_.stop_orders},
+         {"resumptions", attempts_.resumptions},
+         {"resumptions_sent", attempts_.resumptions_sent},
+         {"silent_ms", whole_milliseconds(now - last_progress_)},
+         {"patience_ms", whole_milliseconds(silence_timeout())},
+         {"left_ms", whole_milliseconds(admitted_.deadline - now)}});
+}
+
 void stream_call::on_caller_disconnected()
 {
     failover_actions actions;
@@ -276,7 +296,13 @@
 
 void stream_call::on_timeout()
 {
-    begun_ ? abort_answer("time is over") : refuse(state::error_kind::overloaded, "time is over");
+    if (!begun_)
+    {
+        return refuse(state::error_kind::overloaded, "time is over");
+    }
+    abort_answer(awaits_next_run() ? attempts_.cause(cut_cause::caller_time)
+                                   : cut_cause::caller_time,
+                 "time is over");
 }
 
 } // namespace plumdale::transport
--- a/src/transport/stream_copies.cpp
+++ b/src/transport/stream_copies.cpp
@@ -48,7 +48,9 @@
     choose_backup();
     nominal_first_event_ =
         core_.selector.pace().reading_time(core_.ledger.total(member_).pending_prefill_tokens);
-    return forward_call::request();
+    std::optional<std::string> text = forward_call::request();
+    attempts_.resumptions_sent += text && resuming_ ? 1 : 0;
+    return text;
 }
 
 void stream_call::choose_backup()
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -181,7 +181,9 @@
     reserve_for_copy(action.destination);
     if (action.last)
     {
-        ++stop_orders_;
+        attempts_.begin(boot_now());
+        attempts_.stopped_running = attempts_.stopped_running || exchange_ != nullptr;
+        ++attempts_.stop_orders;
         ends_.stop_ordered(action.source);
     }
     core_.metrics.add(action.last ? forward_count::copies_last : forward_count::copies_first);
@@ -289,15 +291,16 @@
     directory_entry const* const at = core_.directory.find(action.at);
     if (holder == nullptr || at == nullptr)
     {
-        return abort_answer("the upstream to go on at is unknown");
+        return abort_answer(cut_cause::own_limit, "the upstream to go on at is unknown");
     }
     if (is_quarantined())
     {
-        return abort_answer("upstreams ended under this request or a part of its prompt");
+        return abort_answer(cut_cause::own_limit,
+                            "upstreams ended under this request or a part of its prompt");
     }
     if (!progress_.is_resumable())
     {
-        return abort_answer(unnumbered_events);
+        return abort_answer(cut_cause::own_limit, unnumbered_events);
     }
     close_exchange();
     if (!pay_for_repeat(retry_priority::preferred))
@@ -315,6 +318,8 @@
     streaming_ = false;
     resuming_ = true;
     sends_.end(action.former.proof());
+    ++attempts_.resumptions;
+    attempts_.held_at = action.at;
     log("resuming", at->info.name);
     open_exchange(action.at);
 }
@@ -346,8 +351,9 @@
 
 void stream_call::carry_out(abandon_generation const& /*action*/)
 {
-    abort_answer(stop_orders_ > 0 ? "stopped for a copy, and not resumed"
-                                  : "the upstream broke off");
+    cut_cause const cause = attempts_.cause(cut_cause::upstream);
+    abort_answer(cause, cause == cut_cause::own_stop ? "stopped for a copy, and not resumed"
+                                                     : "the upstream broke off");
 }
 
 } // namespace plumdale::transport
