Moves: a run is stopped only with its next step secured, and goes on while memory and caller last

Callers saw: a stream that had begun was closed in the middle though no upstream broke it off: this VM had stopped its run for a move, and given up.

Cause: a step that can't be taken back (the order to stop) was followed by steps with limits of their own: four resumptions, tries at upstreams that take none included, 25 ms apart; four orders to stop; 2.5 s for an order's answer, which was dropped when it came later. And the order went out without a look at whether the place of the copy still takes runs, whether a repeat is left for the resumption, and whether the stream could go on at all.

Why this works: nothing here counts tries any more. held_memory knows the places that hold a generation's memory; they are asked in turn, at growing pauses, until twice the time for which upstreams keep it; unsent tries cost nothing. A stop that isn't answered is ordered again each 2.5 s, and the first one's answer counts whenever it comes. The owner ends it all with the caller's time and patience. A source is ordered to stop only once its copy is at an upstream that takes runs, a repeat is reserved and the stream can go on; else it runs on.

--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -6,13 +6,19 @@
 namespace plumdale::coordination
 {
 
-generation_failover::generation_failover(state::member_key source, destination_selector choose)
-    : select_destination_{std::move(choose)}, source_{source}
+generation_failover::generation_failover(state::member_key source, move_rules rules)
+    : rules_{std::move(rules)}, memory_{rules_.memory_lifetime}, source_{source}
 {
 }
 
 // -- copies ---------------------------------------------------------------------------------------
 
+void generation_failover::set_backup(state::member_key member)
+{
+    backup_ = member;
+    memory_.add_backup(member);
+}
+
 void generation_failover::source_leaves(copy_schedule const& times, state::time_point now,
                                         failover_actions& actions)
 {
@@ -51,6 +57,30 @@
     }
 }
 
+void generation_failover::destination_leaves(state::member_key member, state::time_point now,
+                                             failover_actions& actions)
+{
+    if (phase_ == phase::copied && destination_ == member)
+    {
+        replace_destination(now, actions);
+    }
+}
+
+void generation_failover::replace_destination(state::time_point now, failover_actions& actions)
+{
+    excluded_.assign({source_, destination_});
+    auto const destination = rules_.select_destination(source_, excluded_);
+    if (!destination)
+    {
+        next_deadline_ = now + secure_retry_delay;
+        return;
+    }
+    next_deadline_ = state::never;
+    phase_ = phase::refresh;
+    ordered_destination_ = *destination;
+    actions.push_back(order_copy{source_, *destination, false});
+}
+
 void generation_failover::begin_first(state::time_point now, failover_actions& actions)
 {
     if (!times_.first || times_.first->from <= now)
@@ -64,7 +94,7 @@
 void generation_failover::order_first(state::time_point now, failover_actions& actions)
 {
     next_deadline_ = state::never;
-    auto const destination = select_destination_(source_, excluded_);
+    auto const destination = rules_.select_destination(source_, excluded_);
     if (!destination)
     {
         return wait_for_destination(now);
@@ -128,144 +158,140 @@
     actions.push_back(order_copy{source_, destination_, false});
 }
 
-void generation_failover::order_last(failover_actions& actions)
+void generation_failover::order_next_copy(state::time_point now, failover_actions& actions)
 {
-    next_deadline_ = state::never;
-    phase_ = phase::last_copy;
-    ordered_destination_ = destination_;
-    actions.push_back(order_copy{source_, destination_, true});
+    if (!rules_.takes_runs(destination_))
+    {
+        return replace_destination(now, actions);
+    }
+    now < times_.last_at ? order_refresh(actions) : order_last(now, actions);
 }
 
-bool generation_failover::expects_answer() const noexcept
+void generation_failover::order_last(state::time_point now, failover_actions& actions)
 {
-    return phase_ == phase::first_copy || phase_ == phase::refresh || phase_ == phase::last_copy;
+    if (!rules_.reserve_resumption())
+    {
+        next_deadline_ = now + secure_retry_delay;
+        return;
+    }
+    order_stop(destination_, now, actions);
 }
 
 bool generation_failover::is_order_pending() const noexcept
 {
     bool const awaits_turn = phase_ == phase::first_copy && next_deadline_ != state::never;
-    return expects_answer() && !awaits_turn;
+    return (phase_ == phase::first_copy || phase_ == phase::refresh) && !awaits_turn;
+}
+
+bool generation_failover::has_copy() const noexcept
+{
+    return !handle_.empty() && destination_ && destination_ != source_;
+}
+
+state::duration generation_failover::take_order_delay() noexcept
+{
+    return std::exchange(order_delay_, std::min(max_copy_retry_delay, 2 * order_delay_));
 }
 
 void generation_failover::copied(std::string handle, state::time_point now,
                                  failover_actions& actions)
 {
-    if (phase_ == phase::ended)
+    switch (phase_)
     {
+    case phase::ended:
         actions.push_back(release_copy{source_, std::move(handle)});
         return;
-    }
-    if (!expects_answer())
-    {
+    case phase::stopping:
+    case phase::stopped:
+    case phase::waiting:
+        return stop_answered(std::move(handle), now, actions);
+    case phase::first_copy:
+    case phase::refresh:
+        break;
+    default:
         return;
     }
-    unreachable_retry_delay_ = copy_retry_delay;
+    order_delay_ = copy_retry_delay;
     handle_ = std::move(handle);
-    holder_ = source_;
     destination_ = ordered_destination_;
-    resume_destination_ = destination_;
-    bool const is_last = phase_ == phase::last_copy;
-    if (is_last)
-    {
-        source_over_ = run_ended::by(send_proof::stopped);
-    }
-    if (source_ended_)
-    {
-        return resume(actions);
-    }
-    if (is_last)
-    {
-        // The stream still carries what was generated before the stop.
-        phase_ = phase::stopped;
-        next_deadline_ = now + stopped_stream_timeout;
-        return;
-    }
-    wait_for_next_copy(now);
+    memory_.add({destination_, source_, handle_}, now);
+    source_ended_ ? stop_source(now, actions) : wait_for_next_copy(now);
 }
 
 void generation_failover::copy_refused(copy_refusal reason, std::string handle,
                                        state::time_point now, failover_actions& actions)
 {
-    if (phase_ == phase::refresh && !source_ended_)
-    {
-        return wait_for_next_copy(now);
-    }
-    if (!expects_answer())
-    {
-        return;
-    }
-    if (phase_ == phase::last_copy && !handle.empty())
+    switch (phase_)
     {
-        // It was stopped without a complete copy, so its memory is still at the source.
-        handle_ = std::move(handle);
-        holder_ = source_;
-        resume_destination_ = source_;
-        source_over_ = run_ended::by(send_proof::stopped);
-        phase_ = phase::stopped;
-        next_deadline_ = now + stopped_stream_timeout;
-        if (source_ended_)
-        {
-            resume(actions);
-        }
+    case phase::stopping:
+    case phase::stopped:
+    case phase::waiting:
+        return stop_refused(reason, std::move(handle), now, actions);
+    case phase::first_copy:
+    case phase::refresh:
+        break;
+    default:
         return;
     }
     if (source_ended_)
     {
-        return stop_refused(reason, now, actions);
+        return source_refuses_after_its_end(reason, now, actions);
     }
-    if (phase_ == phase::last_copy)
+    if (phase_ != phase::refresh)
     {
-        phase_ = phase::copied;
-        next_deadline_ = now + copy_retry_delay;
-        return;
+        return first_copy_refused(reason, now);
     }
+    wait_for_next_copy(now);
+    next_deadline_ = std::max(next_deadline_, now + take_order_delay());
+}
+
+void generation_failover::first_copy_refused(copy_refusal reason, state::time_point now)
+{
     if (reason == copy_refusal::no_capacity)
     {
         return exclude_destination(now);
     }
-    next_deadline_ = now + copy_retry_delay;
     bool const may_have_ended = reason == copy_refusal::unknown_generation && times_.first;
     bool const is_unreachable = reason == copy_refusal::unreachable ||
                                 reason == copy_refusal::process_gone ||
                                 reason == copy_refusal::rejected;
-    if (is_unreachable || may_have_ended)
-    {
-        // A drained upstream closes its port and may run for another ten seconds. Each order
-        // reports memory at a destination to all peers and withdraws it; without a growing delay
-        // one draft would cause hundreds of these messages.
-        next_deadline_ = now + unreachable_retry_delay_;
-        unreachable_retry_delay_ = std::min(max_copy_retry_delay, 2 * unreachable_retry_delay_);
-    }
+    // A drained upstream closes its port and may run for another ten seconds. Each order reports
+    // memory at a destination to all peers and withdraws it; without a growing delay one draft
+    // would cause hundreds of these messages.
+    next_deadline_ =
+        now + (is_unreachable || may_have_ended ? take_order_delay() : copy_retry_delay);
 }
 
-// -- resumption -----------------------------------------------------------------------------------
+// -- stops ----------------------------------------------------------------------------------------
 
 // An upstream may work on after its channel ended, so the end of the stream says nothing of the
 // run.
-void generation_failover::source_ended(state::time_point /*now*/, failover_actions& actions)
+void generation_failover::source_ended(state::time_point now, failover_actions& actions)
 {
-    if (phase_ == phase::ended)
+    if (phase_ == phase::ended || phase_ == phase::waiting)
     {
         return;
     }
     source_ended_ = true;
     if (phase_ == phase::stopped)
     {
-        return resume(actions);
+        return resume(now, actions);
     }
     if (phase_ == phase::resuming)
     {
+        // The resumption may run, so what it went on from is used.
         source_over_.reset();
+        memory_.forget(source_);
+        stops_unanswered_ = 0;
     }
-    if (is_order_pending())
+    // Where an order is under way, its answer decides.
+    if (!is_order_pending() && stops_unanswered_ == 0)
     {
-        // Its answer decides; the order has a time limit of its own.
-        return;
+        stop_source(now, actions);
     }
-    stop_source(actions);
 }
 
-void generation_failover::source_gone(run_ended proof, state::time_point /*now*/,
+void generation_failover::source_gone(run_ended proof, state::time_point now,
                                       failover_actions& actions)
 {
     if (phase_ == phase::ended)
@@ -273,110 +299,172 @@
         return;
     }
     source_ended_ = true;
-    source_over_ = proof;
-    resume_without_source(actions);
+    memory_.forget(source_);
+    run_is_over(proof, now);
+    resume(now, actions);
 }
 
 // Where the memory is copied already, or kept as it grows, the order copies only what is new.
 std::optional<state::member_key> generation_failover::choose_stop_destination()
 {
-    bool const has_copy = !handle_.empty() && destination_ && destination_ != source_;
-    if (has_copy)
+    // Its answer would not say which of two orders it is for.
+    if (stops_unanswered_ > 0)
+    {
+        return ordered_destination_;
+    }
+    if (has_copy() && rules_.takes_runs(destination_))
     {
         return destination_;
     }
-    if (backup_ && backup_ != source_)
+    if (backup_ && backup_ != source_ && rules_.takes_runs(backup_))
     {
         return backup_;
     }
     excluded_.assign({source_});
-    return select_destination_(source_, excluded_);
+    auto const chosen = rules_.select_destination(source_, excluded_);
+    if (chosen)
+    {
+        return chosen;
+    }
+    return has_copy() ? std::optional{destination_} : std::nullopt;
 }
 
-void generation_failover::stop_source(failover_actions& actions)
+void generation_failover::stop_source(state::time_point now, failover_actions& actions)
 {
-    auto const destination = choose_stop_destination();
-    if (!destination || ++stop_attempts_ > max_stop_attempts)
+    if (auto const destination = choose_stop_destination())
     {
-        return abandon(actions);
+        return order_stop(*destination, now, actions);
     }
-    next_deadline_ = state::never;
-    phase_ = phase::last_copy;
-    ordered_destination_ = *destination;
-    actions.push_back(order_copy{source_, *destination, true});
+    phase_ = phase::stopping;
+    next_deadline_ = now + take_order_delay();
 }
 
-void generation_failover::stop_refused(copy_refusal reason, state::time_point now,
-                                       failover_actions& actions)
+void generation_failover::order_stop(state::member_key destination, state::time_point now,
+                                     failover_actions& actions)
 {
-    if (reason == copy_refusal::process_gone)
+    phase_ = phase::stopping;
+    next_deadline_ = now + stop_answer_delay;
+    ordered_destination_ = destination;
+    ++stops_unanswered_;
+    actions.push_back(order_copy{source_, destination, true});
+}
+
+void generation_failover::run_is_over(run_ended proof, state::time_point now)
+{
+    source_over_ = proof;
+    memory_.run_ended(now);
+}
+
+void generation_failover::stop_answered(std::string handle, state::time_point now,
+                                        failover_actions& actions)
+{
+    stops_unanswered_ -= std::min(stops_unanswered_, 1U);
+    handle_ = std::move(handle);
+    destination_ = ordered_destination_;
+    run_is_over(*run_ended::by(send_proof::stopped), now);
+    // A source that stopped keeps the memory, too.
+    memory_.add({source_, source_, handle_}, now);
+    memory_.add({destination_, source_, handle_}, now);
+    if (phase_ == phase::stopping)
     {
-        source_over_ = run_ended::by(send_proof::process_gone);
-        return resume_without_source(actions);
+        run_stopped(now, actions);
     }
-    // Before its first event the run may wait in the upstream's queue, which the order doesn't see.
-    if (reason == copy_refusal::unknown_generation && source_began_)
+}
+
+void generation_failover::run_stopped(state::time_point now, failover_actions& actions)
+{
+    if (source_ended_)
     {
-        source_over_ = run_ended::by(send_proof::unknown_there);
-        return handle_.empty() ? resume_from_backup(actions) : resume(actions);
+        return resume(now, actions);
     }
-    phase_ = phase::stop_due;
-    next_deadline_ = now + unreachable_retry_delay_;
-    unreachable_retry_delay_ = reason == copy_refusal::unreachable
-                                   ? std::min(max_copy_retry_delay, 2 * unreachable_retry_delay_)
-                                   : copy_retry_delay;
+    // The stream still carries what was generated before the stop.
+    phase_ = phase::stopped;
+    next_deadline_ = now + stopped_stream_timeout;
 }
 
-void generation_failover::resume_without_source(failover_actions& actions)
+void generation_failover::stop_refused(copy_refusal reason, std::string handle,
+                                       state::time_point now, failover_actions& actions)
 {
-    // The holder of a copy keeps its own memory, too.
-    state::member_key const other = resume_destination_ == holder_ ? destination_ : holder_;
-    if (resume_destination_ == source_)
+    stops_unanswered_ -= std::min(stops_unanswered_, 1U);
+    if (!handle.empty())
+    {
+        // It was stopped without a complete copy, so the newest of its memory is at the source.
+        handle_ = std::move(handle);
+        run_is_over(*run_ended::by(send_proof::stopped), now);
+        memory_.add({source_, source_, handle_}, now);
+    }
+    if (phase_ != phase::stopping)
+    {
+        return;
+    }
+    if (source_over_)
     {
-        resume_destination_ = other;
+        return run_stopped(now, actions);
     }
-    bool const has_copy = !handle_.empty() && resume_destination_ != source_;
-    has_copy ? resume(actions) : resume_from_backup(actions);
+    if (!source_ended_)
+    {
+        next_deadline_ = now + take_order_delay();
+        return;
+    }
+    source_refuses_after_its_end(reason, now, actions);
 }
 
-void generation_failover::resume(failover_actions& actions)
+void generation_failover::source_refuses_after_its_end(copy_refusal reason, state::time_point now,
+                                                       failover_actions& actions)
 {
-    if (!source_over_)
+    if (reason == copy_refusal::process_gone)
     {
-        return stop_source(actions);
+        memory_.forget(source_);
+        run_is_over(*run_ended::by(send_proof::process_gone), now);
+        return resume(now, actions);
     }
-    if (handle_.empty() || ++resume_attempts_ > max_resume_attempts)
+    // Before its first event the run may wait in the upstream's queue, which the order doesn't see.
+    if (reason == copy_refusal::unknown_generation && source_began_)
     {
-        return abandon(actions);
+        run_is_over(*run_ended::by(send_proof::unknown_there), now);
+        return resume(now, actions);
     }
-    begin_resumption(resume_destination_, actions);
+    phase_ = phase::stopping;
+    next_deadline_ = now + take_order_delay();
 }
 
-void generation_failover::resume_from_backup(failover_actions& actions)
+// -- resumption -----------------------------------------------------------------------------------
+
+void generation_failover::resume(state::time_point now, failover_actions& actions)
 {
     if (!source_over_)
     {
-        return stop_source(actions);
+        return stop_source(now, actions);
     }
-    bool const is_lost = !backup_ || (backup_ == source_ && phase_ != phase::resuming);
-    if (is_lost || ++resume_attempts_ > max_resume_attempts)
+    if (memory_.has_expired(now))
     {
-        return abandon(actions);
+        return abandon(abandon_reason::expired, actions);
     }
-    handle_.clear();
-    holder_ = backup_;
-    resume_destination_ = backup_;
-    begin_resumption(backup_, actions);
+    if (memory_.is_empty())
+    {
+        // An order that was carried out, and is answered late, names what it copied.
+        return stops_unanswered_ > 0 ? wait_for_resumption(now, postponed_resume_delay)
+                                     : abandon(abandon_reason::nothing_held, actions);
+    }
+    memory_place const* const place = memory_.next(rules_.may_resume_at);
+    place != nullptr ? begin_resumption(*place, actions)
+                     : wait_for_resumption(now, postponed_resume_delay);
 }
 
-void generation_failover::begin_resumption(state::member_key at, failover_actions& actions)
+void generation_failover::begin_resumption(memory_place const& place, failover_actions& actions)
 {
     phase_ = phase::resuming;
     next_deadline_ = state::never;
-    source_ = at;
+    source_ = place.at;
     source_ended_ = false;
     source_began_ = false;
-    actions.push_back(resume_generation{at, holder_, handle_, *source_over_});
+    actions.push_back(resume_generation{place.at, place.holder, place.handle, *source_over_});
+}
+
+void generation_failover::wait_for_resumption(state::time_point now, state::duration delay) noexcept
+{
+    phase_ = phase::waiting;
+    next_deadline_ = now + delay;
 }
 
 void generation_failover::resumed(state::time_point /*now*/) noexcept
@@ -387,54 +475,63 @@
     destination_ = {};
     // The backup belonged to the previous run; a resumed run requests a new one.
     backup_ = {};
+    memory_.clear();
     source_leaves_ = false;
     source_began_ = true;
     source_over_.reset();
-    stop_attempts_ = 0;
-    resume_attempts_ = 0;
+    stops_unanswered_ = 0;
+    order_delay_ = copy_retry_delay;
+    resume_delay_ = resume_retry_delay;
 }
 
 void generation_failover::resume_postponed(state::time_point now) noexcept
 {
     if (phase_ == phase::resuming)
     {
-        --resume_attempts_;
-        next_deadline_ = now + postponed_resume_delay;
+        wait_for_resumption(now, postponed_resume_delay);
     }
 }
 
-void generation_failover::resume_refused(state::time_point now, failover_actions& actions)
+void generation_failover::resume_refused(state::time_point now, failover_actions& /*actions*/)
 {
     if (phase_ != phase::resuming)
     {
         return;
     }
-    if (resume_attempts_ >= max_resume_attempts)
+    memory_.pass_turn();
+    state::duration const delay =
+        memory_.is_round_over()
+            ? std::exchange(
+                  resume_delay_,
+                  std::min<state::duration>(max_resume_delay, resume_delay_growth * resume_delay_))
+            : resume_retry_delay;
+    wait_for_resumption(now, delay);
+}
+
+void generation_failover::resume_unsent(state::time_point now, failover_actions& /*actions*/)
+{
+    if (phase_ != phase::resuming)
     {
-        abandon(actions);
         return;
     }
-    // The copy may be gone, but a source that stopped the generation keeps its memory.
-    if (!handle_.empty())
-    {
-        resume_destination_ = resume_destination_ == holder_ ? destination_ : holder_;
-    }
-    next_deadline_ = now + resume_retry_delay;
+    memory_.pass_turn();
+    wait_for_resumption(now, memory_.is_round_over() ? postponed_resume_delay : resume_retry_delay);
 }
 
-void generation_failover::abandon(failover_actions& actions)
+void generation_failover::abandon(abandon_reason reason, failover_actions& actions)
 {
     phase_ = phase::ended;
     next_deadline_ = state::never;
-    actions.push_back(abandon_generation{});
+    actions.push_back(abandon_generation{reason});
 }
 
 void generation_failover::finished(failover_actions& actions)
 {
-    bool const has_copy = !handle_.empty() && (phase_ == phase::copied || phase_ == phase::refresh);
-    if (has_copy)
+    bool const has_unused =
+        !handle_.empty() && (phase_ == phase::copied || phase_ == phase::refresh);
+    if (has_unused)
     {
-        actions.push_back(release_copy{holder_, handle_});
+        actions.push_back(release_copy{source_, handle_});
     }
     phase_ = phase::ended;
     next_deadline_ = state::never;
@@ -452,16 +549,15 @@
     case phase::first_copy:
         return order_first(now, actions);
     case phase::copied:
-        return now < times_.last_at ? order_refresh(actions) : order_last(actions);
-    case phase::stop_due:
-        return stop_source(actions);
+        return order_next_copy(now, actions);
+    case phase::stopping:
+        return stop_source(now, actions);
     case phase::stopped:
-        return resume(actions);
-    case phase::resuming:
-        return handle_.empty() ? resume_from_backup(actions) : resume(actions);
+    case phase::waiting:
+        return resume(now, actions);
     case phase::refresh:
-    case phase::last_copy:
     case phase::steady:
+    case phase::resuming:
     case phase::ended:
         return;
     }
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -247,6 +247,11 @@
     void refuse(state::error_kind kind, std::string_view why);
     /// \brief Returns whether the request is quarantined, so that it is sent to no upstream.
     [[nodiscard]] bool is_quarantined() const;
+    /// \brief No quarantine ends the call any more: an upstream that ran it lives.
+    void trust_request() noexcept
+    {
+        is_proven_ = true;
+    }
     /// \brief Records that the upstream goes on with the answer, once that shows that it wasn't
     /// ended by it.
     void prove_sound(state::time_point now);
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -13,6 +13,7 @@
 #include <plumdale/protocol/raw_event_splitter.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -126,12 +127,19 @@
     void note_backup();
     void drop_backup();
     void on_backup_leaving(state::member_key member);
+    void on_destination_leaving(state::member_key member);
     [[nodiscard]] bool is_on_time() const;
     void log_timing(coordination::stream_whole proof);
     /// \brief Records how long this call held its capacity.
     void note_held();
     void reserve_for_copy(state::member_key destination);
     [[nodiscard]] coordination::generation_failover& failover();
+    [[nodiscard]] coordination::move_rules make_move_rules();
+    /// \brief Reserves what a resumption needs here; returns whether the run may be stopped.
+    [[nodiscard]] bool reserve_resumption();
+    /// \brief Returns where an upstream is, also after its row is gone; none if it was never known.
+    [[nodiscard]] std::optional<state::endpoint> address_of(state::member_key member) const;
+    void remember_address(state::member_key member);
     /// \brief Tokens that this generation is expected to generate still.
     [[nodiscard]] std::uint32_t expected_remaining_tokens() const;
     [[nodiscard]] state::duration expected_remaining_time(state::time_point now) const;
@@ -168,6 +176,9 @@
     void carry_out(coordination::resume_generation const& action);
     void carry_out(coordination::release_copy const& action);
     void carry_out(coordination::abandon_generation const& action);
+    void note_stop_ordered(state::member_key source);
+    /// \brief Returns for how long the answer to an order to stop is waited for.
+    [[nodiscard]] std::chrono::milliseconds longest_wait_for_stop() const;
     void on_copy_answer(bool last, state::result<fetch_answer> const& answer);
     /// \brief Returns what the answer to an order to stop shows of its effect.
     [[nodiscard]] static coordination::stop_outcome
@@ -203,6 +214,8 @@
     /// \brief Memory held for an ordered copy, at its destination.
     coordination::member_load copy_load_;
     std::optional<state::endpoint> backup_address_;
+    /// \brief Addresses of upstreams that hold memory: their rows may go before it is used.
+    std::map<state::member_key, state::endpoint> addresses_;
     state::time_point first_event_at_{};
     /// \brief First event of the run at this upstream.
     state::time_point run_began_at_{};
--- a/src/transport/stream_call_ends.cpp
+++ b/src/transport/stream_call_ends.cpp
@@ -55,11 +55,21 @@
     {
         return complete_stream(*whole);
     }
-    bool const not_run = proves_never_ran(record_end(end));
+    send_proof const proof = record_end(end);
     core_.metrics.add(forward_count::resume_refused);
-    log("resumption failed", not_run ? to_text(sends_.newest_proof()) : "it may run");
+    log("resumption failed", proves_never_ran(proof) ? to_text(proof) : "it may run");
     close_exchange();
-    not_run ? failover_->resume_refused(now, actions) : failover_->source_ended(now, actions);
+    switch (proof)
+    {
+    case send_proof::not_written:
+        failover_->resume_unsent(now, actions);
+        break;
+    case send_proof::refused:
+        failover_->resume_refused(now, actions);
+        break;
+    default:
+        failover_->source_ended(now, actions);
+    }
     apply(actions);
 }
 
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -58,6 +58,7 @@
     bool const is_affected = !finished_ && exchange_ != nullptr && member == member_ && runs &&
                              admitted_.service->engine && admitted_.service->engine->live_migration;
     on_backup_leaving(member);
+    on_destination_leaving(member);
     // A generation that ends before its upstream is gone would only delay the copies of others.
     bool const outlives = expected_remaining_time(boot_now()) > departure_time(when) - boot_now();
     if (!is_affected || !outlives)
@@ -97,6 +98,17 @@
     apply(actions);
 }
 
+void stream_call::on_destination_leaving(state::member_key member)
+{
+    if (finished_ || !failover_)
+    {
+        return;
+    }
+    failover_actions actions;
+    failover_->destination_leaves(member, boot_now(), actions);
+    apply(actions);
+}
+
 // The connection of a restarted upstream may stay silent until the caller gives up, although a
 // backup exists elsewhere. The former incarnation runs nothing any more, so a resumption runs
 // nothing twice.
@@ -142,13 +154,69 @@
 {
     if (!failover_)
     {
-        failover_.emplace(
-            member_, [this](state::member_key source, std::span<state::member_key const> excluded)
-            { return choose_destination(source, excluded); });
+        failover_.emplace(member_, make_move_rules());
     }
     return *failover_;
 }
 
+move_rules stream_call::make_move_rules()
+{
+    move_rules rules;
+    rules.select_destination =
+        [this](state::member_key source, std::span<state::member_key const> excluded)
+    {
+        return choose_destination(source, excluded);
+    };
+    rules.may_resume_at = [this](state::member_key member)
+    {
+        directory_entry const* const entry = core_.directory.find(member);
+        return entry != nullptr && core_.gate.may_resume(*entry, boot_now());
+    };
+    rules.takes_runs = [this](state::member_key member)
+    {
+        directory_entry const* const entry = core_.directory.find(member);
+        return entry != nullptr && core_.directory.may_take_work(*entry, boot_now());
+    };
+    rules.reserve_resumption = [this]
+    {
+        return reserve_resumption();
+    };
+    if (admitted_.service->engine)
+    {
+        rules.memory_lifetime = admitted_.service->engine->copy_lifetime;
+    }
+    return rules;
+}
+
+bool stream_call::reserve_resumption()
+{
+    bool const may_go_on = progress_.is_resumable() && !is_quarantined();
+    bool const is_reserved = may_go_on && pay_for_repeat(retry_priority::preferred);
+    if (!is_reserved && !std::exchange(has_noted_no_retry_, true))
+    {
+        log("stop waits", may_go_on ? "no repeat left" : "it could not go on");
+    }
+    return is_reserved;
+}
+
+std::optional<state::endpoint> stream_call::address_of(state::member_key member) const
+{
+    if (directory_entry const* const entry = core_.directory.find(member))
+    {
+        return entry->info.address;
+    }
+    auto const known = addresses_.find(member);
+    return known == addresses_.end() ? std::nullopt : std::optional{known->second};
+}
+
+void stream_call::remember_address(state::member_key member)
+{
+    if (auto const address = member == member_ ? address_ : address_of(member))
+    {
+        addresses_[member] = *address;
+    }
+}
+
 void stream_call::apply(failover_actions const& actions)
 {
     auto const self = shared_from_this();
@@ -172,28 +240,27 @@
 
 void stream_call::carry_out(order_copy const& action)
 {
-    directory_entry const* const source = core_.directory.find(action.source);
-    directory_entry const* const destination = core_.directory.find(action.destination);
-    if (source == nullptr || destination == nullptr)
+    remember_address(action.source);
+    remember_address(action.destination);
+    auto const source = addresses_.find(action.source);
+    auto const destination = addresses_.find(action.destination);
+    if (source == addresses_.end() || destination == addresses_.end())
     {
         return on_copy_unordered(action.last);
     }
     reserve_for_copy(action.destination);
     if (action.last)
     {
-        attempts_.begin(boot_now());
-        attempts_.stopped_running = attempts_.stopped_running || exchange_ != nullptr;
-        ++attempts_.stop_orders;
-        ends_.stop_ordered(action.source);
+        note_stop_ordered(action.source);
     }
     core_.metrics.add(action.last ? forward_count::copies_last : forward_count::copies_first);
-    log(action.last ? "last copy ordered" : "first copy ordered", destination->info.name);
+    log(action.last ? "last copy ordered" : "first copy ordered", name_of(action.destination));
     core_.orders.send_to(
-        action.source, action.source == member_ ? address_ : source->info.address,
-        core_.dialect.copy_request(admitted_.headers.id, destination->info.address, action.last),
-        copy_timeout,
-        [weak = weak_from_this(), last = action.last, source = action.source,
-         run = sends_.written()](state::result<fetch_answer> const& answer)
+        action.source, source->second,
+        core_.dialect.copy_request(admitted_.headers.id, destination->second, action.last),
+        action.last ? longest_wait_for_stop() : copy_timeout,
+        [weak = weak_from_this(), last = action.last, at = action.source,
+         runs = sends_.possible_runs()](state::result<fetch_answer> const& answer)
         {
             auto const self = std::static_pointer_cast<stream_call>(weak.lock());
             if (self == nullptr)
@@ -202,16 +269,32 @@
             }
             if (last)
             {
-                self->ends_.order_ended(source, outcome_of(answer));
+                self->ends_.order_ended(at, outcome_of(answer));
             }
             // A late answer of a former run's upstream says nothing of the current run.
-            if (self->sends_.written() == run)
+            if (self->sends_.possible_runs() == runs)
             {
                 self->on_copy_answer(last, answer);
             }
         });
 }
 
+void stream_call::note_stop_ordered(state::member_key source)
+{
+    attempts_.begin(boot_now());
+    attempts_.stopped_running = attempts_.stopped_running || exchange_ != nullptr;
+    ++attempts_.stop_orders;
+    ends_.stop_ordered(source);
+}
+
+// The answer says what became of the run for as long as its caller waits for it.
+std::chrono::milliseconds stream_call::longest_wait_for_stop() const
+{
+    state::time_point const now = boot_now();
+    state::duration const wait = std::min(admitted_.deadline - now, silence_timeout());
+    return std::max(copy_timeout, std::chrono::duration_cast<std::chrono::milliseconds>(wait));
+}
+
 // Called later, as the answer to an order is.
 void stream_call::on_copy_unordered(bool last)
 {
@@ -287,20 +370,25 @@
 
 void stream_call::carry_out(resume_generation const& action)
 {
-    directory_entry const* const holder = core_.directory.find(action.holder);
-    directory_entry const* const at = core_.directory.find(action.at);
-    if (holder == nullptr || at == nullptr)
+    auto const holder = address_of(action.holder);
+    if (!holder)
+    {
+        return abort_answer(attempts_.cause(cut_cause::own_limit),
+                            "the upstream that held the memory is unknown");
+    }
+    // An upstream that carried out an order was not ended by the request.
+    if (action.former.proof() == send_proof::stopped)
     {
-        return abort_answer(cut_cause::own_limit, "the upstream to go on at is unknown");
+        trust_request();
     }
     if (is_quarantined())
     {
-        return abort_answer(cut_cause::own_limit,
+        return abort_answer(attempts_.cause(cut_cause::own_limit),
                             "upstreams ended under this request or a part of its prompt");
     }
     if (!progress_.is_resumable())
     {
-        return abort_answer(cut_cause::own_limit, unnumbered_events);
+        return abort_answer(attempts_.cause(cut_cause::own_limit), unnumbered_events);
     }
     close_exchange();
     if (!pay_for_repeat(retry_priority::preferred))
@@ -310,8 +398,7 @@
     ends_.run_begins();
     closed_whole_.reset();
     resume_from_ = protocol::resume_point{
-        holder->info.address, action.handle.empty() ? admitted_.headers.id : action.handle,
-        progress_.last_id()};
+        *holder, action.handle.empty() ? admitted_.headers.id : action.handle, progress_.last_id()};
     progress_.resume();
     events_ = {};
     drop_load(copy_load_);
@@ -320,7 +407,7 @@
     sends_.end(action.former.proof());
     ++attempts_.resumptions;
     attempts_.held_at = action.at;
-    log("resuming", at->info.name);
+    log("resuming", name_of(action.at));
     open_exchange(action.at);
 }
 
@@ -349,11 +436,11 @@
         });
 }
 
-void stream_call::carry_out(abandon_generation const& /*action*/)
+void stream_call::carry_out(abandon_generation const& action)
 {
-    cut_cause const cause = attempts_.cause(cut_cause::upstream);
-    abort_answer(cause, cause == cut_cause::own_stop ? "stopped for a copy, and not resumed"
-                                                     : "the upstream broke off");
+    abort_answer(attempts_.cause(cut_cause::upstream), action.reason == abandon_reason::expired
+                                                           ? "its memory is kept no longer"
+                                                           : "no upstream holds its memory");
 }
 
 } // namespace plumdale::transport
