Moves: a generation may go on at an upstream whose notice to leave is new

Callers saw a moved stream cut when the place of its copy announced its leaving between the stop and the resumption, within 50 ms: the resumption was held back, and nothing else holds the memory.

Cause: a leaving upstream takes nothing new at once, though it serves for two seconds at least after the platform has its notice.

A resumption, and nothing else, may be sent there for 600 ms from when the notice came here; the stream leaves it again with its first event.

--- a/include/plumdale/coordination/service_directory.hpp
+++ b/include/plumdale/coordination/service_directory.hpp
@@ -105,6 +105,10 @@
     /// \brief Returns whether new work may be sent to it.
     [[nodiscard]] bool may_take_work(directory_entry const& entry,
                                      state::time_point now) const noexcept;
+    /// \brief Returns whether a generation whose memory it holds may go on there: it takes work, or
+    /// its notice to leave is new.
+    [[nodiscard]] bool may_take_resumption(directory_entry const& entry,
+                                           state::time_point now) const noexcept;
     /// \brief Returns whether an operator's order keeps new work from it.
     [[nodiscard]] bool is_evacuated(directory_entry const& entry) const noexcept;
     /// \brief Returns until when it counts as cold: by its own report, after it was listed, and
@@ -156,6 +160,9 @@
 
     /// \brief Entries that lapsed in an outage are listed again within two seconds of its end.
     static constexpr state::duration lapse_grace = std::chrono::milliseconds{2'200};
+    /// \brief How long a notice to leave counts as new: an upstream serves for two seconds after
+    /// the platform has it, and it is known here within one.
+    static constexpr state::duration new_notice = std::chrono::milliseconds{600};
     /// \brief Limit of a cold time: otherwise a damaged entry would keep work from an upstream for
     /// good.
     static constexpr state::duration max_cold_time = std::chrono::seconds{60};
@@ -196,6 +203,8 @@
                             state::time_point now);
     [[nodiscard]] bool is_available(directory_entry const& entry,
                                     state::time_point now) const noexcept;
+    /// \brief Returns whether the entry is its upstream's own, and counts.
+    [[nodiscard]] bool is_valid(directory_entry const& entry, state::time_point now) const noexcept;
     directory_change update(directory_entry& entry, state::service_member const& member,
                             state::time_point now);
     static void note_cold(directory_entry& entry, state::service_member const& member,
--- a/src/coordination/send_gate.cpp
+++ b/src/coordination/send_gate.cpp
@@ -25,7 +25,7 @@
 // all its generations, so the bound on refusals holds for them too.
 bool send_gate::may_resume(directory_entry const& entry, state::time_point now) const
 {
-    return directory_.may_take_work(entry, now) &&
+    return directory_.may_take_resumption(entry, now) &&
            backoffs_.may_send_exception(state::key_of(entry.info), now) &&
            refusals_.may_send(state::key_of(entry.info), now);
 }
--- a/src/coordination/service_directory.cpp
+++ b/src/coordination/service_directory.cpp
@@ -427,6 +427,14 @@
     return is_available(entry, now) && !is_evacuated(entry);
 }
 
+// The generation leaves again with its first event; otherwise it would be lost.
+bool service_directory::may_take_resumption(directory_entry const& entry,
+                                            state::time_point now) const noexcept
+{
+    bool const has_notice = entry.info.leaving && now >= entry.leaving_since + new_notice;
+    return is_valid(entry, now) && !has_notice && !is_evacuated(entry);
+}
+
 bool service_directory::is_evacuated(directory_entry const& entry) const noexcept
 {
     bool const any = !evacuations_.known().in_force.empty();
@@ -455,12 +463,17 @@
 
 bool service_directory::is_available(directory_entry const& entry,
                                      state::time_point now) const noexcept
+{
+    return is_valid(entry, now) && !entry.info.leaving;
+}
+
+bool service_directory::is_valid(directory_entry const& entry, state::time_point now) const noexcept
 {
     // Upstreams of one platform state their starts or don't. Where most do, an entry without one
     // was not written by its upstream; one entry with a start says nothing of all others.
     bool const is_own_entry = entry.info.started.value != 0 || !states_starts();
-    return entry.info.usable && is_own_entry && !entry.info.leaving && !entry.replaced &&
-           !entry.superseded && now < entry.removal_effective_at;
+    return entry.info.usable && is_own_entry && !entry.replaced && !entry.superseded &&
+           now < entry.removal_effective_at;
 }
 
 std::span<member_key const> service_directory::members_of(std::string_view service) const
--- a/tests/platform/test_moved_streams.cpp
+++ b/tests/platform/test_moved_streams.cpp
@@ -84,3 +84,17 @@
     fixture.run_until([&] { return moved.is_whole() || moved.draft.caller->ended; });
     CHECK(moved.is_whole());
 }
+// The place of the copy announces its leaving between the stop and the resumption: it serves on for
+// two seconds, and the draft leaves it again.
+TEST_CASE("a stopped draft goes on at an upstream whose notice to leave is new", "[moved_streams]")
+{
+    forward_fixture fixture;
+    moved_draft moved{fixture};
+    moved.copy_first();
+    moved.stop();
+    announce_departure(fixture, moved.destination());
+    moved.answer_stop();
+    moved.resume_to_end();
+    CHECK(moved.is_whole());
+}
+
