Moves: a stop reserves two repeats, and gives back what it doesn't need

Callers saw a stopped stream cut 10 s later: its resumption had been refused once or twice, and its VM had no repeat left for as long as the memory was kept.

Cause: a VM's part of the fleet's allowance is some three repeats in 10 s on this deployment; one was looked for before the order to stop, a second one only once the first was refused, 25 ms later.

A run that can't have both goes on at its source. What isn't needed is given back with the first event, or at the call's end, so the fleet's count doesn't grow. A place that is alone is asked again after 75 ms and then three times as late, as two tries within 25 ms meet the same refusal.

--- a/include/plumdale/coordination/fleet_retry_budget.hpp
+++ b/include/plumdale/coordination/fleet_retry_budget.hpp
@@ -62,6 +62,8 @@
     /// one has no part of it.
     [[nodiscard]] bool take(state::time_point now, std::size_t sharers,
                             retry_priority priority = retry_priority::preferred) noexcept;
+    /// \brief Gives back a retry that was taken at `taken_at` and not spent.
+    void give_back(state::time_point taken_at, state::time_point now) noexcept;
     /// \brief Returns what was counted in the window that ends now.
     [[nodiscard]] retry_counts counts(state::time_point now) noexcept;
 
--- a/include/plumdale/coordination/generation_failover.hpp
+++ b/include/plumdale/coordination/generation_failover.hpp
@@ -204,6 +204,7 @@
     /// three times as long, as a VM has few repeats for the time that memory is kept.
     static constexpr state::duration max_resume_delay = std::chrono::seconds{2};
     static constexpr int resume_delay_growth = 3;
+    static constexpr state::duration min_resume_delay = resume_delay_growth * resume_retry_delay;
     static constexpr state::duration postponed_resume_delay = std::chrono::milliseconds{100};
 
 private:
@@ -280,7 +281,7 @@
     copy_schedule times_;
     state::time_point next_deadline_ = state::never;
     state::duration order_delay_ = copy_retry_delay;
-    state::duration resume_delay_ = resume_retry_delay;
+    state::duration resume_delay_ = min_resume_delay;
     /// \brief Orders to stop the current run that have no answer yet.
     std::uint32_t stops_unanswered_ = 0;
     bool source_ended_ = false;
--- a/src/coordination/fleet_retry_budget.cpp
+++ b/src/coordination/fleet_retry_budget.cpp
@@ -87,4 +87,15 @@
     return true;
 }
 
+void fleet_retry_budget::give_back(state::time_point taken_at, state::time_point now) noexcept
+{
+    advance_to(now);
+    std::int64_t const part = taken_at.time_since_epoch() / (limit_.window / parts);
+    bool const is_kept = part > newest_part_ - kept_parts && part <= newest_part_;
+    if (is_kept && retries_[static_cast<std::size_t>(part % kept_parts)] > 0)
+    {
+        --retries_[static_cast<std::size_t>(part % kept_parts)];
+    }
+}
+
 } // namespace plumdale::coordination
--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -481,7 +481,7 @@
     source_over_.reset();
     stops_unanswered_ = 0;
     order_delay_ = copy_retry_delay;
-    resume_delay_ = resume_retry_delay;
+    resume_delay_ = min_resume_delay;
 }
 
 void generation_failover::resume_postponed(state::time_point now) noexcept
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -250,7 +250,10 @@
     core_.metrics.add(forward_count::sends);
     core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
                                           : forward_count::connections_opened);
-    has_unused_retry_ = false;
+    if (!paid_repeats_.empty())
+    {
+        paid_repeats_.pop_back();
+    }
     if (sends_.written() > 1)
     {
         core_.log_repeat(admitted_.headers.id, admitted_.service->name,
@@ -298,8 +301,34 @@
 
 bool forward_call::pay_for_repeat(coordination::retry_priority priority)
 {
-    has_unused_retry_ = has_unused_retry_ || core_.take_retry(admitted_.service->name, priority);
-    return has_unused_retry_;
+    return pay_for_repeats(1, priority);
+}
+
+bool forward_call::pay_for_repeats(std::size_t count, coordination::retry_priority priority)
+{
+    std::string const& service = admitted_.service->name;
+    std::size_t const before = paid_repeats_.size();
+    while (paid_repeats_.size() < count && core_.take_retry(service, priority))
+    {
+        paid_repeats_.push_back(boot_now());
+    }
+    if (paid_repeats_.size() >= count)
+    {
+        return true;
+    }
+    for (; paid_repeats_.size() > before; paid_repeats_.pop_back())
+    {
+        core_.give_back_retry(service, paid_repeats_.back());
+    }
+    return false;
+}
+
+void forward_call::give_back_repeats()
+{
+    for (state::time_point const taken_at : std::exchange(paid_repeats_, {}))
+    {
+        core_.give_back_retry(admitted_.service->name, taken_at);
+    }
 }
 
 bool forward_call::has_connected_to_none() const noexcept
@@ -347,6 +376,8 @@
     log("handed to a peer", why);
     admitted_call call = admitted_;
     call.origin.possible_runs = sends_.possible_runs();
+    // The peer's first send is paid for.
+    paid_repeats_.clear();
     auto const channel = channel_;
     auto& core = core_;
     finish();
@@ -435,6 +466,7 @@
         core_.quarantine.end_trial(*tried_part_);
     }
     leave_waiting(false);
+    give_back_repeats();
     drop_end_question();
     close_exchange();
 }
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -228,6 +228,10 @@
     /// \brief Spends a retry for the next send, unless one is left of a send that failed to reach
     /// its upstream; returns false when there is none.
     [[nodiscard]] bool pay_for_repeat(coordination::retry_priority priority);
+    /// \brief Spends as many for the sends to come, or none; returns whether that many are paid.
+    [[nodiscard]] bool pay_for_repeats(std::size_t count, coordination::retry_priority priority);
+    /// \brief Gives back those that were not sent.
+    void give_back_repeats();
     /// \brief Has a peer take the call, one of `peers` unless that is empty, or refuses it with
     /// `decline` if it is a peer's.
     void hand_over_or_refuse(std::string_view why, state::error_kind decline,
@@ -316,8 +320,8 @@
     coordination::send_record sends_;
     /// \brief How the last exchange ended.
     std::optional<exchange_end> last_end_;
-    /// \brief A retry was spent, and nothing has been sent since.
-    bool has_unused_retry_ = false;
+    /// \brief When the repeats were taken that are paid for and not sent yet.
+    std::vector<state::time_point> paid_repeats_;
     bool is_waiting_ = false;
     /// \brief The best upstream of the last selection, and so each, is in a zone that is cut off.
     bool is_cut_off_ = false;
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -210,6 +210,12 @@
     return granted;
 }
 
+void forward_core::give_back_retry(std::string const& service, state::time_point taken_at)
+{
+    metrics.add(forward_count::repeats_given_back);
+    retry_budget_of(service).give_back(taken_at, boot_now());
+}
+
 void forward_core::log_repeat(std::string_view id, std::string const& service,
                               std::string_view kind)
 {
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -126,6 +126,8 @@
     /// \brief Spends one retry of a service's budget; returns false when none is left.
     [[nodiscard]] bool take_retry(std::string const& service,
                                   coordination::retry_priority priority);
+    /// \brief Gives back a retry that was taken and not spent.
+    void give_back_retry(std::string const& service, state::time_point taken_at);
     void note_call(std::string const& service);
     /// \brief Returns how long calls of a route wait for capacity at this VM.
     [[nodiscard]] coordination::wait_forecast& forecast_of(state::route const& route);
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -182,6 +182,7 @@
                          {"pause_ms", whole_milliseconds(now - last_progress_)},
                          {"after_event", static_cast<std::int64_t>(progress_.last_id())}});
         failover_->resumed(now);
+        give_back_repeats();
         attempts_ = {};
         has_noted_no_destination_ = false;
         has_noted_no_retry_ = false;
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -23,6 +23,8 @@
 // First copies may queue behind others on their link for as long as a notice lasts.
 constexpr std::chrono::milliseconds copy_timeout{2'500};
 constexpr std::chrono::milliseconds release_timeout{2'000};
+// A stopped run is lost with the repeats that it may need, and one may be refused.
+constexpr std::size_t repeats_of_move = 2;
 
 copy_refusal refusal_of(state::result<fetch_answer> const& answer)
 {
@@ -191,7 +193,8 @@
 bool stream_call::reserve_resumption()
 {
     bool const may_go_on = progress_.is_resumable() && !is_quarantined();
-    bool const is_reserved = may_go_on && pay_for_repeat(retry_priority::preferred);
+    bool const is_reserved =
+        may_go_on && pay_for_repeats(repeats_of_move, retry_priority::preferred);
     if (!is_reserved && !std::exchange(has_noted_no_retry_, true))
     {
         log("stop waits", may_go_on ? "no repeat left" : "it could not go on");
--- a/tests/coordination/test_fleet_retry_budget.cpp
+++ b/tests/coordination/test_fleet_retry_budget.cpp
@@ -50,6 +50,23 @@
     CHECK(granted >= fleet_retry_budget::used_fraction * limit.ratio * calls);
 }
 
+// Guards against a reservation that keeps others from their retries once it has lapsed.
+TEST_CASE("a retry that is given back may be taken again, and no other", "[fleet_retry_budget]")
+{
+    fleet_retry_budget budget{limit};
+    state::time_point const now{100s};
+    while (budget.take(now, 9))
+    {
+    }
+    budget.give_back(now, now + 1s);
+    CHECK(budget.take(now + 1s, 9));
+    CHECK_FALSE(budget.take(now + 1s, 9));
+    // One that is forgotten, or was never taken.
+    budget.give_back(now - 60s, now + 1s);
+    budget.give_back(now + 60s, now + 1s);
+    CHECK_FALSE(budget.take(now + 1s, 9));
+}
+
 TEST_CASE("spent retries are available again once the window has passed", "[fleet_retry_budget]")
 {
     fleet_retry_budget budget{limit};
--- a/tests/platform/test_moved_streams.cpp
+++ b/tests/platform/test_moved_streams.cpp
@@ -97,4 +97,3 @@
     moved.resume_to_end();
     CHECK(moved.is_whole());
 }
-
