Ends: a process that answers late lives, and is listened to as long as its caller waits

Cause: end_question had a limit of its own, 300 ms three times, and took the silence after it for "didn't live on". Then the run was ordered to stop; an order whose answer is late or lost forbids the proof for good.

Why this works: the question is asked again at growing pauses, and each is listened to until the caller's own time is over: the patience after the close for a stream, the deadline or an equal share of it for a plain call. A refused connection, another start, 421 and a stated leaving end it at once, as before. What stays without an answer is broken off, never complete, and nothing is ordered meanwhile: a dark machine answers no order either, and without an answer nothing may go on from the backup (docs/design/87 weighs the ways). Where an order's 404 proves the run over and its memory is held elsewhere, half of the time is the question's, the rest the resumption's.

--- a/src/transport/end_question.cpp
+++ b/src/transport/end_question.cpp
@@ -1,6 +1,7 @@
 #include "end_question.hpp"
 
 #include "boot_clock.hpp"
+#include "milliseconds.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -9,22 +10,45 @@
 
 namespace plumdale::transport
 {
+namespace
+{
+
+constexpr std::chrono::milliseconds shortest{1};
 
-end_question::end_question(forward_core& core, subject asked, answer_handler on_answer)
-    : core_{core}, subject_{std::move(asked)}, on_answer_{std::move(on_answer)}, timer_{
-                                                                                     core.context}
+} // namespace
+
+end_question::end_question(forward_core& core, subject asked, state::time_point until,
+                           answer_handler on_answer)
+    : core_{core}, subject_{std::move(asked)}, until_{until},
+      on_answer_{std::move(on_answer)}, timer_{core.context}
 {
 }
 
 void end_question::start()
 {
+    ask();
+}
+
+void end_question::ask()
+{
+    state::duration const left = until_ - boot_now();
     core_.metrics.add(forward_count::ends_asked);
     core_.log.write("call", "end asked", subject_.call,
-                    {{"upstream", subject_.name}, {"unanswered", unanswered_}});
+                    {{"upstream", subject_.name},
+                     {"unanswered", asked_++},
+                     {"left_ms", whole_milliseconds(left)}});
+    ask_again_at(boot_now() + std::exchange(pause_, std::min(2 * pause_, max_pause)));
     core_.orders.send_to(subject_.member, subject_.address,
-                         core_.dialect.report_request(subject_.name), timeout,
-                         [self = shared_from_this()](state::result<fetch_answer> const& answer)
-                         { self->on_result(answer); });
+                         core_.dialect.report_request(subject_.name),
+                         std::max(std::chrono::ceil<std::chrono::milliseconds>(left), shortest),
+                         [weak = weak_from_this()](state::result<fetch_answer> const& answer)
+                         {
+                             auto const self = weak.lock();
+                             if (self != nullptr && !self->ended_)
+                             {
+                                 self->on_result(answer);
+                             }
+                         });
 }
 
 void end_question::on_result(state::result<fetch_answer> const& answer)
@@ -40,32 +64,50 @@
         return end(false, answer.error().detail);
     case state::error_kind::overloaded:
         // It asked for a back-off, and nothing was sent.
-        return ask_again_in(
-            std::max(core_.backoffs.left(subject_.member, boot_now()), repeat_delay));
+        return ask_again_at(
+            boot_now() + std::max(core_.backoffs.left(subject_.member, boot_now()), first_pause));
     default:
-        ++unanswered_;
-        return unanswered_ < max_unanswered
-                   ? ask_again_in(repeat_delay * (std::int64_t{1} << (unanswered_ - 1)))
-                   : end(false, answer.error().detail);
+        return ask_again_after_loss();
     }
 }
 
-void end_question::ask_again_in(state::duration delay)
+// A process that is killed loses all that it was asked at once, and its port refuses the next one.
+void end_question::ask_again_after_loss()
 {
-    timer_.expires_after(delay);
+    state::time_point const at = boot_now() + pause_after_loss_;
+    if (at < next_at_)
+    {
+        pause_after_loss_ = std::min(2 * pause_after_loss_, max_pause);
+        ask_again_at(at);
+    }
+}
+
+void end_question::ask_again_at(state::time_point at)
+{
+    next_at_ = at;
+    if (at >= until_)
+    {
+        timer_.cancel();
+        return;
+    }
+    timer_.expires_after(time_until(at));
     timer_.async_wait(
         [weak = weak_from_this()](boost::system::error_code error)
         {
             auto const self = weak.lock();
-            if (!error && self != nullptr)
+            if (!error && self != nullptr && !self->ended_)
             {
-                self->start();
+                // Calls are kept away from an upstream that may be gone.
+                self->core_.probe_in_doubt(self->subject_.member);
+                self->ask();
             }
         });
 }
 
 void end_question::end(bool lived_on, std::string_view why)
 {
+    ended_ = true;
+    timer_.cancel();
     core_.log.write("call", "end answered", subject_.call,
                     {{"upstream", subject_.name}, {"why", why}});
     on_answer_(lived_on);
--- a/src/transport/end_question.hpp
+++ b/src/transport/end_question.hpp
@@ -18,9 +18,11 @@
 /// \brief Asks the upstream that had a run for a report, and says whether the process of that run
 /// answered.
 ///
-/// Example:
+/// A process that answers late lives: the question is asked again at growing pauses, each is
+/// listened to until the time of its owner is over, and any answer counts. Its owner ends a
+/// question that stays without one. Example:
 /// \code
-/// question = std::make_shared<end_question>(core, subject, [](bool lived_on) { … });
+/// question = std::make_shared<end_question>(core, subject, until, [](bool lived_on) { … });
 /// question->start();
 /// \endcode
 class end_question : public std::enable_shared_from_this<end_question>
@@ -40,34 +42,44 @@
     };
     using answer_handler = std::function<void(bool)>;
 
-    /// \brief `on_answer` is called once, later; it must not be called after its owner is gone.
-    end_question(forward_core& core, subject asked, answer_handler on_answer);
+    /// \brief `on_answer` is called once, later, unless nothing answers before `until` or the
+    /// question is destroyed.
+    end_question(forward_core& core, subject asked, state::time_point until,
+                 answer_handler on_answer);
 
     void start();
 
-    /// \brief How long the upstream has to answer.
-    static constexpr std::chrono::milliseconds timeout{300};
-    /// \brief Questions that may get no answer: the way to the upstream may lose packets.
-    static constexpr std::uint32_t max_unanswered = 3;
-    /// \brief Before a question is repeated; doubled each time. An upstream with too many
+    /// \brief Before a question is repeated that may still be answered; doubled each time.
+    static constexpr state::duration first_pause = std::chrono::milliseconds{200};
+    /// \brief Before one is repeated that is lost; doubled each time. An upstream with too many
     /// connections resets new ones at once.
-    static constexpr state::duration repeat_delay = std::chrono::milliseconds{100};
+    static constexpr state::duration first_pause_after_loss = std::chrono::milliseconds{100};
+    static constexpr state::duration max_pause = std::chrono::seconds{2};
     /// \brief Reports are half a second old: a process that states less than this may be past its
     /// time, and answers while it ends.
     static constexpr state::duration last_moments = std::chrono::milliseconds{600};
 
 private:
+    void ask();
     void on_result(state::result<fetch_answer> const& answer);
-    void ask_again_in(state::duration delay);
+    /// \brief Asks again at `at` if that is before the end.
+    void ask_again_at(state::time_point at);
+    /// \brief A question was lost: asks again earlier than after one that may still be answered.
+    void ask_again_after_loss();
     void end(bool lived_on, std::string_view why);
     /// \brief Returns whether the process that had the run answered, and stays.
     [[nodiscard]] bool shows_life(fetch_answer const& answer) const;
 
     forward_core& core_;
     subject subject_;
+    state::time_point until_;
     answer_handler on_answer_;
     net::steady_timer timer_;
-    std::uint32_t unanswered_ = 0;
+    state::duration pause_ = first_pause;
+    state::duration pause_after_loss_ = first_pause_after_loss;
+    state::time_point next_at_ = state::never;
+    std::uint32_t asked_ = 0;
+    bool ended_ = false;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -120,9 +120,9 @@
     /// length or chunks.
     virtual void on_closed() = 0;
     /// \brief Asks the upstream of an answer that ended with its connection whether its process
-    /// lived on, and calls `on_answer` with that, unless the call has ended or the question was
-    /// dropped.
-    void ask_whether_it_lives(std::function<void(bool)> on_answer);
+    /// lived on, and calls `on_answer` with that, unless the call has ended, the question was
+    /// dropped, or nothing answers before `until`.
+    void ask_whether_it_lives(state::time_point until, std::function<void(bool)> on_answer);
     void drop_end_question() noexcept
     {
         end_question_.reset();
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -65,13 +65,14 @@
     end == exchange_end::closed ? on_closed() : conclude(end);
 }
 
-void forward_call::ask_whether_it_lives(std::function<void(bool)> on_answer)
+void forward_call::ask_whether_it_lives(state::time_point until,
+                                        std::function<void(bool)> on_answer)
 {
     close_exchange();
     end_question::subject subject{admitted_.headers.id, member_, std::string{member_name()},
                                   address_, started_};
     end_question_ = std::make_shared<end_question>(
-        core_, std::move(subject),
+        core_, std::move(subject), until,
         [weak = weak_from_this(), serial = ++end_questions_,
          on_answer = std::move(on_answer)](bool lived_on)
         {
--- a/src/transport/plain_call.cpp
+++ b/src/transport/plain_call.cpp
@@ -43,7 +43,7 @@
     {
         return conclude(exchange_end::complete);
     }
-    ask_whether_it_lives([this](bool lived_on)
+    ask_whether_it_lives(admitted_.deadline, [this](bool lived_on)
                          { conclude(lived_on ? exchange_end::complete : exchange_end::broken); });
 }
 
@@ -104,7 +104,8 @@
 // time for another, its answer is all that can come.
 state::time_point plain_call::slow_at() const
 {
-    bool const waits = exchange_ != nullptr && !is_connecting_ && may_send_again();
+    bool const is_answering = exchange_ != nullptr && !is_connecting_;
+    bool const waits = (is_answering || is_end_asked()) && may_send_again();
     if (!waits)
     {
         return state::never;
@@ -123,6 +124,7 @@
 {
     if (now >= slow_at())
     {
+        drop_end_question();
         return retry_or_refuse("no answer in time");
     }
     forward_call::on_timer(now);
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -168,6 +168,10 @@
     void complete_stream(coordination::stream_whole proof);
     /// \brief The stream is complete if its upstream says that it lives.
     void ask_end();
+    /// \brief Returns until when its upstream may answer.
+    [[nodiscard]] state::time_point end_asked_until(state::time_point now) const;
+    /// \brief Its upstream did not answer while its caller waits.
+    void end_unanswered();
     /// \brief The stream was closed in order, and nothing shows that it is whole.
     void end_unproved();
     void source_ended(std::string_view why);
@@ -234,6 +238,8 @@
     std::optional<coordination::stream_whole> closed_whole_;
     /// \brief The order to stop found no run, which may have ended before; its upstream is asked.
     bool found_no_run_ = false;
+    /// \brief Until when the question is listened to that is under way.
+    state::time_point asked_until_{};
     move_attempts attempts_;
 };
 
--- a/src/transport/stream_call_ends.cpp
+++ b/src/transport/stream_call_ends.cpp
@@ -248,12 +248,35 @@
 
 void stream_call::ask_end()
 {
-    ask_whether_it_lives(
-        [this](bool lived_on)
-        {
-            closed_whole_ = lived_on ? ends_.proof_by_answer() : std::nullopt;
-            closed_whole_ ? conclude(exchange_end::complete) : end_unproved();
-        });
+    asked_until_ = end_asked_until(boot_now());
+    ask_whether_it_lives(asked_until_,
+                         [this](bool lived_on)
+                         {
+                             closed_whole_ = lived_on ? ends_.proof_by_answer() : std::nullopt;
+                             closed_whole_ ? conclude(exchange_end::complete) : end_unproved();
+                         });
+}
+
+// Silence ends no stream while its run is there, so the caller's patience counts from the close. An
+// order would prove no more than the question does: one that is silent answers neither. Where the
+// run is proved to be over, half of the time is left to a resumption.
+state::time_point stream_call::end_asked_until(state::time_point now) const
+{
+    state::duration const wait = std::min(admitted_.deadline - now, silence_timeout());
+    bool const may_go_on = found_no_run_ && failover_->has_memory();
+    if (!may_go_on || !admitted_.service->engine)
+    {
+        return now + wait;
+    }
+    return now + std::min(wait, admitted_.service->engine->copy_lifetime) / 2;
+}
+
+void stream_call::end_unanswered()
+{
+    log("end unanswered", {});
+    drop_end_question();
+    bool const may_go_on = found_no_run_ && failover_->has_memory();
+    may_go_on ? end_unproved() : on_timeout();
 }
 
 void stream_call::end_unproved()
@@ -281,7 +304,8 @@
         failover_ && !is_end_asked() ? failover_->next_deadline() : state::never;
     state::time_point const patience =
         awaits_next_run() ? last_progress_ + silence_timeout() : state::never;
-    return std::min({forward_call::next_deadline(), copies, patience});
+    state::time_point const asked = is_end_asked() ? asked_until_ : state::never;
+    return std::min({forward_call::next_deadline(), copies, patience, asked});
 }
 
 void stream_call::on_timer(state::time_point now)
@@ -292,6 +316,10 @@
     {
         return on_timeout();
     }
+    if (is_end_asked() && now >= asked_until_)
+    {
+        return end_unanswered();
+    }
     if (failover_ && !is_end_asked())
     {
         failover_actions actions;
--- a/tests/platform/forward_fixture.cpp
+++ b/tests/platform/forward_fixture.cpp
@@ -270,6 +270,14 @@
     }
 }
 
+void forward_fixture::cut_channels()
+{
+    for (auto const& channel : channels_)
+    {
+        channel->close_now();
+    }
+}
+
 void forward_fixture::run_until(std::function<bool()> const& condition)
 {
     auto const limit = std::chrono::steady_clock::now() + std::chrono::seconds{10};
--- a/tests/platform/forward_fixture.hpp
+++ b/tests/platform/forward_fixture.hpp
@@ -102,6 +102,8 @@
     }
     /// \brief Refuses what has no answer, as the daemon does when its grace is nearly over.
     void end_grace();
+    /// \brief Closes all callers' channels, as the daemon does as it ends.
+    void cut_channels();
     /// \brief Runs the loop until `condition` holds; fails after ten seconds.
     void run_until(std::function<bool()> const& condition);
     /// \brief Returns the only connection of any upstream whose request holds `text`.
