Product's interface: a service's answer without a length is whole once its service is known to live

Cause: http_stream took a close in order for the end. The question that forwarded calls ask was missing there.

Why this works: the service is asked by OPTIONS *, on a connection of its own that is opened after the close; any answer, however late, shows that its process lived on, a refused connection that it is gone. Asked again at growing pauses until the call's owner closes the exchange at its deadline. Services that state lengths, and answers that aren't successes, are not asked about.

--- a/src/transport/engine_stream.cpp
+++ b/src/transport/engine_stream.cpp
@@ -1,5 +1,7 @@
 #include "engine_stream.hpp"
 
+#include "service_question.hpp"
+
 #include <plumdale/protocol/answer_status.hpp>
 #include <plumdale/protocol/engine_codec.hpp>
 #include <plumdale/protocol/generation_text.hpp>
@@ -40,7 +42,7 @@
 public:
     http_stream(net::io_context& context, coordination::open_stream open, std::string model,
                 std::shared_ptr<answer_memory> answers_held, stream_listener listener)
-        : socket_{context}, open_{std::move(open)}, model_{std::move(model)},
+        : context_{context}, socket_{context}, open_{std::move(open)}, model_{std::move(model)},
           listener_{std::move(listener)}, answers_held_{std::move(answers_held)}
     {
         make_parser();
@@ -70,6 +72,7 @@
     void close() override
     {
         listener_ = nullptr;
+        end_question_.reset();
         call_body_.clear();
         error_code ignored;
         socket_.socket().close(ignored);
@@ -273,7 +276,30 @@
     // An engine's last event ends the exchange; an answer that ends without it is broken.
     void on_end()
     {
-        is_call() ? finish_call() : fail(upstream_failure::broken);
+        if (!is_call())
+        {
+            return fail(upstream_failure::broken);
+        }
+        bool const is_success =
+            http::to_status_class(parser_->get().result()) == http::status_class::successful;
+        is_success && parser_->need_eof() ? ask_whether_it_lives() : finish_call();
+    }
+
+    // A process that is killed within its answer closes the connection in order, too.
+    void ask_whether_it_lives()
+    {
+        error_code ignored;
+        socket_.socket().close(ignored);
+        end_question_ = std::make_shared<service_question>(
+            context_, open_.address,
+            [weak = weak_from_this()](bool lived_on)
+            {
+                if (auto const self = weak.lock())
+                {
+                    lived_on ? self->finish_call() : self->fail(upstream_failure::broken);
+                }
+            });
+        end_question_->ask();
     }
 
     void finish_call()
@@ -306,6 +332,7 @@
         }
     }
 
+    net::io_context& context_;
     beast::tcp_stream socket_;
     coordination::open_stream open_;
     std::string model_;
@@ -317,6 +344,8 @@
     std::array<char, read_buffer_bytes> read_buffer_{};
     protocol::event_data_splitter splitter_;
     held_answer call_body_{*answers_held_};
+    /// \brief The question that is under way, after an answer that ended with its connection.
+    std::shared_ptr<service_question> end_question_;
     std::uint32_t interim_answers_ = 0;
     bool paused_ = false;
     bool read_deferred_ = false;
--- a/tests/transport/test_upstream_stream.cpp
+++ b/tests/transport/test_upstream_stream.cpp
@@ -3,6 +3,7 @@
 #include <plumdale/protocol/answer_status.hpp>
 #include <plumdale/protocol/generation_text.hpp>
 
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include <optional>
@@ -179,8 +180,6 @@
     CHECK(*cause == upstream_failure::not_connected);
 }
 
-// The service ran the call and answered with its own status: the caller must receive it instead of
-// an error of the system.
 // Guards against half an answer that passes for whole: its process was killed within it.
 TEST_CASE("a service's answer without a length isn't whole as its upstream is gone")
 {
@@ -194,6 +193,81 @@
     CHECK(half.failure());
 }
 
+// Guards against a whole answer that fails: its service answers the question late, or loses the
+// first one.
+TEST_CASE("a service's answer without a length is whole however late the service says it lives")
+{
+    bool const is_lost = GENERATE(false, true);
+    CAPTURE(is_lost);
+    coordination::open_stream call;
+    call.kind = state::work_kind::call;
+    call.path = "/orders";
+    exchange whole{"HTTP/1.1 200 OK\r\n\r\nwhole", call};
+    REQUIRE(run_until(whole.context, [&] { return whole.upstream != nullptr; }));
+    std::unique_ptr<tests::raw_peer> question;
+    whole.listener.acceptor.async_accept(
+        [&](boost::system::error_code, transport::tcp::socket socket)
+        { question = std::make_unique<tests::raw_peer>(std::move(socket)); });
+    whole.upstream->close();
+    REQUIRE(run_until(whole.context,
+                      [&] { return question && question->received().ends_with("\r\n\r\n"); }));
+    CHECK(question->received().starts_with("OPTIONS * "));
+    if (is_lost)
+    {
+        auto const lost = std::move(question);
+        whole.listener.acceptor.async_accept(
+            [&](boost::system::error_code, transport::tcp::socket socket)
+            { question = std::make_unique<tests::raw_peer>(std::move(socket)); });
+        lost->close();
+        REQUIRE(run_until(whole.context, [&] { return question != nullptr; }));
+    }
+    boost::asio::steady_timer pause{whole.context, std::chrono::seconds{1}};
+    bool is_over = false;
+    pause.async_wait([&](boost::system::error_code) { is_over = true; });
+    REQUIRE(run_until(whole.context, [&] { return is_over; }));
+    CHECK_FALSE(whole.ended);
+    question->send("HTTP/1.1 405 None\r\nContent-Length: 0\r\n\r\n");
+    CHECK_FALSE(whole.failure());
+    CHECK(std::get<upstream_token>(whole.events.at(1)).text == "whole");
+}
+
+// Guards against a process that is killed while it is asked, and against a caller who has left.
+TEST_CASE("a service's answer without a length isn't whole once the asked service is gone")
+{
+    bool const is_closed = GENERATE(false, true);
+    CAPTURE(is_closed);
+    coordination::open_stream call;
+    call.kind = state::work_kind::call;
+    call.path = "/orders";
+    exchange half{"HTTP/1.1 200 OK\r\n\r\nhalf", call};
+    REQUIRE(run_until(half.context, [&] { return half.upstream != nullptr; }));
+    std::unique_ptr<tests::raw_peer> question;
+    half.listener.acceptor.async_accept(
+        [&](boost::system::error_code, transport::tcp::socket socket)
+        { question = std::make_unique<tests::raw_peer>(std::move(socket)); });
+    half.upstream->close();
+    REQUIRE(run_until(half.context, [&] { return question != nullptr; }));
+    if (is_closed)
+    {
+        half.stream->close();
+    }
+    half.listener.acceptor.close();
+    question->close();
+    if (is_closed)
+    {
+        boost::asio::steady_timer pause{half.context, std::chrono::milliseconds{500}};
+        bool is_over = false;
+        pause.async_wait([&](boost::system::error_code) { is_over = true; });
+        REQUIRE(run_until(half.context, [&] { return is_over; }));
+        CHECK_FALSE(half.ended);
+        return;
+    }
+    CHECK(half.failure() == upstream_failure::broken);
+    CHECK(half.tokens() == 0);
+}
+
+// The service ran the call and answered with its own status: the caller must receive it instead of
+// an error of the system.
 TEST_CASE("a service's answer keeps its status")
 {
     coordination::open_stream call;
