Ends: a test that nothing is ordered of a run whose end is asked for

With that mutation (is_end_asked() taken out of next_deadline and on_timer) the case failed, 1 of 1 run; on this code it passes.

--- a/tests/platform/test_end_questions.cpp
+++ b/tests/platform/test_end_questions.cpp
@@ -443,6 +443,37 @@
     CHECK(fixture.request_count(resumption) == (copies == copy_state::first_ordered ? 0 : 1));
 }
 
+// The time of the last copy comes while the question is open. Guards against an order after which
+// nothing proves the end any more.
+TEST_CASE("nothing is ordered of a run whose end is asked for", "[stream_ends]")
+{
+    forward_fixture fixture;
+    fill_engines(fixture);
+    closed_draft const draft{fixture};
+    announce_departure(fixture, *draft.source);
+    fixture.run_until([&] { return !draft.source->connections_with(report_question).empty(); });
+    auto const departure = draft.source->connections_with(report_question).front();
+    departure->send(report(R"({"state":"draining","leaves_ms":1000})"));
+    fixture.upstream_connection("\"isLast\":false")
+        ->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":3})"));
+    run_for(fixture, 50ms);
+    REQUIRE(fixture.request_count(stop_order) == 0);
+    draft.stream->close();
+    request_answers answers{*draft.source};
+    auto const closed_at = steady::now();
+    fixture.run_until(
+        [&]
+        {
+            if (steady::now() > closed_at + 2'500ms)
+            {
+                answers.send(report_question, report());
+            }
+            return draft.caller->ended || draft.is_complete();
+        });
+    CHECK(draft.is_complete());
+    CHECK(fixture.request_count("\"isLast\":") == 1);
+}
+
 // Nothing but the last chunk tells a caller that its stream is whole.
 TEST_CASE("a stream that its VM gives up ends without the last chunk", "[stream_ends]")
 {
