Sends: an upstream that reads nothing for a while ends no call

Callers saw: 502, though their upstream was sound: it read nothing of a large body for three seconds.

Cause: TCP_USER_TIMEOUT (3 s) on connections to upstreams also counts a receiver that acknowledges each probe and has no room. That limit was nobody's: the caller's time and the route's timeout say how long a call may take.

Why this works: requests over 4 KB, which may find no room, are looked at four times a second until they have arrived. Where the system tells that bytes wait and are acknowledged or refused room, its limit is lifted, and delivery_watch notices a lost path instead: an acknowledgement that is awaited and doesn't come for 3 s. A system that doesn't tell keeps the limit of before.

--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -7,8 +7,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <utility>
 
 namespace plumdale::transport
@@ -95,9 +93,7 @@
     }
     error_code ignored;
     socket_->set_option(tcp::no_delay{true}, ignored);
-    int const timeout = user_timeout_ms;
-    ::setsockopt(socket_->native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-                 sizeof(timeout));
+    set_delivery_limit(socket_->native_handle(), path_timeout);
     request_ = std::move(*request);
     sent_ = true;
     net::async_write(*socket_, net::buffer(request_),
@@ -107,9 +103,45 @@
                          // sent before it read everything.
                          self->written_ = !error;
                      });
+    if (request_.size() > watched_request_bytes)
+    {
+        watch_delivery();
+    }
     read();
 }
 
+void upstream_exchange::watch_delivery()
+{
+    timer_.expires_after(delivery_check);
+    timer_.async_wait(
+        [self = shared_from_this()](error_code error)
+        {
+            if (!error && self->sink_ != nullptr)
+            {
+                self->check_delivery();
+            }
+        });
+}
+
+void upstream_exchange::check_delivery()
+{
+    int const socket = socket_->native_handle();
+    delivery const seen = delivery_.look(socket, boot_now());
+    if (seen == delivery::path_lost)
+    {
+        return finish(exchange_end::lost);
+    }
+    if (seen == delivery::underway)
+    {
+        // From here on it is the watch that notices a lost path.
+        set_delivery_limit(socket, unread_timeout);
+    }
+    if (!written_ || seen == delivery::underway)
+    {
+        watch_delivery();
+    }
+}
+
 void upstream_exchange::read()
 {
     if (reading_ || paused_ || sink_ == nullptr)
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection_failure.hpp"
+#include "delivery_watch.hpp"
 #include "net.hpp"
 #include "upstream_pool.hpp"
 
@@ -100,7 +101,14 @@
     /// the first packet, which is retransmitted after a second: too late to wait for.
     static constexpr auto connect_timeout = std::chrono::milliseconds{350};
     /// \brief After this long with unacknowledged bytes the path counts as lost.
-    static constexpr unsigned user_timeout_ms = 3'000;
+    static constexpr state::duration path_timeout = std::chrono::seconds{3};
+    /// \brief An upstream that acknowledges may leave bytes unread for longer than any caller
+    /// waits.
+    static constexpr state::duration unread_timeout = std::chrono::seconds{60};
+    /// \brief Requests that are larger may find no room at an upstream that doesn't read yet.
+    static constexpr std::size_t watched_request_bytes = 4UL * 1024;
+    /// \brief How often the delivery of such a request is looked at.
+    static constexpr state::duration delivery_check = std::chrono::milliseconds{250};
     /// \brief Largest head of an upstream's answer in bytes.
     static constexpr std::uint32_t head_limit = 16 * 1024;
     static constexpr std::uint64_t body_limit = 64ULL * 1024 * 1024;
@@ -109,6 +117,9 @@
     void connect();
     void fail_to_connect(connection_failure failure);
     void send();
+    /// \brief Looks at the delivery of a large request until it has arrived.
+    void watch_delivery();
+    void check_delivery();
     void read();
     void on_read(boost::system::error_code error, std::size_t bytes);
     void append_bytes(std::string_view bytes);
@@ -123,7 +134,9 @@
     options options_;
     exchange_sink* sink_;
     std::unique_ptr<tcp::socket> socket_;
+    /// \brief For the connecting, and then for the delivery.
     net::steady_timer timer_;
+    delivery_watch delivery_{path_timeout};
     protocol::http_reader reader_;
     std::string request_;
     std::array<char, 4096> buffer_{};
--- a/tests/platform/forward_fixture.cpp
+++ b/tests/platform/forward_fixture.cpp
@@ -7,6 +7,8 @@
 
 #include <chrono>
 #include <fcntl.h>
+#include <linux/filter.h>
+#include <sys/socket.h>
 
 namespace plumdale::test
 {
@@ -56,10 +58,16 @@
 
 void scripted_connection::read()
 {
+    if (is_paused_ || is_reading_)
+    {
+        return;
+    }
+    is_reading_ = true;
     socket_.async_read_some(
         net::buffer(buffer_),
         [self = shared_from_this()](boost::system::error_code error, std::size_t bytes)
         {
+            self->is_reading_ = false;
             self->received.append(self->buffer_.data(), bytes);
             self->ended = static_cast<bool>(error);
             if (!error)
@@ -69,6 +77,25 @@
         });
 }
 
+void scripted_connection::pause_reading()
+{
+    is_paused_ = true;
+}
+
+void scripted_connection::resume_reading()
+{
+    is_paused_ = false;
+    read();
+}
+
+void scripted_connection::lose_path()
+{
+    sock_filter drop{BPF_RET | BPF_K, 0, 0, 0};
+    sock_fprog const program{1, &drop};
+    REQUIRE(::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                         sizeof(program)) == 0);
+}
+
 void scripted_connection::send(std::string_view bytes)
 {
     boost::system::error_code ignored;
@@ -262,6 +289,18 @@
     return caller;
 }
 
+std::shared_ptr<scripted_caller> forward_fixture::upload(std::string_view path, std::string_view id,
+                                                         std::size_t size,
+                                                         std::string_view more_fields)
+{
+    tcp::socket socket{context};
+    socket.connect(caller_acceptor_.local_endpoint());
+    auto const caller = std::make_shared<scripted_caller>(std::move(socket));
+    caller->send_large(call_text(path, id, more_fields, std::string(size, 'x')));
+    caller->read();
+    return caller;
+}
+
 void forward_fixture::end_grace()
 {
     for (auto const& channel : channels_)
--- a/tests/platform/forward_fixture.hpp
+++ b/tests/platform/forward_fixture.hpp
@@ -33,6 +33,11 @@
     void close();
     /// \brief Closes the connection with a reset.
     void reset();
+    /// \brief Leaves what arrives to the system, which soon has no room for more.
+    void pause_reading();
+    void resume_reading();
+    /// \brief Has all packets that arrive dropped, like a path that is lost.
+    void lose_path();
 
     std::string received;
     bool ended = false;
@@ -43,6 +48,8 @@
     transport::tcp::socket socket_;
     std::array<char, 8192> buffer_{};
     std::string outgoing_;
+    bool is_paused_ = false;
+    bool is_reading_ = false;
 };
 
 /// \brief A listening upstream; the test sends its answers.
@@ -95,6 +102,9 @@
     std::shared_ptr<scripted_caller> call(std::string_view path, std::string_view id,
                                           std::string_view more_fields = {},
                                           std::string_view body = {});
+    /// \brief Sends a call whose body of `size` bytes arrives while the loop runs.
+    std::shared_ptr<scripted_caller> upload(std::string_view path, std::string_view id,
+                                            std::size_t size, std::string_view more_fields = {});
     /// \brief Where callers connect.
     [[nodiscard]] transport::tcp::endpoint caller_address() const
     {
