Callers: one that ends its sending side gets all of a whole answer

Callers saw: a part of an answer, when they had ended their sending side while they still read it.

Cause: the end of a caller's bytes counted as a connection that is closed, also when no call was in progress: what waited to be written was dropped.

--- a/src/transport/caller_channel.cpp
+++ b/src/transport/caller_channel.cpp
@@ -109,7 +109,8 @@
     }
     if (error)
     {
-        return on_connection_lost();
+        bool const is_answered = stage_ != stage::in_call && owed_bytes() != 0;
+        return is_answered && error == net::error::eof ? deliver_rest() : on_connection_lost();
     }
     if (stage_ != stage::closing)
     {
@@ -122,6 +123,15 @@
     read();
 }
 
+// A caller that ends its sending side looks like one that has closed its connection. During a call
+// it counts as gone, so that no upstream works for nobody; a whole answer costs no upstream, and is
+// delivered.
+void caller_channel::deliver_rest()
+{
+    stage_ = stage::closing;
+    arm_timer(linger_time);
+}
+
 void caller_channel::parse_input()
 {
     if (stage_ == stage::idle)
--- a/src/transport/caller_channel.hpp
+++ b/src/transport/caller_channel.hpp
@@ -162,6 +162,8 @@
 
     void read();
     void on_read(boost::system::error_code error, std::size_t bytes);
+    /// \brief Delivers what is left of the last answer to a caller that sends nothing more.
+    void deliver_rest();
     void parse_input();
     void begin_call();
     void refuse_malformed();
--- a/tests/platform/slow_caller.cpp
+++ b/tests/platform/slow_caller.cpp
@@ -40,6 +40,12 @@
     net::write(socket_, net::buffer(bytes), ignored);
 }
 
+void slow_caller::end_sending()
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(transport::tcp::socket::shutdown_send, ignored);
+}
+
 void slow_caller::read_until_size(std::size_t wanted)
 {
     while (received.size() < wanted && !ended)
--- a/tests/platform/slow_caller.hpp
+++ b/tests/platform/slow_caller.hpp
@@ -19,6 +19,8 @@
     slow_caller(forward_fixture& fixture, std::size_t bytes_per_second);
 
     void send(std::string_view bytes);
+    /// \brief Ends the sending side, and reads on.
+    void end_sending();
     /// \brief Reads until `wanted` bytes are there or the connection ends.
     void read_until_size(std::size_t wanted);
     /// \brief Runs the loop without reading.
--- a/tests/platform/test_owed_answers.cpp
+++ b/tests/platform/test_owed_answers.cpp
@@ -56,6 +56,7 @@
 }
 
 constexpr auto long_silence = 2'600ms;
+constexpr auto unread_for = 11s;
 
 } // namespace
 
@@ -118,6 +119,45 @@
     CHECK(transport::boot_now() - answered_at < 2s);
 }
 
+// Guards against a whole answer that is cut as its caller ends its sending side.
+TEST_CASE("a caller that sends nothing more gets all of a whole answer", "[owed_answers]")
+{
+    forward_fixture fixture;
+    bool const is_kept = GENERATE(false, true);
+    answered_slow_caller slow{fixture, is_kept ? "" : "Connection: close\r\n"};
+    slow.caller.read_until_size(1);
+    slow.caller.rest(100ms);
+    slow.caller.end_sending();
+    CHECK(slow.reads_whole_answer());
+    slow.caller.read_until_size(slow.caller.received.size() + 1);
+    CHECK(slow.caller.ended);
+}
+
+// Guards against upstreams at work for callers who have closed their connection, which looks the
+// same.
+TEST_CASE("a caller that ends its sending side during a call counts as gone", "[owed_answers]")
+{
+    forward_fixture fixture;
+    std::string const kind = GENERATE("event", "fetch", "draft");
+    auto const caller = fixture.call("/" + kind + "/1", "id-101");
+    auto const run = fixture.upstream_connection("Plumdale-Request-Id: id-101");
+    caller->close();
+    auto const closed_at = transport::boot_now();
+    fixture.run_until([&] { return run->ended; });
+    CHECK(transport::boot_now() - closed_at < 500ms);
+    CHECK(fixture.core.calls_in_progress == 0);
+}
+
+// Guards against a caller that is given up though it acknowledges what it doesn't read.
+TEST_CASE("a caller that reads nothing for over ten seconds gets its answer", "[owed_answers]")
+{
+    forward_fixture fixture;
+    answered_slow_caller slow{fixture};
+    slow.caller.read_until_size(1);
+    slow.caller.rest(unread_for);
+    CHECK(slow.reads_whole_answer());
+}
+
 // Guards against streams that are ended as their sound upstream is silent for long.
 TEST_CASE("a long silence of its upstream ends no stream", "[owed_answers][silence]")
 {
