--- a/tests/platform/peer_vm.cpp
+++ b/tests/platform/peer_vm.cpp
@@ -142,6 +142,14 @@
     channels_.clear();
 }
 
+void peer_vm::end_grace()
+{
+    for (auto const& channel : channels_)
+    {
+        channel->end_unanswered_call();
+    }
+}
+
 void peer_vm::join()
 {
     coordination::fleet_update update;
--- a/tests/platform/peer_vm.hpp
+++ b/tests/platform/peer_vm.hpp
@@ -50,6 +50,8 @@
     void join();
     /// \brief Closes all connections from other VMs, like a process that ends.
     void drop_connections();
+    /// \brief Refuses what has no answer, as the daemon does when its grace is nearly over.
+    void end_grace();
 
     protocol::forward_settings settings;
     transport::forward_core core;
