--- a/tests/platform/test_moved_streams.cpp
+++ b/tests/platform/test_moved_streams.cpp
@@ -1,5 +1,7 @@
 #include "moved_draft.hpp"
 
+#include <plumdale/protocol/digest.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <chrono>
@@ -98,3 +100,41 @@
     CHECK(moved.is_whole());
 }
 
+// Other upstreams end under the same request, and a peer says so between the stop and the
+// resumption. Guards against a run that this VM stopped and then refuses to go on with.
+TEST_CASE("a stopped draft goes on though its request is refused meanwhile", "[moved_streams]")
+{
+    forward_fixture fixture;
+    moved_draft moved{fixture};
+    moved.copy_first();
+    moved.stop();
+    state::request_digest const request =
+        protocol::digest_of_request("POST", "a.example", "/draft/1", "customer", "");
+    for (std::string_view const name : {"i-100", "i-101", "i-102"})
+    {
+        coordination::request_evidence const ended{
+            request, state::id_from_name<state::member_key>(name), {}};
+        fixture.core.quarantine.apply_updates({&ended, 1});
+    }
+    REQUIRE(fixture.core.quarantine.refuses_request(request));
+    moved.answer_stop();
+    CHECK(moved.refuse_resumptions_for(300ms) > 0);
+    moved.resume_to_end();
+    CHECK(moved.is_whole());
+}
+
+// Guards against a run that this VM stops though no number says where it would go on.
+TEST_CASE("a draft with an event without a number is not stopped", "[moved_streams]")
+{
+    forward_fixture fixture;
+    moved_draft moved{fixture};
+    moved.draft.stream->send("9\r\ndata: b\n\n\r\n");
+    fixture.run_until(
+        [&] { return moved.draft.caller->received.find("data: b\n") != std::string::npos; });
+    moved.copy_first();
+    moved.run_for(2'500ms);
+    CHECK(fixture.request_count(stop_order) == 0);
+    moved.draft.stream->send(event_chunk(4) + "0\r\n\r\n");
+    fixture.run_until([&] { return moved.is_whole() || moved.draft.caller->ended; });
+    CHECK(moved.is_whole());
+}
--- a/tests/platform/test_stream_events.cpp
+++ b/tests/platform/test_stream_events.cpp
@@ -1,5 +1,6 @@
 #include "drawn_stream.hpp"
 #include "forward_fixture.hpp"
+#include "transport/stream_call.hpp"
 
 #include <plumdale/protocol/raw_event_splitter.hpp>
 
@@ -149,6 +150,20 @@
     CHECK(draft.fixture.request_count("Kv-From: ") == 0);
 }
 
+// Guards against an event beyond a VM's memory that is passed on in part, in a stream that looks
+// whole.
+TEST_CASE("an event that is larger than a VM holds breaks its stream off", "[stream][event-stream]")
+{
+    played_draft draft;
+    draft.send(chunk("id: 1\ndata: a\n\n"));
+    draft.fixture.run_until([&] { return body_of(*draft.caller).ends_with("data: a\n\n"); });
+    std::string const bytes(transport::stream_call::max_event_bytes + 8'192, 'x');
+    draft.upstream->send_large(chunk("id: 2\ndata: " + bytes + "\n\n") + std::string{last_chunk});
+    draft.fixture.run_until([&] { return draft.caller->ended || draft.upstream->ended; });
+    CHECK(body_of(*draft.caller) == "id: 1\ndata: a\n\n");
+    CHECK(draft.caller->received.find(last_chunk) == std::string::npos);
+}
+
 // Guards against a stream without a length that looks whole although it was closed inside a block.
 TEST_CASE("a stream that is closed inside a block is broken off", "[stream][event-stream]")
 {
