--- a/tests/platform/forward_fixture.cpp
+++ b/tests/platform/forward_fixture.cpp
@@ -241,13 +241,18 @@
 }
 
 forward_fixture::~forward_fixture()
+{
+    cut_channels();
+    context.restart();
+    context.poll();
+}
+
+void forward_fixture::cut_channels()
 {
     for (auto const& channel : channels_)
     {
         channel->close_now();
     }
-    context.restart();
-    context.poll();
 }
 
 void forward_fixture::accept()
--- a/tests/platform/forward_fixture.hpp
+++ b/tests/platform/forward_fixture.hpp
@@ -112,6 +112,8 @@
     }
     /// \brief Refuses what has no answer, as the daemon does when its grace is nearly over.
     void end_grace();
+    /// \brief Closes all callers' connections, as the daemon does at its end.
+    void cut_channels();
     /// \brief Runs the loop until `condition` holds; fails after ten seconds.
     void run_until(std::function<bool()> const& condition);
     /// \brief Returns the only connection of any upstream whose request holds `text`.
