Zones: a cut lasts until an answer, not while its first signs do

Cause: zone_reach kept no decision, it derived the cut from what failed at each look. A silent zone counts as cut 200 ms after the first call by connections that are still open. At 400 ms the probes among them time out together and replace the call's older failure; the first failure that counts is then younger than the 50 ms that probes have to answer, so for 50 ms the zone wasn't cut.

Why this works: what was decided is held until the VM or a peer of its zone reaches the zone, or nothing of the last two seconds speaks for the cut.

--- a/include/plumdale/coordination/zone_reach.hpp
+++ b/include/plumdale/coordination/zone_reach.hpp
@@ -123,6 +123,8 @@
         state::time_point reported_at{};
         state::time_point probed_at{};
         state::time_point cut_since = state::never;
+        /// \brief Decided to be cut, and not reached since.
+        bool is_held = false;
     };
 
     /// \brief What speaks for a cut now.
--- a/src/coordination/zone_reach.cpp
+++ b/src/coordination/zone_reach.cpp
@@ -16,6 +16,7 @@
     zone_state& of = zones_[zone];
     of.reached_at = now;
     of.failed.clear();
+    of.is_held = false;
 }
 
 void zone_reach::connection_failed(state::zone_id zone, state::member_key member,
@@ -86,6 +87,7 @@
         if (row.is_reached)
         {
             of.peers_reached_at = std::max(of.peers_reached_at, at);
+            of.is_held = false;
         }
     }
 }
@@ -129,9 +131,15 @@
     return sum;
 }
 
+// What showed a cut ages and is replaced by younger failures. The decision lasts meanwhile: it ends
+// with an answer, or when nothing speaks for it any more.
 bool zone_reach::is_cut(zone_state const& zone, state::time_point now)
 {
     evidence const found = evidence_of(zone, now);
+    if (zone.is_held && (found.upstreams > 0 || found.peers > 0))
+    {
+        return true;
+    }
     bool const had_time = found.upstreams > 0 && now >= found.first_at + doubt_time;
     return (found.upstreams >= min_failed && had_time) ||
            (found.upstreams > 0 && found.peers > 0) || found.peers > 1;
@@ -236,6 +244,7 @@
     for (auto& [zone, of] : zones_)
     {
         bool const cut = is_cut(of, now);
+        of.is_held = cut;
         if (cut == (of.cut_since != state::never))
         {
             continue;
--- a/tests/coordination/test_zone_reach.cpp
+++ b/tests/coordination/test_zone_reach.cpp
@@ -133,6 +133,41 @@
     CHECK(rows[0].is_reached);
 }
 
+// Guards against a cut that is forgotten as the connections that showed it time out together: the
+// first failure that counts is then younger than the time that probes have to answer.
+TEST_CASE("a cut lasts while its connections time out", "[zone_reach]")
+{
+    constexpr state::duration timeout = 350ms;
+    zone_reach zones{own};
+    // A call's connection, and the probes of all three upstreams that it raises.
+    zones.connecting(other, upstream(1), at(0ms));
+    for (std::uint64_t i = 1; i <= zone_reach::min_failed; ++i)
+    {
+        zones.connecting(other, upstream(i), at(50ms));
+    }
+    auto const fail = [&](std::uint64_t number, state::duration when)
+    {
+        zones.connecting_ended(other, upstream(number));
+        zones.connection_failed(other, upstream(number), at(when));
+    };
+    std::size_t changes = 0;
+    for (state::duration now = 200ms; now < 2s; now += 1ms)
+    {
+        if (now == timeout)
+        {
+            fail(1, now);
+        }
+        for (std::uint64_t i = 1; now == 50ms + timeout && i <= zone_reach::min_failed; ++i)
+        {
+            fail(i, now);
+        }
+        CAPTURE(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+        changes += zones.take_changes(at(now)).size();
+        CHECK(zones.is_cut(other, at(now)));
+    }
+    CHECK(changes == 1);
+}
+
 // Guards against a pause of the process that makes its open connections look silent.
 TEST_CASE("connections begin anew after a pause of the process", "[zone_reach]")
 {
--- a/tests/platform/test_shared_suspicions.cpp
+++ b/tests/platform/test_shared_suspicions.cpp
@@ -46,12 +46,12 @@
     return caller->received;
 }
 
-/// \brief Lists a fixture's upstreams at an address of another zone, save the last one.
+/// \brief Lists a fixture's upstreams at an address of another zone, save the last ones.
 void move_to_other_zone(forward_fixture const& fixture, transport::forward_core& core,
-                        state::endpoint address, std::uint64_t revision)
+                        state::endpoint address, std::uint64_t revision, std::size_t kept = 1)
 {
     std::vector<state::service_member> members;
-    for (std::size_t i = 0; i + 1 < fixture.upstreams.size(); ++i)
+    for (std::size_t i = 0; i + kept < fixture.upstreams.size(); ++i)
     {
         members.push_back(fixture.upstreams[i]->make_member(
             i < forward_fixture::plain_upstreams ? "plain" : "engine", revision));
@@ -150,3 +150,35 @@
         CHECK(answer_to_event(fixture, "id-103").starts_with("HTTP/1.1 200"));
     }
 }
+
+// Guards against a cut that is forgotten for some milliseconds as the connections that showed it
+// time out together.
+TEST_CASE("calls end at once for as long as a zone is cut", "[suspicions]")
+{
+    for (lost_path const how : {lost_path::silent, lost_path::refused})
+    {
+        CAPTURE(static_cast<int>(how));
+        forward_fixture fixture;
+        switch_on(fixture.core);
+        dead_address const nowhere{how};
+        // All three upstreams there are probed as soon as the first one is in doubt.
+        move_to_other_zone(fixture, fixture.core, nowhere.endpoint(), 2'000, 2);
+        fixture.core.prober.probe_suspect(upstream(4));
+        answer_to_event(fixture, "id-101");
+        fixture.run_until(
+            [&]
+            {
+                fixture.core.advance_zones(transport::boot_now());
+                return fixture.core.is_any_zone_cut(transport::boot_now());
+            });
+        auto const cut_at = transport::boot_now();
+        for (int i = 200; transport::boot_now() < cut_at + 1s; ++i)
+        {
+            auto const start = transport::boot_now();
+            CHECK(answer_to_event(fixture, "id-" + std::to_string(i)).starts_with("HTTP/1.1 503"));
+            CHECK(transport::boot_now() - start < 100ms);
+            fixture.run_until([&] { return transport::boot_now() >= start + 10ms; });
+        }
+        CHECK(fixture.core.metrics.value(transport::forward_count::zone_cuts) == 1);
+    }
+}
