reloads: upstreams that leave, and a check that tells our stop from their break

The soak of planned work had no upstreams that leave, so it could not see that a stream whose run an order of ours had stopped was not gone on with: passed it (incident of streams stopped and not resumed).

departures.py adds a service whose engines leave in series and in pairs, with a notice, and end only once they run nothing, beside the reloads, configurations, silences and stops that are there.

A stopping VM that holds long streams now lives to the end of its grace, and the soak's callers go on calling it: its refusals no longer count in the share of calls that have to be served (half of the others, as before).

--- a/tests/soak/reloads.py
+++ b/tests/soak/reloads.py
@@ -6,8 +6,9 @@
 at 100 kB/s to 10 MB/s. Settings files are rewritten, also half-written and without a signal; SIGHUPs come one by one and
 many at once; configurations change the idle limit, time-outs and the service of a route; VMs are stopped and started; and
 upstreams do nothing for a second or more. All of it comes in series and overlaps. In odd seeds a VM has no path to
-upstreams, so that its calls go through a peer. Each call that was read is owed a whole answer. The last line is
-`N passed, N failed`; a failed seed prints its violations and the folder of its logs.
+upstreams, so that its calls go through a peer. Engines of a service of their own leave meanwhile (departures.py). Each call
+that was read is owed a whole answer. The last line is `N passed, N failed`; a failed seed prints its violations and the
+folder of its logs, in which `cuts.txt` says why each stream of a leaving engine ended and what became of its memory.
 """
 
 import argparse
@@ -18,21 +19,24 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import tempfile
+import time
 
+from departures import Departures
 from platform_standin import CONFIGURATION, SEAL, Upstream, http_response
+from repeats import RepeatCheck, limit_of
+from slow_channel import Channel
 from soak import Fleet, report
 
 # No call of these sound upstreams comes near its route's timeout, which would excuse it.
 GRACE_S, MIN_TIMEOUT_MS, DEADLINE_MS = 8, 15_000, 20_000
-# A caller with a small window and packets of an ordinary network; else the system holds a whole answer for it.
-WINDOW_BYTES, SEGMENT_BYTES = 16_384, 1_448
 MAX_ANSWER_BYTES, MAX_READING_S = 4_500_000, 4.0
 CALLERS_PER_VM = 4
 # A stopping VM closes so long before its grace ends.
 GRACE_MARGIN_S = 0.3
+# VMs have written their lines after this time.
+LOG_DELAY_S = 0.3
 SERVICES = ("plain", "plain-2", "engine")
 
 
@@ -53,64 +57,25 @@
         return False
 
 
-class Channel:
-    """A kept channel of a caller that reads slowly."""
-
-    def __init__(self, address):
-        self.address, self.socket, self.rest = address, None, b""
-
-    async def open(self):
-        self.close()
-        self.socket, self.rest = socket.socket(), b""
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-        self.socket.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(self.socket, self.address)
-
-    def close(self):
-        if self.socket is not None:
-            self.socket.close()
-        self.socket = None
-
-    def is_ended(self):
-        """Returns whether the VM has closed the channel, as a caller sees before it sends a call."""
-        try:
-            return self.socket is None or self.socket.recv(1, socket.MSG_PEEK) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
-    async def take(self, size):
-        """Returns `size` bytes; raises EOFError if the channel ends before."""
-        while len(self.rest) < size:
-            await self.fill()
-        taken, self.rest = self.rest[:size], self.rest[size:]
-        return taken
-
-    async def take_line(self, end):
-        while end not in self.rest:
-            await self.fill()
-        taken, _, self.rest = self.rest.partition(end)
-        return taken
-
-    async def fill(self):
-        try:
-            part = await asyncio.get_running_loop().sock_recv(self.socket, 16_384)
-        except ConnectionError as error:
-            raise EOFError from error
-        if not part:
-            raise EOFError
-        self.rest += part
-        await asyncio.sleep(len(part) / self.bytes_per_s)
-
-
 class PlannedFleet(Fleet):
     upstream_type, grace_s, has_kind_upstreams = SoundUpstream, GRACE_S, True
 
     def __init__(self, seed, binary, folder):
         super().__init__(seed, binary, folder)
         self.draws, self.next_call, self.stopped_at, self.outcomes = random.Random(f"reloads {seed}"), 0, {}, []
+        # Calls that a stopping VM refused: one that holds long streams lives to the end of its grace, while no balancer leads
+        # these callers elsewhere.
+        self.turned_away = set()
+        self.wall_offset_s = time.time() - asyncio.get_running_loop().time()
+        self.allow_repeats(*limit_of(seed))
+
+    def allow_repeats(self, ratio, slack):
+        """Sets the allowance that all VMs have together, before they start."""
+        self.allowance, self.record.repeats = (ratio, slack), RepeatCheck(ratio, slack)
+
+    def settings_of(self, number):
+        ratio, slack = self.allowance
+        return {**super().settings_of(number), "repeat_ratio": ratio, "repeat_slack": slack}
 
     def first_services(self):
         return ("plain", "plain", "plain-2", "engine", "engine", "engine")
@@ -164,6 +129,8 @@
         except (EOFError, OSError):
             channel.close()
         self.calls[call] |= {"status": status, "whole": is_whole}
+        if status == 503 and vm in self.starting:
+            self.turned_away.add(call)
         self.outcomes.append((call, vm, sent_at, loop.time(), status, is_whole))
 
     async def read_body(self, channel, head):
@@ -276,22 +243,29 @@
 async def soak(seed, binary, seconds):
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"plumdale-reloads-{seed}-"))
     fleet, loop = PlannedFleet(seed, binary, folder), asyncio.get_running_loop()
+    departures = Departures(fleet)
+    fleet.allow_repeats(*departures.allowance)
     try:
         await fleet.start()
+        await departures.start()
         await asyncio.sleep(2.0)
         end = loop.time() + seconds
         callers = [fleet.call_repeatedly(vm, end) for vm in (1, 2, 3) for _ in range(CALLERS_PER_VM)]
-        await asyncio.gather(fleet.work(end), *callers)
+        await asyncio.gather(fleet.work(end), *departures.tasks(end), *callers)
+        await asyncio.sleep(LOG_DELAY_S)
     finally:
         await fleet.stop()
-    violations = fleet.violations()
+    violations = fleet.violations() + departures.violations()
+    (folder / "cuts.txt").write_text("\n".join(departures.explain_cuts()))
     whole = sum(1 for *_, status, is_whole in fleet.outcomes if is_whole and status == 200)
-    if whole * 2 < len(fleet.outcomes):
-        violations.append(f"only {whole} of {len(fleet.outcomes)} calls were served")
+    owed = len(fleet.outcomes) - len(fleet.turned_away)
+    if whole * 2 < owed:
+        violations.append(f"only {whole} of {owed} calls were served")
     statuses = collections.Counter(status if is_whole or status is None else f"{status} cut" for *_, status, is_whole in fleet.outcomes)
     state = "ok" if not violations else f"FAILED, logs in {folder}"
     print(f"seed {seed}: {len(fleet.outcomes)} calls, {whole} served whole, {sum(map(len, fleet.stopped_at.values()))} stops, {state}", flush=True)
     print(f"  {', '.join(f'{status}: {count}' for status, count in sorted(statuses.items(), key=str))}", flush=True)
+    print(f"  {departures.summary()}", flush=True)
     for line in violations[:8]:
         print(f"  {line}", flush=True)
     return not violations
