soak: a seed's addresses belong to one soak

A run of reloads.py lost three drafts of a sound engine that broke off and was replaced, which nothing in that soak does: a soak.py of the same seed ran on the machine at the same time, with the same loopback addresses, and its calls that end upstreams reached this one's. Each soak binds one port of its seed's addresses now, and a second one of the seed says so and ends.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -57,6 +57,8 @@
 # reclaimed in series.
 SHED_SHARE, SHED_RESUMPTIONS = 0.3, 0.6
 KILLS_IN_SERIES = 2
+# Bound by the one soak that has a seed's addresses.
+CLAIM_PORT = 18079
 # Services of the upstreams that are reclaimed, in their order.
 RECLAIMED = ("engine", "plain", "engine")
 ALL_LOAD_PARTS = ("learned_speeds", "shared_suspicions", "ranked_waiting", "fitted_copies")
@@ -165,7 +167,15 @@
         plain = ("plain", "plain") if self.seed in REGRESSION_SEEDS else ("plain", "plain", "plain")
         return (*plain, "engine", "engine", "engine")
 
+    async def claim_address(self):
+        """A second soak with a seed's addresses would have its VMs speak to this one's."""
+        try:
+            self.servers.append(await asyncio.start_server(self.store.serve, f"{self.host}.200", CLAIM_PORT))
+        except OSError as error:
+            raise RuntimeError(f"another soak of seed {self.seed} runs on this machine") from error
+
     async def start(self):
+        await self.claim_address()
         routes = CONFIGURATION["routes"] + ([] if self.seed in REGRESSION_SEEDS else LOAD_ROUTES)
         self.store.put("op/config", {"version": 3, **CONFIGURATION, "routes": routes})
         proxy = Proxy(await self.listen(self.store.serve))
