reloads: half of the engines that leave answer 409 while a copy is in progress

An order that is answered late is still in progress, so a second one may be answered 409 instead of 404 though the run is stopped, as the protocol allows.

--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -126,8 +126,8 @@
         self.departures, self.held, self.draws = departures, departures.held, DepartureDraws(seed)
         self.unkindness = Unkindness(seed, is_kind=True)
         self.notice_at, self.ended_at, self.refuses_from, self.full_until = NEVER, NEVER, NEVER, 0.0
-        # Calls whose order to copy is not answered yet.
-        self.copying = set()
+        # Calls whose order to copy is not answered yet; half of the engines say so of a run that it has stopped, too.
+        self.copying, self.hides_ends = set(), self.draws.random.random() < 0.5
 
     @property
     def leaves(self):
@@ -162,13 +162,13 @@
 
     async def move(self, order, writer, fields, vm):
         call, is_last, run = order["id"], order["isLast"], self.record.runs.get(order["id"])
+        if call in self.copying and (self.hides_ends or (run is not None and self.runs(run))):
+            return writer.write(http_response(409, b"", fields))
         if run is None or not self.runs(run):
             self.departures.note("orders", "without a run")
             if run is not None:
                 self.departures.note_told(self, writer, lambda now: run.found_over_at.append(now))
             return writer.write(http_response(404, b"", fields))
-        if call in self.copying:
-            return writer.write(http_response(409, b"", fields))
         draw = self.draws.order(is_last)
         self.copying.add(call)
         try:
