reloads: cuts.txt says when a run was known to be over and its memory asked for

Each stream of a leaving engine that was cut has a line with the order's time, when a VM could know that the run is over, when its memory was first asked for and for how long that was refused. TWICE, ORDER and the words of a call that ran have unit tests.

--- a/tests/scripts/test_departures.py
+++ b/tests/scripts/test_departures.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
 
-from departures import ANSWERS, MAX_ANSWER_DELAY_S, DepartingRun, DepartureDraws  # noqa: E402  (its folder is on the path only now)
+from departures import ANSWERS, MAX_ANSWER_DELAY_S, DepartingEngine, DepartingRun, DepartureDraws, Departures  # noqa: E402  (its folder is on the path only now)
 from held_copies import CutStream, HeldCopies, Memory, excuse_of, longest_span, violation_of  # noqa: E402
 
 DRAWS = [DepartureDraws(seed) for seed in range(200)]
@@ -80,6 +80,42 @@
         self.assertIsNotNone(self.copies.find("c", "s:1", "h1", self.source, 3.0))
 
 
+class RunsTest(unittest.TestCase):
+    def setUp(self):
+        record = types.SimpleNamespace(violations=[], runs={})
+        fleet = types.SimpleNamespace(record=record, seed=1, is_excused=lambda *_: False)
+        self.record, self.departures, self.run = record, Departures(fleet), DepartingRun("c")
+        self.engines = [DepartingEngine(name, name, "a", self.departures) for name in ("d-1", "d-2")]
+
+    def test_a_run_beside_another_is_a_violation_unless_it_was_stopped(self):
+        attempt = object()
+        self.run.active_upstreams[attempt] = self.engines[0]
+        self.engines[1].check_over("c", self.run, attempt, self.engines[0])
+        self.assertEqual(self.record.violations, ["TWICE: c was resumed at d-2 while d-1 still ran it"])
+        self.run.stopped.add(attempt)
+        self.engines[1].check_over("c", self.run, attempt, self.engines[0])
+        self.assertEqual(len(self.record.violations), 1)
+
+    def test_events_come_once_and_in_order(self):
+        def violations(body, is_whole):
+            seen = {"vm": 1, "status": 200, "whole": is_whole, "body": body, "head": "plumdale-response-seal: s", "sent_at": 0.0, "ended_at": 1.0}
+            return self.departures.violations_of_run("c", seen, self.run)
+
+        whole, part = self.run.body(), self.run.body(0, 5)
+        self.assertEqual(violations(whole, True) + violations(part, False), [])
+        for body, is_whole in ((part, True), (whole + self.run.event(self.run.length), True), (part + self.run.event(5), False), (self.run.body(1, 5), False)):
+            self.assertEqual(violations(body, is_whole), ["ORDER: c has missing, duplicate or reordered events"])
+
+    def test_a_call_that_ran_is_not_told_that_it_did_not(self):
+        for status, said in ((503, "REFUSED: c ran, and was told 503"), (502, "LOST: c ran, and was told 502"), (None, "LOST: c ran, and was told None")):
+            seen = {"vm": 1, "status": status, "whole": False, "body": b"", "sent_at": 0.0, "ended_at": 1.0}
+            self.assertEqual(self.departures.violations_of_run("c", seen, self.run), [said])
+
+    def test_an_order_stops_the_last_run_only(self):
+        self.run.began_at, self.run.stops = [1.0, 5.0], [types.SimpleNamespace(at=3.0)]
+        self.assertEqual([self.run.stop_before(at) is not None for at in (2.0, 3.5, 6.0)], [False, True, False])
+
+
 class CutStreamTest(unittest.TestCase):
     def test_a_stopped_stream_whose_memory_is_held_is_lost(self):
         self.assertIn("LOST: c was stopped by an order", violation_of(cut(places=[memory(engine("d"))])))
--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -514,10 +514,14 @@
         noticed_for_s = 0.0 if stop.destination is None else stop.at - stop.destination.notice_at
         return CutStream(call, at, *limits, stop.at, self.held.to_ask(call, at), self.could_go_on_s(call, run, stop, at), noticed_for_s)
 
+    def known_over_at(self, call, run, stop):
+        """Returns when a VM could know that the run which an order stopped is over."""
+        told = [each.told_at for each in self.held.of(call) if each.at is stop.source and each.held_from >= stop.at]
+        return min([*told, *(at for at in run.found_over_at if at >= stop.at), stop.source.refuses_from])
+
     def could_go_on_s(self, call, run, stop, until):
         """Returns the longest time in which a VM could have known that the run is over, and asked for its memory."""
-        told = [each.told_at for each in self.held.of(call) if each.at is stop.source and each.held_from >= stop.at]
-        known_at = min([*told, *(at for at in run.found_over_at if at >= stop.at), stop.source.refuses_from])
+        known_at = self.known_over_at(call, run, stop)
 
         def can_go_on(now):
             return not run.was_refused(now) and any(not self.proxies[each.at].was_silent(now) for each in self.held.to_ask(call, now))
@@ -551,8 +555,16 @@
 
     def explain_cuts(self):
         """Returns a line for each cut stream: why it ended, and what became of its memory."""
-        return [f"{each.call}: {excuse_of(each) or violation_of(each)}; stopped at {each.stopped_at or 0.0:.2f}, cut at {each.at:.2f}, could go on for "
-                f"{each.could_go_on_s:.2f} s; " + "; ".join(held.text() for held in self.held.of(each.call)) for each in self.cut_streams()]
+        return [self.explain_cut(each, self.fleet.record.runs[each.call]) for each in self.cut_streams()]
+
+    def explain_cut(self, cut, run):
+        text = f"{cut.call}: {excuse_of(cut) or violation_of(cut)}; cut at {cut.at:.2f}"
+        if (stop := run.stop_before(cut.at)) is None:
+            return text
+        asked = "never asked for" if run.asked_at is None else f"first asked for at {run.asked_at:.2f}, refused for {run.refusal_s:.2f} s"
+        places = "; ".join(held.text() for held in self.held.of(cut.call) if held.is_held(stop.at))
+        return (f"{text}, stopped at {stop.at:.2f}, known at {self.known_over_at(cut.call, run, stop):.2f}, could go on for {cut.could_go_on_s:.2f} s, "
+                f"{asked}; {places}")
 
     def summary(self):
         runs = [run for call, run in self.fleet.record.runs.items() if call in self.calls]
