Zones: a known cut lasts through a pause of the process

Callers would see: a VM whose loop stood still for more than 150 ms while a zone was silent sent calls there again for 150 ms, each for its connect timeout.

Cause: after a pause open connections begin anew, as the pause itself may have made them look silent. This also held for those that had shown a cut before it.

Why this works: only a zone that isn't held for cut gets new times; a cut that ended during the pause is over with the first answer, as always.

--- a/src/coordination/zone_reach.cpp
+++ b/src/coordination/zone_reach.cpp
@@ -263,7 +263,8 @@
     {
         std::erase_if(of.said, [now](auto const& each)
                       { return now >= each.second.at + evidence_lifetime; });
-        if (!was_paused)
+        // What showed a cut before the pause still does: the first answer ends it.
+        if (!was_paused || of.is_held)
         {
             continue;
         }
--- a/tests/coordination/test_zone_reach.cpp
+++ b/tests/coordination/test_zone_reach.cpp
@@ -181,3 +181,25 @@
     CHECK_FALSE(zones.is_cut(other, at(2s)));
     CHECK(zones.is_cut(other, at(2s + zone_reach::silence_time)));
 }
+
+// Guards against a pause of the process after which calls try the upstreams of a zone that was
+// known to be cut.
+TEST_CASE("a cut lasts through a pause of the process", "[zone_reach]")
+{
+    zone_reach zones{own};
+    zones.advance(at(0ms));
+    for (std::uint64_t i = 1; i <= zone_reach::min_failed; ++i)
+    {
+        zones.connecting(other, upstream(i), at(10ms));
+    }
+    for (state::duration now = 50ms; now <= 200ms; now += 50ms)
+    {
+        zones.advance(at(now));
+        REQUIRE(zones.take_changes(at(now)).size() == (now == 200ms ? 1 : 0));
+    }
+    zones.advance(at(2s));
+    CHECK(zones.take_changes(at(2s)).empty());
+    CHECK(zones.is_cut(other, at(2s)));
+    zones.connected(other, at(2s + 1ms));
+    CHECK_FALSE(zones.is_cut(other, at(2s + 1ms)));
+}
