Moves: an answer to an order counts for the run that it was given for, also during a resumption

Found by a review of the moves; callers would have lost a stopped stream, or waited for it in vain.

A late answer to an order to stop, after a resumption that was refused, was filed under the upstream that refused, so its memory was asked for under a name that nobody issued. One that came during a resumption was thrown away, with the newest handle. And an upstream's word that it started again was no proof for a resumption that it had: its stop was ordered until the caller's patience ended.

The upstream of the run and the one that is asked to go on with it are apart now; a run is numbered when it begins or may have, and answers count for their run's number. The word of a restart ends the run in each phase.

--- a/include/plumdale/coordination/generation_failover.hpp
+++ b/include/plumdale/coordination/generation_failover.hpp
@@ -167,9 +167,10 @@
     {
         return next_deadline_;
     }
+    /// \brief Returns where the generation runs, or is being resumed.
     [[nodiscard]] state::member_key source() const noexcept
     {
-        return source_;
+        return phase_ == phase::resuming ? asked_ : source_;
     }
     [[nodiscard]] state::member_key backup() const noexcept
     {
@@ -274,13 +275,18 @@
     /// \brief Resumes at the place whose turn it is, or waits for one.
     void resume(state::time_point now, failover_actions& actions);
     void begin_resumption(memory_place const& place, failover_actions& actions);
+    /// \brief The resumption runs, or may run, where it was asked for.
+    void begin_run() noexcept;
     void wait_for_resumption(state::time_point now, state::duration delay) noexcept;
     void abandon(abandon_reason reason, failover_actions& actions);
 
     move_rules rules_;
     held_memory memory_;
     phase phase_ = phase::steady;
+    /// \brief Upstream of the newest run that has begun, or may have.
     state::member_key source_;
+    /// \brief Upstream that was asked last to go on with it.
+    state::member_key asked_;
     state::member_key destination_;
     /// \brief Destination of the order that was given last; `destination_` once it is carried out.
     state::member_key ordered_destination_;
--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -212,6 +212,7 @@
     case phase::stopping:
     case phase::stopped:
     case phase::waiting:
+    case phase::resuming:
         return stop_answered(std::move(handle), now, actions);
     case phase::first_copy:
     case phase::refresh:
@@ -235,6 +236,7 @@
     case phase::stopping:
     case phase::stopped:
     case phase::waiting:
+    case phase::resuming:
         return stop_refused(reason, std::move(handle), now, actions);
     case phase::first_copy:
     case phase::refresh:
--- a/src/coordination/generation_failover_stops.cpp
+++ b/src/coordination/generation_failover_stops.cpp
@@ -26,9 +26,9 @@
     if (phase_ == phase::resuming)
     {
         // The resumption may run, so what it went on from is used.
-        source_over_.reset();
+        begin_run();
+        source_ended_ = true;
         memory_.forget(source_);
-        stops_unanswered_ = 0;
     }
     // Where an order is under way, its answer decides.
     if (!is_order_pending() && stops_unanswered_ == 0)
@@ -44,6 +44,7 @@
     {
         return;
     }
+    source_ = source();
     source_ended_ = true;
     memory_.forget(source_);
     run_is_over(proof, now);
@@ -205,10 +206,18 @@
 {
     phase_ = phase::resuming;
     next_deadline_ = state::never;
-    source_ = place.at;
+    asked_ = place.at;
+    actions.push_back(resume_generation{place.at, place.holder, place.handle, *source_over_});
+}
+
+// Orders to stop were for the run before, and their answers with it.
+void generation_failover::begin_run() noexcept
+{
+    source_ = asked_;
     source_ended_ = false;
     source_began_ = false;
-    actions.push_back(resume_generation{place.at, place.holder, place.handle, *source_over_});
+    source_over_.reset();
+    stops_unanswered_ = 0;
 }
 
 void generation_failover::wait_for_resumption(state::time_point now, state::duration delay) noexcept
@@ -219,6 +228,8 @@
 
 void generation_failover::resumed(state::time_point /*now*/) noexcept
 {
+    begin_run();
+    source_began_ = true;
     phase_ = phase::steady;
     next_deadline_ = state::never;
     handle_.clear();
@@ -227,9 +238,6 @@
     backup_ = {};
     memory_.clear();
     source_leaves_ = false;
-    source_began_ = true;
-    source_over_.reset();
-    stops_unanswered_ = 0;
     order_delay_ = copy_retry_delay;
     resume_delay_ = min_resume_delay;
 }
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -182,7 +182,7 @@
                          {"pause_ms", whole_milliseconds(now - last_progress_)},
                          {"after_event", static_cast<std::int64_t>(progress_.last_id())}});
         failover_->resumed(now);
-        give_back_repeats();
+        release_repeats();
         attempts_ = {};
         has_noted_no_destination_ = false;
         has_noted_no_retry_ = false;
@@ -190,6 +190,7 @@
     }
     if (is_first_of_run)
     {
+        ++run_;
         run_began_at_ = now;
         note_first_event(now);
         clear_pending_prefill();
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -126,6 +126,8 @@
     void choose_backup();
     void note_backup();
     void drop_backup();
+    /// \brief The run was that of a former start of its upstream, and is over.
+    void end_run_of_former_start(coordination::run_ended proof);
     void on_backup_leaving(state::member_key member);
     void on_destination_leaving(state::member_key member);
     [[nodiscard]] bool is_on_time() const;
@@ -248,6 +250,8 @@
     /// \brief Until when the question is listened to that is under way.
     state::time_point asked_until_{};
     move_attempts attempts_;
+    /// \brief Number of the run: counts those that began, or may have.
+    std::uint32_t run_ = 0;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/stream_call_ends.cpp
+++ b/src/transport/stream_call_ends.cpp
@@ -68,6 +68,7 @@
         failover_->resume_refused(now, actions);
         break;
     default:
+        ++run_;
         failover_->source_ended(now, actions);
     }
     apply(actions);
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -119,22 +119,15 @@
 {
     auto const self = shared_from_this();
     on_backup_leaving(member);
-    if (finished_ || member != member_)
+    if (finished_)
     {
         return;
     }
-    bool const runs = begun_ && !resuming_;
-    if (runs)
+    if (begun_ && member == failover().source())
     {
-        log("upstream started again", to_text(proof.proof()));
-        close_exchange();
-        drop_end_question();
-        found_no_run_ = false;
-        failover_actions actions;
-        failover().source_gone(proof, boot_now(), actions);
-        return apply(actions);
+        return end_run_of_former_start(proof);
     }
-    if (exchange_ != nullptr)
+    if (member == member_ && exchange_ != nullptr)
     {
         log("upstream started again", to_text(proof.proof()));
         bool const sent = exchange_->sent();
@@ -143,6 +136,18 @@
     }
 }
 
+void stream_call::end_run_of_former_start(run_ended proof)
+{
+    log("upstream started again", to_text(proof.proof()));
+    run_ += exchange_ != nullptr && resuming_ ? 1 : 0;
+    close_exchange();
+    drop_end_question();
+    found_no_run_ = false;
+    failover_actions actions;
+    failover().source_gone(proof, boot_now(), actions);
+    apply(actions);
+}
+
 // A backup in the zone could be kept, but no resumption may be sent there.
 void stream_call::on_zone_evacuated(state::zone_id zone)
 {
@@ -198,7 +203,7 @@
 bool stream_call::reserve_resumption(std::size_t repeats)
 {
     bool const may_go_on = progress_.is_resumable() && !is_quarantined();
-    bool const is_reserved = may_go_on && pay_for_repeats(repeats, retry_priority::preferred);
+    bool const is_reserved = may_go_on && reserve_repeats(repeats, retry_priority::preferred);
     if (!is_reserved && !std::exchange(has_noted_stop_waits_, true))
     {
         log("stop waits", may_go_on ? "no repeat left" : "it could not go on");
@@ -267,8 +272,7 @@
         core_.dialect.copy_request(admitted_.headers.id, destination->second, action.last),
         action.last ? longest_wait_for_stop() : copy_timeout,
         [weak = weak_from_this(), last = action.last, at = action.source,
-         is_open = exchange_ != nullptr,
-         runs = sends_.possible_runs()](state::result<fetch_answer> const& answer)
+         is_open = exchange_ != nullptr, run = run_](state::result<fetch_answer> const& answer)
         {
             auto const self = std::static_pointer_cast<stream_call>(weak.lock());
             if (self == nullptr)
@@ -280,7 +284,7 @@
                 self->note_stop_answered(at, outcome_of(answer), is_open);
             }
             // A late answer of a former run's upstream says nothing of the current run.
-            if (self->sends_.possible_runs() == runs)
+            if (self->run_ == run)
             {
                 self->on_copy_answer(last, answer);
             }
@@ -405,7 +409,7 @@
         return abort_answer(attempts_.cause(cut_cause::own_limit), unnumbered_events);
     }
     close_exchange();
-    if (!pay_for_repeat(retry_priority::preferred))
+    if (!reserve_repeat(retry_priority::preferred))
     {
         return postpone_resumption();
     }
--- a/tests/coordination/test_generation_failover.cpp
+++ b/tests/coordination/test_generation_failover.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 #include <vector>
 
 using namespace plumdale;
@@ -800,3 +801,87 @@
     CHECK(last<resume_generation>(actions)->at == first_choice);
     CHECK(last<resume_generation>(actions)->former.proof() == send_proof::stopped);
 }
+
+// -- answers to orders that come late -------------------------------------------------------------
+
+namespace
+{
+
+/// \brief Two orders to stop are open, the stream has ended, and the second finds no run: the
+/// generation is being resumed at its first copy.
+void resume_with_a_stop_open(generation_failover& failover, failover_actions& actions)
+{
+    failover.source_leaves({state::never, start + 1s}, start, actions);
+    failover.copied("h1", start + 200ms, actions);
+    failover.advance(start + 1s, actions);
+    failover.source_ended(start + 1'005ms, actions);
+    failover.advance(start + 1s + generation_failover::stop_answer_delay, actions);
+    failover.copy_refused(copy_refusal::unknown_generation, {}, start + 3'600ms, actions);
+    REQUIRE(last<resume_generation>(actions) != nullptr);
+    REQUIRE(last<resume_generation>(actions)->at == first_choice);
+}
+
+} // namespace
+
+// Guards against memory that is asked for under the name of an upstream that never issued it.
+TEST_CASE("an order answered after a refused resumption names its own source",
+          "[generation_failover]")
+{
+    generation_failover failover{source, {choose}};
+    failover_actions actions;
+    resume_with_a_stop_open(failover, actions);
+    failover.resume_refused(start + 3'610ms, actions);
+    failover.copied("h2", start + 3'620ms, actions);
+    std::set<state::member_key> asked;
+    for (state::time_point now = start + 4s; now < start + 8s; now += 2s)
+    {
+        failover.advance(now, actions);
+        REQUIRE(last<resume_generation>(actions) != nullptr);
+        CHECK(last<resume_generation>(actions)->handle == "h2");
+        CHECK(last<resume_generation>(actions)->holder == source);
+        asked.insert(last<resume_generation>(actions)->at);
+        failover.resume_refused(now, actions);
+    }
+    CHECK(asked == std::set<state::member_key>{source, first_choice});
+}
+
+// Guards against a caller that is cut as the answer that named the memory came during a resumption.
+TEST_CASE("an order answered during a resumption that is refused names the memory",
+          "[generation_failover]")
+{
+    generation_failover failover{source, {choose}};
+    failover_actions actions;
+    resume_with_a_stop_open(failover, actions);
+    failover.copied("h2", start + 3'605ms, actions);
+    failover.resume_refused(start + 3'610ms, actions);
+    bool is_asked = false;
+    for (state::time_point now = start + 4s; now < start + 12s; now += 2s)
+    {
+        failover.advance(now, actions);
+        if (last<resume_generation>(actions) != nullptr)
+        {
+            is_asked = is_asked || last<resume_generation>(actions)->handle == "h2";
+            failover.resume_refused(now, actions);
+        }
+    }
+    CHECK(is_asked);
+}
+
+// Guards against a generation that waits for answers to orders that were all answered.
+TEST_CASE("an order that is refused during a resumption is answered", "[generation_failover]")
+{
+    bool is_known = true;
+    move_rules rules{choose};
+    rules.may_resume_at = rules.takes_runs = [&is_known](state::member_key)
+    {
+        return is_known;
+    };
+    generation_failover failover{source, rules};
+    failover_actions actions;
+    resume_with_a_stop_open(failover, actions);
+    failover.copy_refused(copy_refusal::unknown_generation, {}, start + 3'605ms, actions);
+    failover.resume_refused(start + 3'610ms, actions);
+    is_known = false;
+    failover.advance(start + 4s, actions);
+    CHECK(last<abandon_generation>(actions) != nullptr);
+}
