Repeats: a reserved one counts in each window until it is sent, and then in that one

Found by a review: a stop reserves repeats and may hold them for longer than a window, and a window could get what was reserved in the one before beside all of its own.

fleet_retry_budget has reservations: they count in each window, are spent in the window of the send, or released. A call that is handed over, or declined as a peer's, spends one. Tests in [fleet_retry_budget]; the hand-over is by reading.

--- a/include/plumdale/coordination/fleet_retry_budget.hpp
+++ b/include/plumdale/coordination/fleet_retry_budget.hpp
@@ -62,8 +62,14 @@
     /// one has no part of it.
     [[nodiscard]] bool take(state::time_point now, std::size_t sharers,
                             retry_priority priority = retry_priority::preferred) noexcept;
-    /// \brief Gives back a retry that was taken at `taken_at` and not spent.
-    void give_back(state::time_point taken_at, state::time_point now) noexcept;
+    /// \brief Reserves one retry if one is left. Until it is spent or released it counts in each
+    /// window, as it may arrive in any.
+    [[nodiscard]] bool reserve(state::time_point now, std::size_t sharers,
+                               retry_priority priority = retry_priority::preferred) noexcept;
+    /// \brief A reserved retry is sent now.
+    void spend(state::time_point now) noexcept;
+    /// \brief A reserved retry is not needed.
+    void release() noexcept;
     /// \brief Returns what was counted in the window that ends now.
     [[nodiscard]] retry_counts counts(state::time_point now) noexcept;
 
@@ -93,6 +99,7 @@
     part_counts calls_{};
     part_counts retries_{};
     std::int64_t newest_part_ = 0;
+    std::uint32_t reserved_ = 0;
 };
 
 } // namespace plumdale::coordination
--- a/src/coordination/fleet_retry_budget.cpp
+++ b/src/coordination/fleet_retry_budget.cpp
@@ -64,15 +64,15 @@
 }
 
 // Each window that has begun and may hold this retry has to bear it.
-bool fleet_retry_budget::take(state::time_point now, std::size_t sharers,
-                              retry_priority priority) noexcept
+bool fleet_retry_budget::reserve(state::time_point now, std::size_t sharers,
+                                 retry_priority priority) noexcept
 {
     advance_to(now);
     bool const has_slack = sharers > 0;
     double const slack = has_slack ? limit_.slack / static_cast<double>(sharers) : 0.0;
     double const rounding = has_slack ? rounding_ : 0.0;
     double const usable = priority == retry_priority::preferred ? 1.0 : 1.0 - preferred_reserve;
-    std::uint32_t retries = 0;
+    std::uint32_t retries = reserved_;
     for (std::int64_t part = newest_part_; part >= newest_part_ - parts; --part)
     {
         retries += sum(retries_, part, part);
@@ -83,19 +83,31 @@
             return false;
         }
     }
-    ++retries_[static_cast<std::size_t>(newest_part_ % kept_parts)];
+    ++reserved_;
     return true;
 }
 
-void fleet_retry_budget::give_back(state::time_point taken_at, state::time_point now) noexcept
+void fleet_retry_budget::spend(state::time_point now) noexcept
 {
     advance_to(now);
-    std::int64_t const part = taken_at.time_since_epoch() / (limit_.window / parts);
-    bool const is_kept = part > newest_part_ - kept_parts && part <= newest_part_;
-    if (is_kept && retries_[static_cast<std::size_t>(part % kept_parts)] > 0)
+    release();
+    ++retries_[static_cast<std::size_t>(newest_part_ % kept_parts)];
+}
+
+void fleet_retry_budget::release() noexcept
+{
+    reserved_ -= std::min(reserved_, 1U);
+}
+
+bool fleet_retry_budget::take(state::time_point now, std::size_t sharers,
+                              retry_priority priority) noexcept
+{
+    if (!reserve(now, sharers, priority))
     {
-        --retries_[static_cast<std::size_t>(part % kept_parts)];
+        return false;
     }
+    spend(now);
+    return true;
 }
 
 } // namespace plumdale::coordination
--- a/src/transport/forward_call.cpp
+++ b/src/transport/forward_call.cpp
@@ -250,10 +250,7 @@
     core_.metrics.add(forward_count::sends);
     core_.metrics.add(exchange_->reused() ? forward_count::connections_reused
                                           : forward_count::connections_opened);
-    if (!paid_repeats_.empty())
-    {
-        paid_repeats_.pop_back();
-    }
+    spend_repeat();
     if (sends_.written() > 1)
     {
         core_.log_repeat(admitted_.headers.id, admitted_.service->name,
@@ -292,42 +289,48 @@
     using coordination::retry_priority;
     auto const priority =
         admitted_.service->engine ? retry_priority::yielding : retry_priority::preferred;
-    if (is_repeat && !pay_for_repeat(priority))
+    if (is_repeat && !reserve_repeat(priority))
     {
         return refuse(state::error_kind::overloaded, "no repeat left");
     }
     dispatch();
 }
 
-bool forward_call::pay_for_repeat(coordination::retry_priority priority)
+bool forward_call::reserve_repeat(coordination::retry_priority priority)
 {
-    return pay_for_repeats(1, priority);
+    return reserve_repeats(1, priority);
 }
 
-bool forward_call::pay_for_repeats(std::size_t count, coordination::retry_priority priority)
+bool forward_call::reserve_repeats(std::size_t count, coordination::retry_priority priority)
 {
     std::string const& service = admitted_.service->name;
-    std::size_t const before = paid_repeats_.size();
-    while (paid_repeats_.size() < count && core_.take_retry(service, priority))
+    std::size_t const before = reserved_repeats_;
+    while (reserved_repeats_ < count && core_.reserve_retry(service, priority))
     {
-        paid_repeats_.push_back(boot_now());
+        ++reserved_repeats_;
     }
-    if (paid_repeats_.size() >= count)
+    bool const are_enough = reserved_repeats_ >= count;
+    for (; !are_enough && reserved_repeats_ > before; --reserved_repeats_)
     {
-        return true;
+        core_.release_retry(service);
     }
-    for (; paid_repeats_.size() > before; paid_repeats_.pop_back())
+    return are_enough;
+}
+
+void forward_call::spend_repeat()
+{
+    if (reserved_repeats_ > 0)
     {
-        core_.give_back_retry(service, paid_repeats_.back());
+        --reserved_repeats_;
+        core_.spend_retry(admitted_.service->name);
     }
-    return false;
 }
 
-void forward_call::give_back_repeats()
+void forward_call::release_repeats()
 {
-    for (state::time_point const taken_at : std::exchange(paid_repeats_, {}))
+    for (; reserved_repeats_ > 0; --reserved_repeats_)
     {
-        core_.give_back_retry(admitted_.service->name, taken_at);
+        core_.release_retry(admitted_.service->name);
     }
 }
 
@@ -376,8 +379,8 @@
     log("handed to a peer", why);
     admitted_call call = admitted_;
     call.origin.possible_runs = sends_.possible_runs();
-    // The peer's first send is paid for.
-    paid_repeats_.clear();
+    // It pays for the peer's first send, which pays for none.
+    spend_repeat();
     auto const channel = channel_;
     auto& core = core_;
     finish();
@@ -466,7 +469,7 @@
         core_.quarantine.end_trial(*tried_part_);
     }
     leave_waiting(false);
-    give_back_repeats();
+    release_repeats();
     drop_end_question();
     close_exchange();
 }
--- a/src/transport/forward_call.hpp
+++ b/src/transport/forward_call.hpp
@@ -225,13 +225,14 @@
     [[nodiscard]] bool may_use_peer() const;
     /// \brief Returns whether each try of the call ended without a connection.
     [[nodiscard]] bool has_connected_to_none() const noexcept;
-    /// \brief Spends a retry for the next send, unless one is left of a send that failed to reach
-    /// its upstream; returns false when there is none.
-    [[nodiscard]] bool pay_for_repeat(coordination::retry_priority priority);
-    /// \brief Spends as many for the sends to come, or none; returns whether that many are paid.
-    [[nodiscard]] bool pay_for_repeats(std::size_t count, coordination::retry_priority priority);
-    /// \brief Gives back those that were not sent.
-    void give_back_repeats();
+    /// \brief Reserves a retry for the next send, unless one is; returns false when there is none.
+    [[nodiscard]] bool reserve_repeat(coordination::retry_priority priority);
+    /// \brief Reserves as many for the sends to come, or none; returns whether that many are.
+    [[nodiscard]] bool reserve_repeats(std::size_t count, coordination::retry_priority priority);
+    /// \brief One of those that are reserved, if any, is sent here or at a peer.
+    void spend_repeat();
+    /// \brief Those that are reserved are not needed.
+    void release_repeats();
     /// \brief Has a peer take the call, one of `peers` unless that is empty, or refuses it with
     /// `decline` if it is a peer's.
     void hand_over_or_refuse(std::string_view why, state::error_kind decline,
@@ -320,8 +321,8 @@
     coordination::send_record sends_;
     /// \brief How the last exchange ended.
     std::optional<exchange_end> last_end_;
-    /// \brief When the repeats were taken that are paid for and not sent yet.
-    std::vector<state::time_point> paid_repeats_;
+    /// \brief Repeats that are reserved and not sent yet.
+    std::size_t reserved_repeats_ = 0;
     bool is_waiting_ = false;
     /// \brief The best upstream of the last selection, and so each, is in a zone that is cut off.
     bool is_cut_off_ = false;
--- a/src/transport/forward_call_answers.cpp
+++ b/src/transport/forward_call_answers.cpp
@@ -310,6 +310,11 @@
         is_peer_decline(kind) ? sends_.decline_as(kind) : sends_.refusal_as(kind);
     log("refused", why, state::answer_for(answer.kind()).name);
     core_.metrics.add(forward_count::refused);
+    if (is_peer_decline(answer.kind()))
+    {
+        // The next peer's first send comes after those of this VM, and pays for none.
+        spend_repeat();
+    }
     // A peer's call that is declined is served, or refused, by another VM.
     if (!is_peer_decline(answer.kind()))
     {
--- a/src/transport/forward_core.cpp
+++ b/src/transport/forward_core.cpp
@@ -202,18 +202,28 @@
     retry_budget_of(service).note_call(boot_now());
 }
 
-bool forward_core::take_retry(std::string const& service, coordination::retry_priority priority)
+bool forward_core::reserve_retry(std::string const& service, coordination::retry_priority priority)
 {
     state::time_point const now = boot_now();
-    bool const granted = retry_budget_of(service).take(now, slack_sharing_.sharers(now), priority);
-    metrics.add(granted ? forward_count::repeats : forward_count::repeats_denied);
+    bool const granted =
+        retry_budget_of(service).reserve(now, slack_sharing_.sharers(now), priority);
+    if (!granted)
+    {
+        metrics.add(forward_count::repeats_denied);
+    }
     return granted;
 }
 
-void forward_core::give_back_retry(std::string const& service, state::time_point taken_at)
+void forward_core::spend_retry(std::string const& service)
+{
+    metrics.add(forward_count::repeats);
+    retry_budget_of(service).spend(boot_now());
+}
+
+void forward_core::release_retry(std::string const& service)
 {
-    metrics.add(forward_count::repeats_given_back);
-    retry_budget_of(service).give_back(taken_at, boot_now());
+    metrics.add(forward_count::repeats_released);
+    retry_budget_of(service).release();
 }
 
 void forward_core::log_repeat(std::string_view id, std::string const& service,
--- a/src/transport/forward_core.hpp
+++ b/src/transport/forward_core.hpp
@@ -123,11 +123,13 @@
     [[nodiscard]] std::size_t running_calls(state::service const& service) const;
     /// \brief Returns the VM that tries a refused part of prompts again.
     [[nodiscard]] state::node_id choose_trial_vm(state::prompt_part part) const;
-    /// \brief Spends one retry of a service's budget; returns false when none is left.
-    [[nodiscard]] bool take_retry(std::string const& service,
-                                  coordination::retry_priority priority);
-    /// \brief Gives back a retry that was taken and not spent.
-    void give_back_retry(std::string const& service, state::time_point taken_at);
+    /// \brief Reserves one retry of a service's budget; returns false when none is left.
+    [[nodiscard]] bool reserve_retry(std::string const& service,
+                                     coordination::retry_priority priority);
+    /// \brief A reserved retry is sent, by this VM or by one that a call is handed to.
+    void spend_retry(std::string const& service);
+    /// \brief A reserved retry is not needed.
+    void release_retry(std::string const& service);
     void note_call(std::string const& service);
     /// \brief Returns how long calls of a route wait for capacity at this VM.
     [[nodiscard]] coordination::wait_forecast& forecast_of(state::route const& route);
--- a/src/transport/forward_metrics.cpp
+++ b/src/transport/forward_metrics.cpp
@@ -41,7 +41,7 @@
     {"plumdale_forward_sends_total", "Sends to upstreams."},
     {"plumdale_forward_repeats_total", "Sends beyond the first of a call."},
     {"plumdale_forward_repeats_denied_total", "Repeats that the allowance did not cover."},
-    {"plumdale_forward_repeats_given_back_total", "Repeats that were reserved and not sent."},
+    {"plumdale_forward_repeats_released_total", "Repeats that were reserved and not sent."},
     {"plumdale_forward_connections_opened_total", "Connections opened to upstreams."},
     {"plumdale_forward_connections_reused_total", "Sends on kept connections."},
     {"plumdale_forward_connections_refused_total", "Connections to upstreams that were refused."},
--- a/src/transport/forward_metrics.hpp
+++ b/src/transport/forward_metrics.hpp
@@ -39,7 +39,7 @@
     sends,
     repeats,
     repeats_denied,
-    repeats_given_back,
+    repeats_released,
     connections_opened,
     connections_reused,
     connections_refused,
--- a/tests/coordination/test_fleet_retry_budget.cpp
+++ b/tests/coordination/test_fleet_retry_budget.cpp
@@ -50,23 +50,45 @@
     CHECK(granted >= fleet_retry_budget::used_fraction * limit.ratio * calls);
 }
 
-// Guards against a reservation that keeps others from their retries once it has lapsed.
-TEST_CASE("a retry that is given back may be taken again, and no other", "[fleet_retry_budget]")
+// Guards against a reservation that keeps others from their retries once it is released.
+TEST_CASE("a retry that is released may be taken again, and no other", "[fleet_retry_budget]")
 {
     fleet_retry_budget budget{limit};
     state::time_point const now{100s};
+    REQUIRE(budget.reserve(now, 9));
     while (budget.take(now, 9))
     {
     }
-    budget.give_back(now, now + 1s);
+    budget.release();
     CHECK(budget.take(now + 1s, 9));
     CHECK_FALSE(budget.take(now + 1s, 9));
-    // One that is forgotten, or was never taken.
-    budget.give_back(now - 60s, now + 1s);
-    budget.give_back(now + 60s, now + 1s);
+    budget.release();
     CHECK_FALSE(budget.take(now + 1s, 9));
 }
 
+// Guards against a window that gets what was reserved in the one before beside all of its own.
+TEST_CASE("a retry that is sent late counts in the window in which it is sent",
+          "[fleet_retry_budget]")
+{
+    fleet_retry_budget budget{limit};
+    state::time_point const now{100s};
+    // 0.7 x 45 / 9
+    constexpr int allowed = 3;
+    for (int i = 0; i < allowed; ++i)
+    {
+        REQUIRE(budget.reserve(now, 9));
+    }
+    CHECK_FALSE(budget.take(now + 16s, 9));
+    budget.spend(now + 16s);
+    budget.release();
+    budget.release();
+    CHECK(budget.counts(now + 16s).retries == 1);
+    CHECK(budget.take(now + 17s, 9));
+    CHECK(budget.take(now + 17s, 9));
+    CHECK_FALSE(budget.take(now + 25s, 9));
+    CHECK(budget.take(now + 27s, 9));
+}
+
 TEST_CASE("spent retries are available again once the window has passed", "[fleet_retry_budget]")
 {
     fleet_retry_budget budget{limit};
