Moves: what a review of them found, by its own red tests

- A run was stopped for a place that this VM may not ask (it backs off, or no share of its refusals is this VM's), and cut as its memory's time was over: the place has to take runs and the resumption, now.
- A stopped run was given up at once though the only entry of its place was unreadable, or its zone evacuated, for a moment: only what has left is waited for no more (has_left).
- A copy whose place leaves was ordered again and again at one without room, with a third one idle: those that refused are passed over until all have.
- Orders and questions that nobody waits for kept their connections, up to the caller's former time: they end with the call, and an order that isn't connected within 2.5 s is not written any more.
- A caller that left between two upstreams left its copies for their lifetime.
- A draft whose resumption was lost with a restart was never asked for where its memory is held.
- The model of moves looks at who issued a handle, and answers travel late.

Resumptions of runs that are over are owed: nothing else is spent while one waits.

--- a/include/plumdale/coordination/fleet_retry_budget.hpp
+++ b/include/plumdale/coordination/fleet_retry_budget.hpp
@@ -38,7 +38,9 @@
     yielding,
     /// Resumptions, whose callers would lose all that was generated, and all retries of a service
     /// that has none.
-    preferred
+    preferred,
+    /// Resumptions of generations whose run is over: nothing else is spent while one waits.
+    owed
 };
 
 /// \brief Keeps retries of one service within the fleet's limit without messages between VMs.
@@ -78,6 +80,9 @@
     static constexpr double used_fraction = 0.7;
     /// \brief Fraction of what a VM may spend that yielding retries leave to preferred ones.
     static constexpr double preferred_reserve = 0.5;
+    /// \brief How long an owed retry that was not left counts as waiting; it is asked for again
+    /// sooner.
+    static constexpr state::duration owed_wait = std::chrono::milliseconds{250};
 
 private:
     /// \brief Parts of a window that are counted separately.
@@ -100,6 +105,7 @@
     part_counts retries_{};
     std::int64_t newest_part_ = 0;
     std::uint32_t reserved_ = 0;
+    state::time_point owed_until_{};
 };
 
 } // namespace plumdale::coordination
--- a/include/plumdale/coordination/generation_failover.hpp
+++ b/include/plumdale/coordination/generation_failover.hpp
@@ -96,6 +96,11 @@
     };
     /// \brief Returns whether an upstream takes new runs, and stays as far as is known.
     held_memory::upstream_check takes_runs = may_resume_at;
+    /// \brief Returns whether an upstream will never take a run again.
+    held_memory::upstream_check has_left = [](state::member_key)
+    {
+        return false;
+    };
     /// \brief Reserves what a resumption needs here, as its repeats, unless that is done; returns
     /// whether it is. If it is urgent, what a first try needs will do.
     std::function<bool(bool is_urgent)> reserve_resumption = [](bool)
@@ -247,6 +252,10 @@
     void wait_for_next_copy(state::time_point now);
     void first_copy_refused(copy_refusal reason, state::time_point now);
     [[nodiscard]] bool is_order_pending() const noexcept;
+    /// \brief The next search for a destination passes an upstream over.
+    void exclude(state::member_key member);
+    /// \brief Returns whether a resumption would be taken by an upstream now, and later.
+    [[nodiscard]] bool may_go_on_at(state::member_key member) const;
     [[nodiscard]] bool has_copy() const noexcept;
     /// \brief Returns the delay before the next order, which doubles.
     [[nodiscard]] state::duration take_order_delay() noexcept;
--- a/include/plumdale/coordination/held_memory.hpp
+++ b/include/plumdale/coordination/held_memory.hpp
@@ -73,8 +73,8 @@
         return now >= asked_until_;
     }
     [[nodiscard]] bool is_held_at(state::member_key at) const noexcept;
-    /// \brief Returns whether an upstream that holds it passes a check.
-    [[nodiscard]] bool is_held_at_any(upstream_check const& check) const;
+    /// \brief Returns whether each upstream that holds it passes a check.
+    [[nodiscard]] bool is_held_only_at(upstream_check const& check) const;
 
     /// \brief Lifetimes for which places are asked: upstreams keep memory for longer than they say.
     static constexpr int asked_lifetimes = 2;
--- a/src/coordination/fleet_retry_budget.cpp
+++ b/src/coordination/fleet_retry_budget.cpp
@@ -68,10 +68,15 @@
                                  retry_priority priority) noexcept
 {
     advance_to(now);
+    bool const is_owed = priority == retry_priority::owed;
+    if (!is_owed && now < owed_until_)
+    {
+        return false;
+    }
     bool const has_slack = sharers > 0;
     double const slack = has_slack ? limit_.slack / static_cast<double>(sharers) : 0.0;
     double const rounding = has_slack ? rounding_ : 0.0;
-    double const usable = priority == retry_priority::preferred ? 1.0 : 1.0 - preferred_reserve;
+    double const usable = priority == retry_priority::yielding ? 1.0 - preferred_reserve : 1.0;
     std::uint32_t retries = reserved_;
     for (std::int64_t part = newest_part_; part >= newest_part_ - parts; --part)
     {
@@ -80,9 +85,11 @@
         double const allowed = used_fraction * (earned + slack) + rounding;
         if (retries + 1.0 > usable * allowed)
         {
+            owed_until_ = is_owed ? now + owed_wait : owed_until_;
             return false;
         }
     }
+    owed_until_ = is_owed ? state::time_point{} : owed_until_;
     ++reserved_;
     return true;
 }
--- a/src/coordination/generation_failover.cpp
+++ b/src/coordination/generation_failover.cpp
@@ -65,16 +65,19 @@
 {
     if (phase_ == phase::copied && destination_ == member)
     {
+        excluded_.assign({source_});
         replace_destination(now, actions);
     }
 }
 
 void generation_failover::replace_destination(state::time_point now, failover_actions& actions)
 {
-    excluded_.assign({source_, destination_});
+    exclude(destination_);
     auto const destination = rules_.select_destination(source_, excluded_);
     if (!destination)
     {
+        // Those that refused may have room by then.
+        excluded_.assign({source_});
         next_deadline_ = now + secure_retry_delay;
         return;
     }
@@ -163,7 +166,7 @@
 
 void generation_failover::order_next_copy(state::time_point now, failover_actions& actions)
 {
-    if (!rules_.takes_runs(destination_))
+    if (!may_go_on_at(destination_))
     {
         return replace_destination(now, actions);
     }
@@ -191,6 +194,20 @@
     return (phase_ == phase::first_copy || phase_ == phase::refresh) && !awaits_turn;
 }
 
+void generation_failover::exclude(state::member_key member)
+{
+    bool const is_new = std::find(excluded_.begin(), excluded_.end(), member) == excluded_.end();
+    if (is_new)
+    {
+        excluded_.push_back(member);
+    }
+}
+
+bool generation_failover::may_go_on_at(state::member_key member) const
+{
+    return rules_.takes_runs(member) && rules_.may_resume_at(member);
+}
+
 bool generation_failover::has_copy() const noexcept
 {
     return !handle_.empty() && destination_ && destination_ != source_;
@@ -221,6 +238,7 @@
         return;
     }
     order_delay_ = copy_retry_delay;
+    excluded_.assign({source_});
     handle_ = std::move(handle);
     destination_ = ordered_destination_;
     copied_at_ = now;
@@ -252,6 +270,7 @@
     {
         return first_copy_refused(reason, now);
     }
+    exclude(ordered_destination_);
     wait_for_next_copy(now);
     next_deadline_ = std::max(next_deadline_, now + take_order_delay());
 }
@@ -277,9 +296,9 @@
 
 void generation_failover::finished(failover_actions& actions)
 {
-    bool const has_unused =
-        !handle_.empty() && (phase_ == phase::copied || phase_ == phase::refresh);
-    if (has_unused)
+    // A resumption that was sent uses what it goes on from.
+    bool const may_be_used = phase_ == phase::resuming || phase_ == phase::steady;
+    if (!handle_.empty() && !may_be_used && phase_ != phase::ended)
     {
         actions.push_back(release_copy{source_, handle_});
     }
--- a/src/coordination/generation_failover_stops.cpp
+++ b/src/coordination/generation_failover_stops.cpp
@@ -59,11 +59,11 @@
     {
         return ordered_destination_;
     }
-    if (has_copy() && rules_.takes_runs(destination_))
+    if (has_copy() && may_go_on_at(destination_))
     {
         return destination_;
     }
-    if (backup_ && backup_ != source_ && rules_.takes_runs(backup_))
+    if (backup_ && backup_ != source_ && may_go_on_at(backup_))
     {
         return backup_;
     }
@@ -193,7 +193,8 @@
     }
     // Upstreams that back off, or bear no more refusals for now, take it later; and an order that
     // was carried out, and is answered late, names what it copied.
-    bool const may_change = memory_.is_held_at_any(rules_.takes_runs) || stops_unanswered_ > 0;
+    bool const is_held_on = !memory_.is_held_only_at(rules_.has_left);
+    bool const may_change = is_held_on || stops_unanswered_ > 0;
     if (may_change)
     {
         return wait_for_resumption(now, postponed_resume_delay);
--- a/src/coordination/held_memory.cpp
+++ b/src/coordination/held_memory.cpp
@@ -76,9 +76,9 @@
                        [at](memory_place const& each) { return each.at == at; });
 }
 
-bool held_memory::is_held_at_any(upstream_check const& check) const
+bool held_memory::is_held_only_at(upstream_check const& check) const
 {
-    return std::any_of(places_.begin(), places_.end(),
+    return std::all_of(places_.begin(), places_.end(),
                        [&check](memory_place const& each) { return check(each.at); });
 }
 
--- a/src/transport/end_question.cpp
+++ b/src/transport/end_question.cpp
@@ -24,6 +24,14 @@
 {
 }
 
+end_question::~end_question()
+{
+    for (fetch_canceller const& cancel : open_)
+    {
+        cancel();
+    }
+}
+
 void end_question::start()
 {
     ask();
@@ -38,17 +46,17 @@
                      {"unanswered", asked_++},
                      {"left_ms", whole_milliseconds(left)}});
     ask_again_at(boot_now() + std::exchange(pause_, std::min(2 * pause_, max_pause)));
-    core_.orders.send_to(subject_.member, subject_.address,
-                         core_.dialect.report_request(subject_.name),
-                         std::max(std::chrono::ceil<std::chrono::milliseconds>(left), shortest),
-                         [weak = weak_from_this()](state::result<fetch_answer> const& answer)
-                         {
-                             auto const self = weak.lock();
-                             if (self != nullptr && !self->ended_)
-                             {
-                                 self->on_result(answer);
-                             }
-                         });
+    open_.push_back(core_.orders.send_to(
+        subject_.member, subject_.address, core_.dialect.report_request(subject_.name),
+        std::max(std::chrono::ceil<std::chrono::milliseconds>(left), shortest),
+        [weak = weak_from_this()](state::result<fetch_answer> const& answer)
+        {
+            auto const self = weak.lock();
+            if (self != nullptr && !self->ended_)
+            {
+                self->on_result(answer);
+            }
+        }));
 }
 
 void end_question::on_result(state::result<fetch_answer> const& answer)
--- a/src/transport/end_question.hpp
+++ b/src/transport/end_question.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 /// \file
 /// \brief Asks an upstream whether it lives on after it closed a connection.
@@ -47,6 +48,10 @@
     end_question(forward_core& core, subject asked, state::time_point until,
                  answer_handler on_answer);
 
+    end_question(end_question const&) = delete;
+    end_question& operator=(end_question const&) = delete;
+    ~end_question();
+
     void start();
 
     /// \brief Before a question is repeated that may still be answered; doubled each time.
@@ -79,6 +84,8 @@
     state::duration pause_after_loss_ = first_pause_after_loss;
     state::time_point next_at_ = state::never;
     std::uint32_t asked_ = 0;
+    /// \brief Ends the questions that have no answer.
+    std::vector<fetch_canceller> open_;
     bool ended_ = false;
 };
 
--- a/src/transport/http_fetch.cpp
+++ b/src/transport/http_fetch.cpp
@@ -68,6 +68,9 @@
         }
         request_.body() = wanted.body;
         request_.prepare_payload();
+        connect_timeout_ = wanted.connect_timeout.count() > 0
+                               ? std::min(wanted.connect_timeout, wanted.timeout)
+                               : wanted.timeout;
         socket_->expires_after(wanted.timeout);
     }
 
@@ -77,8 +80,27 @@
         {
             return fail(error);
         }
-        socket_->async_connect(to_tcp(address), [self = shared_from_this()](error_code error)
-                               { error ? self->fail(error) : self->send(); });
+        socket_->expires_after(connect_timeout_);
+        socket_->async_connect(to_tcp(address),
+                               [self = shared_from_this()](error_code error)
+                               {
+                                   if (error)
+                                   {
+                                       return self->fail(error);
+                                   }
+                                   self->socket_->expires_at(self->last_deadline_);
+                                   self->send();
+                               });
+    }
+
+    void cancel()
+    {
+        handler_ = [](exchange_result const&) {
+        };
+        if (socket_ != nullptr)
+        {
+            socket_->close();
+        }
     }
 
     void send()
@@ -171,6 +193,7 @@
     connection socket_;
     result_handler handler_;
     std::chrono::milliseconds timeout_;
+    std::chrono::milliseconds connect_timeout_{};
     bool extends_on_progress_;
     std::chrono::steady_clock::time_point last_deadline_;
     state::endpoint source_;
@@ -196,12 +219,19 @@
 
 } // namespace
 
-void fetch(net::io_context& context, fetch_request request, fetch_handler handler)
+fetch_canceller fetch(net::io_context& context, fetch_request request, fetch_handler handler)
 {
     auto const sent = std::make_shared<exchange>(
         std::make_unique<beast::tcp_stream>(context), request, false,
         [handler = std::move(handler)](exchange_result end) { report(handler, end); });
     sent->connect(request.address);
+    return [weak = std::weak_ptr{sent}]
+    {
+        if (auto const self = weak.lock())
+        {
+            self->cancel();
+        }
+    };
 }
 
 // -- kept connections -----------------------------------------------------------------------------
--- a/src/transport/http_fetch.hpp
+++ b/src/transport/http_fetch.hpp
@@ -28,6 +28,8 @@
     /// \brief Bearer key; empty for none.
     std::string key;
     std::chrono::milliseconds timeout{2000};
+    /// \brief Longest time to connect; zero for `timeout`.
+    std::chrono::milliseconds connect_timeout{0};
     /// \brief Where the connection is opened from; zeros for any address.
     state::endpoint source{};
     /// \brief `timeout` bounds each wait for more of the answer instead of the whole exchange.
@@ -46,10 +48,13 @@
 };
 
 using fetch_handler = std::function<void(state::result<fetch_answer>)>;
+/// \brief Ends an exchange whose answer is of no use any more, without a call of its handler; does
+/// nothing once it has ended.
+using fetch_canceller = std::function<void()>;
 
 /// \brief Sends a request on a connection of its own and calls `handler` once; fails with
 /// `connection_refused` if nothing listens at the address, and with `connection_failed`.
-void fetch(net::io_context& context, fetch_request request, fetch_handler handler);
+fetch_canceller fetch(net::io_context& context, fetch_request request, fetch_handler handler);
 
 /// \brief Sends requests, and keeps one idle connection per address for later reads.
 ///
--- a/src/transport/service_question.cpp
+++ b/src/transport/service_question.cpp
@@ -30,6 +30,14 @@
 {
 }
 
+service_question::~service_question()
+{
+    for (fetch_canceller const& cancel : open_)
+    {
+        cancel();
+    }
+}
+
 void service_question::ask()
 {
     timer_.expires_after(std::exchange(pause_, std::min(2 * pause_, max_pause)));
@@ -42,15 +50,15 @@
                 self->ask();
             }
         });
-    fetch(context_, make_question(address_),
-          [weak = weak_from_this()](state::result<fetch_answer> const& answer)
-          {
-              auto const self = weak.lock();
-              if (self != nullptr && self->on_answer_ != nullptr)
-              {
-                  self->on_result(answer);
-              }
-          });
+    open_.push_back(fetch(context_, make_question(address_),
+                          [weak = weak_from_this()](state::result<fetch_answer> const& answer)
+                          {
+                              auto const self = weak.lock();
+                              if (self != nullptr && self->on_answer_ != nullptr)
+                              {
+                                  self->on_result(answer);
+                              }
+                          }));
 }
 
 // One that is lost is asked again in its turn; the earlier ones are still listened to.
--- a/src/transport/service_question.hpp
+++ b/src/transport/service_question.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <vector>
 
 /// \file
 /// \brief Asks a plain service whether it lives on after it closed a connection.
@@ -31,6 +32,10 @@
     /// \brief `on_answer` is called at most once, later, and not after the question is destroyed.
     service_question(net::io_context& context, state::endpoint address, answer_handler on_answer);
 
+    service_question(service_question const&) = delete;
+    service_question& operator=(service_question const&) = delete;
+    ~service_question();
+
     void ask();
 
     /// \brief Before a question is repeated, as the path may have lost it; doubled each time.
@@ -48,6 +53,7 @@
     answer_handler on_answer_;
     net::steady_timer timer_;
     std::chrono::milliseconds pause_ = first_pause;
+    std::vector<fetch_canceller> open_;
 };
 
 } // namespace plumdale::transport
--- a/src/transport/stream_call.cpp
+++ b/src/transport/stream_call.cpp
@@ -32,6 +32,7 @@
 stream_call::~stream_call()
 {
     core_.departures.remove_listener(*this);
+    cancel_stops();
     drop_backup();
     drop_load(copy_load_);
 }
@@ -183,6 +184,7 @@
                          {"after_event", static_cast<std::int64_t>(progress_.last_id())}});
         failover_->resumed(now);
         release_repeats();
+        cancel_stops();
         attempts_ = {};
         has_noted_no_destination_ = false;
         has_noted_no_retry_ = false;
--- a/src/transport/stream_call.hpp
+++ b/src/transport/stream_call.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// \file
 /// \brief A call that is answered by a stream of events.
@@ -183,6 +184,8 @@
     void carry_out(coordination::release_copy const& action);
     void carry_out(coordination::abandon_generation const& action);
     void note_stop_ordered(state::member_key source);
+    /// \brief Nobody waits for the answers to orders to stop any more.
+    void cancel_stops();
     /// \brief Records what became of an order; `was_open` is whether the stream was open then.
     void note_stop_answered(state::member_key source, coordination::stop_outcome outcome,
                             bool was_open);
@@ -250,6 +253,8 @@
     /// \brief Until when the question is listened to that is under way.
     state::time_point asked_until_{};
     move_attempts attempts_;
+    /// \brief Ends orders to stop that have no answer.
+    std::vector<fetch_canceller> open_stops_;
     /// \brief Number of the run: counts those that began, or may have.
     std::uint32_t run_ = 0;
 };
--- a/src/transport/stream_failover.cpp
+++ b/src/transport/stream_failover.cpp
@@ -189,6 +189,11 @@
         directory_entry const* const entry = core_.directory.find(member);
         return entry != nullptr && core_.directory.may_take_work(*entry, boot_now());
     };
+    rules.has_left = [this](state::member_key member)
+    {
+        directory_entry const* const entry = core_.directory.find(member);
+        return entry == nullptr || entry->info.leaving || !entry->info.listed;
+    };
     rules.reserve_resumption = [this](bool is_urgent)
     {
         return reserve_resumption(is_urgent ? 1 : repeats_of_move);
@@ -267,7 +272,7 @@
     }
     core_.metrics.add(action.last ? forward_count::copies_last : forward_count::copies_first);
     log(action.last ? "last copy ordered" : "first copy ordered", name_of(action.destination));
-    core_.orders.send_to(
+    fetch_canceller cancel = core_.orders.send_to(
         action.source, source->second,
         core_.dialect.copy_request(admitted_.headers.id, destination->second, action.last),
         action.last ? longest_wait_for_stop() : copy_timeout,
@@ -289,6 +294,18 @@
                 self->on_copy_answer(last, answer);
             }
         });
+    if (action.last)
+    {
+        open_stops_.push_back(std::move(cancel));
+    }
+}
+
+void stream_call::cancel_stops()
+{
+    for (fetch_canceller const& cancel : std::exchange(open_stops_, {}))
+    {
+        cancel();
+    }
 }
 
 void stream_call::note_stop_ordered(state::member_key source)
@@ -409,7 +426,7 @@
         return abort_answer(attempts_.cause(cut_cause::own_limit), unnumbered_events);
     }
     close_exchange();
-    if (!reserve_repeat(retry_priority::preferred))
+    if (!reserve_repeat(retry_priority::owed))
     {
         return postpone_resumption();
     }
--- a/src/transport/upstream_orders.cpp
+++ b/src/transport/upstream_orders.cpp
@@ -31,14 +31,16 @@
     send_to(member, entry->info.address, std::move(order), timeout, std::move(handler));
 }
 
-void upstream_orders::send_to(state::member_key member, state::endpoint address,
-                              protocol::upstream_request order, std::chrono::milliseconds timeout,
-                              fetch_handler handler)
+fetch_canceller upstream_orders::send_to(state::member_key member, state::endpoint address,
+                                         protocol::upstream_request order,
+                                         std::chrono::milliseconds timeout, fetch_handler handler)
 {
     state::time_point const now = boot_now();
     if (!gate_.may_order(member, now))
     {
-        return fail(state::error_kind::overloaded, "upstream backs off", std::move(handler));
+        fail(state::error_kind::overloaded, "upstream backs off", std::move(handler));
+        return [] {
+        };
     }
     gate_.note_ordered(member, now);
     fetch_request request;
@@ -48,18 +50,20 @@
     request.body = std::move(order.body);
     request.fields = std::move(order.fields);
     request.timeout = timeout;
+    request.connect_timeout = connect_timeout;
     request.source = source_;
     request.max_answer_bytes = max_answer_bytes;
-    fetch(context_, std::move(request),
-          [this, member, handler = std::move(handler)](state::result<fetch_answer> const& answer)
-          {
-              if (answer)
-              {
-                  on_statement_(member, dialect_.read_statement(answer.value().status,
-                                                                answer.value().fields));
-              }
-              handler(answer);
-          });
+    return fetch(
+        context_, std::move(request),
+        [this, member, handler = std::move(handler)](state::result<fetch_answer> const& answer)
+        {
+            if (answer)
+            {
+                on_statement_(
+                    member, dialect_.read_statement(answer.value().status, answer.value().fields));
+            }
+            handler(answer);
+        });
 }
 
 // Handlers are called later in any case: callers don't expect a call from within theirs.
--- a/src/transport/upstream_orders.hpp
+++ b/src/transport/upstream_orders.hpp
@@ -36,11 +36,15 @@
     void send(state::member_key member, protocol::upstream_request order,
               std::chrono::milliseconds timeout, fetch_handler handler);
 
-    /// \brief Sends an order to where a call of the upstream was sent, whatever is listed now.
-    void send_to(state::member_key member, state::endpoint address,
-                 protocol::upstream_request order, std::chrono::milliseconds timeout,
-                 fetch_handler handler);
-
+    /// \brief Sends an order to where a call of the upstream was sent, whatever is listed now;
+    /// returns what ends it.
+    fetch_canceller send_to(state::member_key member, state::endpoint address,
+                            protocol::upstream_request order, std::chrono::milliseconds timeout,
+                            fetch_handler handler);
+
+    /// \brief Longest time to connect: an order is written soon after it was decided, or not at
+    /// all.
+    static constexpr std::chrono::milliseconds connect_timeout{2'500};
     /// \brief Size of the largest answer to an order or a request for a report.
     static constexpr std::uint64_t max_answer_bytes = 256ULL * 1024;
 
--- a/tests/coordination/moved_generation.cpp
+++ b/tests/coordination/moved_generation.cpp
@@ -229,6 +229,10 @@
     {
         return !upstreams_[at].leaves_since;
     };
+    made.has_left = [this](key at)
+    {
+        return upstreams_[at].leaves_since.has_value();
+    };
     made.reserve_resumption = [this](bool /*is_urgent*/)
     {
         return reserve();
@@ -352,6 +356,11 @@
     if (has_room)
     {
         destination.holds_until = now_ + between(memory_lifetime, 2 * memory_lifetime);
+        issuers_[order.destination] = order.source;
+    }
+    if (is_last)
+    {
+        issuers_[order.source] = order.source;
     }
     answer(run,
            [this, order, is_last, has_room]
@@ -383,7 +392,8 @@
     {
         return;
     }
-    after(round_trip / 2,
+    state::duration const way = chance(0.1) ? between(500ms, 5s) : round_trip / 2;
+    after(way,
           [this, by, is_lost, run]
           {
               if (run != run_)
@@ -422,7 +432,10 @@
         return tell([this](failover_actions& actions) { failover_.resume_unsent(now_, actions); });
     }
     is_reserved_ = false;
-    bool const is_refused = now_ < asked.refuses_until || now_ >= asked.holds_until;
+    auto const issuer = issuers_.find(resumption.at);
+    bool const is_unknown = issuer == issuers_.end() || issuer->second != resumption.holder;
+    wrong_holders_ += is_unknown ? 1 : 0;
+    bool const is_refused = is_unknown || now_ < asked.refuses_until || now_ >= asked.holds_until;
     if (is_refused)
     {
         is_resuming_ = false;
--- a/tests/coordination/moved_generation.hpp
+++ b/tests/coordination/moved_generation.hpp
@@ -59,6 +59,11 @@
     {
         return stops_;
     }
+    /// \brief Returns how many resumptions named an upstream that did not issue the handle.
+    [[nodiscard]] std::size_t wrong_holders() const noexcept
+    {
+        return wrong_holders_;
+    }
     [[nodiscard]] std::size_t resumptions() const noexcept
     {
         return resumptions_;
@@ -117,6 +122,8 @@
     coordination::generation_failover failover_;
     /// \brief Upstreams that the entry VM was told to hold the memory.
     std::set<key> told_;
+    /// \brief Who issued the handle of what an upstream holds.
+    std::map<key, key> issuers_;
     key at_;
     std::uint64_t run_ = 0;
     bool is_open_ = true;
@@ -132,6 +139,7 @@
     std::size_t most_runs_ = 0;
     std::size_t stops_ = 0;
     std::size_t resumptions_ = 0;
+    std::size_t wrong_holders_ = 0;
 };
 
 } // namespace plumdale::test
--- a/tests/coordination/test_fleet_retry_budget.cpp
+++ b/tests/coordination/test_fleet_retry_budget.cpp
@@ -137,3 +137,31 @@
     }
     CHECK(granted <= 20);
 }
+
+// Guards against a running generation that reserves the repeat for which a stopped one waits: the
+// one could run on, the other is cut with its caller's patience.
+TEST_CASE("nothing else is spent while a generation whose run is over waits for a repeat",
+          "[fleet_retry_budget]")
+{
+    fleet_retry_budget budget{{0.0, 2.0, 10s}};
+    state::time_point const now{100s};
+    REQUIRE(budget.take(now, 1, retry_priority::preferred));
+    state::time_point const free = now + 10'250ms;
+    for (state::time_point at = free - 1'100ms; at < free; at += 100ms)
+    {
+        REQUIRE_FALSE(budget.take(at, 1, retry_priority::owed));
+    }
+    CHECK_FALSE(budget.take(free, 1, retry_priority::preferred));
+    CHECK_FALSE(budget.take(free, 1, retry_priority::yielding));
+    CHECK(budget.take(free, 1, retry_priority::owed));
+}
+
+TEST_CASE("an owed repeat that is asked for no more leaves the others their turn",
+          "[fleet_retry_budget]")
+{
+    fleet_retry_budget budget{{0.0, 2.0, 10s}};
+    state::time_point const now{100s};
+    REQUIRE(budget.take(now, 1, retry_priority::owed));
+    REQUIRE_FALSE(budget.take(now + 9s, 1, retry_priority::owed));
+    CHECK(budget.take(now + 11s, 1, retry_priority::preferred));
+}
--- a/tests/coordination/test_generation_failover.cpp
+++ b/tests/coordination/test_generation_failover.cpp
@@ -375,6 +375,10 @@
     {
         return takes_runs;
     };
+    rules.has_left = [&takes_runs](state::member_key)
+    {
+        return !takes_runs;
+    };
     generation_failover failover{source, rules};
     failover_actions actions;
     failover.source_leaves({state::never, start}, start, actions);
@@ -876,6 +880,10 @@
     {
         return is_known;
     };
+    rules.has_left = [&is_known](state::member_key)
+    {
+        return !is_known;
+    };
     generation_failover failover{source, rules};
     failover_actions actions;
     resume_with_a_stop_open(failover, actions);
@@ -885,3 +893,83 @@
     failover.advance(start + 4s, actions);
     CHECK(last<abandon_generation>(actions) != nullptr);
 }
+
+// Guards against a draft that stays at its leaving source as one place without room is asked again
+// and again.
+TEST_CASE("a copy whose place leaves goes to a further one if the next has no room",
+          "[generation_failover]")
+{
+    constexpr state::member_key third_choice{4};
+    move_rules rules;
+    rules.select_destination = [](state::member_key, std::span<state::member_key const> excluded)
+    {
+        for (state::member_key const each : {first_choice, second_choice, third_choice})
+        {
+            if (std::find(excluded.begin(), excluded.end(), each) == excluded.end())
+            {
+                return std::optional{each};
+            }
+        }
+        return std::optional<state::member_key>{};
+    };
+    bool leaves = false;
+    rules.takes_runs = rules.may_resume_at = [&leaves](state::member_key at)
+    {
+        return !leaves || at != first_choice;
+    };
+    generation_failover failover{source, rules};
+    failover_actions actions;
+    failover.source_leaves({state::never, start + 1s}, start, actions);
+    failover.copied("h1", start + 200ms, actions);
+    leaves = true;
+    failover.destination_leaves(first_choice, start + 300ms, actions);
+    std::set<state::member_key> asked;
+    state::time_point now = start + 310ms;
+    for (int i = 0; i < 8; ++i)
+    {
+        if (auto const* const order = last<order_copy>(actions))
+        {
+            asked.insert(order->destination);
+            failover.copy_refused(copy_refusal::no_capacity, {}, now, actions);
+        }
+        now = std::max(now, failover.next_deadline());
+        failover.advance(now, actions);
+    }
+    CHECK(asked.contains(third_choice));
+}
+
+// Guards against copies that nobody will use and that keep memory for their whole lifetime.
+TEST_CASE("a caller that leaves between two upstreams frees the copy", "[generation_failover]")
+{
+    generation_failover failover{source, {choose}};
+    failover_actions actions;
+    failover.source_leaves({state::never, start + 1s}, start, actions);
+    failover.copied("h1", start + 200ms, actions);
+    failover.advance(start + 1s, actions);
+    failover.copied("h2", start + 1'010ms, actions);
+    failover.finished(actions);
+    REQUIRE(last<release_copy>(actions) != nullptr);
+    CHECK(last<release_copy>(actions)->source == source);
+}
+
+// Guards against a run that is stopped for a place that this VM may not ask: it backs off for
+// longer than memory is kept, or this VM has no share of the refusals that it bears.
+TEST_CASE("a run is not stopped while its copy's place may not be asked", "[generation_failover]")
+{
+    move_rules rules{choose};
+    rules.may_resume_at = [](state::member_key at)
+    {
+        return at != first_choice;
+    };
+    rules.takes_runs = [](state::member_key)
+    {
+        return true;
+    };
+    generation_failover failover{source, rules};
+    failover_actions actions;
+    failover.source_leaves({state::never, start + 1s}, start, actions);
+    failover.copied("h1", start + 200ms, actions);
+    failover.advance(start + 1s, actions);
+    REQUIRE(last<order_copy>(actions) != nullptr);
+    CHECK_FALSE(last<order_copy>(actions)->last);
+}
--- a/tests/coordination/test_moved_generations.cpp
+++ b/tests/coordination/test_moved_generations.cpp
@@ -7,7 +7,8 @@
 using namespace std::chrono_literals;
 
 // Guards against callers who lose a generation that was stopped by an order, while they have time
-// and its memory is held; and against two runs of one.
+// and its memory is held; against two runs of one; and against memory that is asked for under
+// another upstream's name.
 TEST_CASE("no stopped generation is cut while its caller has time and its memory is held",
           "[moved_generations][seeds]")
 {
@@ -23,6 +24,7 @@
         played.play();
         REQUIRE(played.result() != moved_generation::outcome::cut_unduly);
         REQUIRE(played.most_runs() <= 1);
+        REQUIRE(played.wrong_holders() == 0);
         REQUIRE(played.longest_idle() <= longest_idle);
         stops += played.stops();
         resumptions += played.resumptions();
--- a/tests/platform/test_brittle_upstreams.cpp
+++ b/tests/platform/test_brittle_upstreams.cpp
@@ -137,3 +137,45 @@
     REQUIRE(reported.size() == 2);
     CHECK(reported.front().per_second == 12.0);
 }
+
+// Guards against arrivals beyond the first that no VM has counted as repeats.
+TEST_CASE("a call that a peer declines after a refused send is counted as a repeat", "[refusals]")
+{
+    forward_fixture fixture;
+    peer_vm first{fixture, 1};
+    auto const earned_at = transport::boot_now() + std::chrono::milliseconds{600};
+    for (int i = 0; i < 10; ++i)
+    {
+        first.core.note_call("plain");
+    }
+    fixture.run_until([&] { return transport::boot_now() >= earned_at; });
+    first.join();
+    dead_address const nowhere{lost_path::refused};
+    cut_paths(fixture, fixture.core, nowhere);
+    auto const caller = fixture.call("/event/1", "id-101");
+    auto const sent = fixture.upstream_connection("Plumdale-Request-Id: id-101");
+    for (std::string_view const name : {"i-0", "i-1"})
+    {
+        auto const key = state::id_from_name<state::member_key>(name);
+        first.core.refusal_limits.answered(key, 1.0);
+        first.core.refusals.note_sent(key);
+    }
+    peer_vm second{fixture, 2};
+    second.join();
+    sent->send(
+        answer_text(503, "id-101", "", brittle_fields("1") + "Plumdale-Not-Executed: 1\r\n"));
+    fixture.run_until(
+        [&] {
+            return !caller->received.empty() ||
+                   fixture.request_count("Plumdale-Request-Id: id-101") == 2;
+        });
+    CAPTURE(caller->received, first.core.metrics.value(transport::forward_count::repeats),
+            first.core.metrics.value(transport::forward_count::repeats_denied));
+    REQUIRE(fixture.request_count("Plumdale-Request-Id: id-101") == 2);
+    using transport::forward_count;
+    auto const kept = [](transport::forward_core const& core)
+    {
+        return core.metrics.value(forward_count::repeats);
+    };
+    CHECK(kept(fixture.core) + kept(first.core) + kept(second.core) == 1);
+}
--- a/tests/platform/test_cut_streams.cpp
+++ b/tests/platform/test_cut_streams.cpp
@@ -165,3 +165,47 @@
         CHECK(resumptions == 1);
     }
 }
+
+// Guards against a draft that waits for an order to a process that never had it: its upstream's own
+// word that the resumption is over is not used, though the memory is held elsewhere.
+TEST_CASE("a draft whose resumption is lost with a restart goes on where its memory is held",
+          "[cut_streams]")
+{
+    bool const is_cut_before = GENERATE(false, true);
+    CAPTURE(is_cut_before);
+    forward_fixture fixture;
+    announce_incarnations(fixture);
+    for (std::size_t i = 2; i < 5; ++i)
+    {
+        state::member_key const key =
+            state::key_of(fixture.upstreams[i]->make_member("engine", 1).name,
+                          state::incarnation{first_incarnation + i});
+        fixture.core.ledger.add(key, {key, 5, 22'000, 23'000, 0});
+    }
+    running_draft const draft{fixture};
+    draft.stream->reset();
+    fixture.upstream_connection(stop_order)
+        ->send(answer_text(200, "", R"({"handleId":"h-1","createdRev":3})"));
+    auto const resumed = fixture.upstream_connection("Kv-From: ");
+    scripted_upstream& place = fixture.upstream_of("Kv-From: ");
+    REQUIRE(&place != draft.source);
+    if (is_cut_before)
+    {
+        resumed->reset();
+        fixture.run_until([&] { return !place.connections_with(stop_order).empty(); });
+        place.connections_with(stop_order).back()->send(answer_text(404, "", "{}"));
+    }
+    restart(fixture, place);
+    auto const end = std::chrono::steady_clock::now() + 6s;
+    fixture.run_until(
+        [&]
+        {
+            for (auto const& each : place.take_unanswered(stop_order))
+            {
+                each->send(answer_text(404, "", "{}"));
+            }
+            return !draft.source->connections_with("Kv-From: ").empty() || draft.caller->ended ||
+                   std::chrono::steady_clock::now() >= end;
+        });
+    CHECK_FALSE(draft.source->connections_with("Kv-From: ").empty());
+}
--- a/tests/platform/test_moved_streams.cpp
+++ b/tests/platform/test_moved_streams.cpp
@@ -1,10 +1,16 @@
 #include "moved_draft.hpp"
+#include "transport/boot_clock.hpp"
 
 #include <plumdale/protocol/digest.hpp>
+#include <plumdale/protocol/endpoint_text.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
 
 using namespace plumdale;
 using namespace plumdale::test;
@@ -138,3 +144,130 @@
     fixture.run_until([&] { return moved.is_whole() || moved.draft.caller->ended; });
     CHECK(moved.is_whole());
 }
+
+namespace
+{
+
+/// \brief The first order to stop is answered late, and a second one finds no run: the draft is
+/// being resumed at its first copy. Returns that resumption.
+std::shared_ptr<scripted_connection> resume_with_a_stop_open(forward_fixture& fixture,
+                                                             moved_draft& moved)
+{
+    moved.copy_first();
+    moved.stop();
+    fixture.run_until([&] { return fixture.request_count(stop_order) == 2; });
+    moved.draft.source->connections_with(stop_order).back()->send(answer_text(404, "", "{}"));
+    std::vector<std::shared_ptr<scripted_connection>> sent;
+    fixture.run_until(
+        [&]
+        {
+            sent = moved.destination().take_unanswered(resumption);
+            return !sent.empty();
+        });
+    return sent.front();
+}
+
+/// \brief Refuses resumptions until one names the memory of the late answer at its source.
+bool asks_for_late_memory(forward_fixture& fixture, moved_draft& moved)
+{
+    std::string const named =
+        std::string{resumption} +
+        protocol::to_text(moved.draft.source->make_member("engine", 1).address) + "/h-2";
+    auto const end = std::chrono::steady_clock::now() + 6s;
+    bool is_asked = false;
+    fixture.run_until(
+        [&]
+        {
+            for (auto const& upstream : fixture.upstreams)
+            {
+                for (auto const& each : upstream->take_unanswered(resumption))
+                {
+                    is_asked = is_asked || each->received.find(named) != std::string::npos;
+                    each->send(answer_text(503, "id-1", "", "Plumdale-Not-Executed: 1\r\n"));
+                }
+            }
+            return is_asked || moved.draft.caller->ended || std::chrono::steady_clock::now() >= end;
+        });
+    return is_asked;
+}
+
+} // namespace
+
+TEST_CASE("a stop answered during a resumption that is refused names the memory", "[moved_streams]")
+{
+    forward_fixture fixture;
+    moved_draft moved{fixture};
+    auto const sent = resume_with_a_stop_open(fixture, moved);
+    moved.answer_stop();
+    moved.run_for(50ms);
+    sent->send(answer_text(503, "id-1", "", "Plumdale-Not-Executed: 1\r\n"));
+    CHECK(asks_for_late_memory(fixture, moved));
+}
+
+TEST_CASE("a stop answered after a resumption was refused names the memory", "[moved_streams]")
+{
+    forward_fixture fixture;
+    moved_draft moved{fixture};
+    auto const sent = resume_with_a_stop_open(fixture, moved);
+    sent->send(answer_text(503, "id-1", "", "Plumdale-Not-Executed: 1\r\n"));
+    moved.run_for(20ms);
+    moved.answer_stop();
+    CHECK(asks_for_late_memory(fixture, moved));
+}
+
+// Another writer's entry, or an operator's order of evacuation, hides the only place for a moment.
+TEST_CASE("a stopped draft goes on though the entry of its place is unreadable for a moment",
+          "[moved_streams]")
+{
+    forward_fixture fixture;
+    moved_draft moved{fixture};
+    moved.copy_first();
+    moved.stop();
+    moved.run_for(700ms);
+    state::service_member const place = moved.destination().make_member("engine", 12);
+    fixture.core.apply_unusable_entries(
+        std::array{protocol::unusable_entry{place.name, 9, "slots"}}, "test");
+    moved.answer_stop();
+    moved.run_for(400ms);
+    CHECK_FALSE(moved.draft.caller->ended);
+    fixture.core.apply_members(std::array{place}, "test");
+    moved.resume_to_end();
+    CHECK(moved.is_whole());
+}
+
+// Guards against descriptors that orders keep for nobody, and orders that stop nothing any more.
+TEST_CASE("orders to stop a draft end with its caller", "[moved_streams]")
+{
+    forward_fixture fixture;
+    moved_draft moved{fixture};
+    moved.copy_first();
+    moved.stop();
+    moved.run_for(6s);
+    auto const orders = moved.draft.source->connections_with(stop_order);
+    REQUIRE(orders.size() > 1);
+    moved.draft.caller->close();
+    auto const end = std::chrono::steady_clock::now() + 2s;
+    fixture.run_until([&] { return std::chrono::steady_clock::now() >= end; });
+    for (auto const& each : orders)
+    {
+        CHECK(each->ended);
+    }
+}
+
+// Guards against a draft that is stopped for a place which asked this VM to send nothing for longer
+// than memory is kept.
+TEST_CASE("a draft is not stopped for a place that backs off", "[moved_streams]")
+{
+    forward_fixture fixture;
+    moved_draft moved{fixture};
+    moved.copy_first();
+    moved.run_for(50ms);
+    auto const place = state::key_of(moved.destination().make_member("engine", 1));
+    auto const now = transport::boot_now();
+    fixture.core.backoffs.requested(place, 30s, now);
+    fixture.core.backoffs.note_sent(place, now);
+    moved.run_for(2'500ms);
+    CHECK(fixture.request_count(stop_order) == 0);
+    bool const is_copied_elsewhere = fixture.request_count(first_copy_order) > 1;
+    CHECK(is_copied_elsewhere);
+}
