--- a/tests/coordination/test_generation_failover.cpp
+++ b/tests/coordination/test_generation_failover.cpp
@@ -899,7 +899,7 @@
 TEST_CASE("a copy whose place leaves goes to a further one if the next has no room",
           "[generation_failover]")
 {
-    constexpr state::member_key third_choice{4};
+    static constexpr state::member_key third_choice{4};
     move_rules rules;
     rules.select_destination = [](state::member_key, std::span<state::member_key const> excluded)
     {
