Store: the key that a page begins after is escaped whole

Cause: a page is asked for by the last key of the page before. Only the slash of that key was escaped. A key with #, %, a blank, a control character or a byte above 127 gave a request that is none, or one for another place; the store answered 400 and the page was asked for again, without end.

Why this works: everything but the characters that RFC 3986 lets stand for themselves is escaped, in each query for entries.

--- /dev/null
+++ b/src/protocol/uri_text.cpp
@@ -0,0 +1,26 @@
+#include <plumdale/protocol/uri_text.hpp>
+
+namespace plumdale::protocol
+{
+
+std::string escaped(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string out;
+    out.reserve(text.size());
+    for (char const c : text)
+    {
+        if (is_unreserved(c))
+        {
+            out += c;
+            continue;
+        }
+        auto const byte = static_cast<unsigned char>(c);
+        out += '%';
+        out += digits[byte >> 4U];
+        out += digits[byte & 0xFU];
+    }
+    return out;
+}
+
+} // namespace plumdale::protocol
