Store: a name that needs an escape names no upstream

Callers would see: calls to what another writer's entry names, and calls whose head that name ends: an upstream's name is sent in a field of each call, so one with a line end adds fields of its writer's choice to it.

Cause: a name was refused for its length and for a slash only.

No call with such a name was played. The rows of peers in [odd_entry] were not run on the old code.

Why this works: `is_member_name` (unreserved characters of URIs, and colons) is asked where an entry is read, from the store or from a peer. An odd name is never taken up as a row, so directories of peers agree as before. Green after: [odd_names], [odd_entry], [uri_text].

--- a/include/plumdale/state/service_member.hpp
+++ b/include/plumdale/state/service_member.hpp
@@ -2,7 +2,9 @@
 
 #include <plumdale/state/endpoint.hpp>
 #include <plumdale/state/identifier.hpp>
+#include <plumdale/state/uri_characters.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -45,16 +47,24 @@
     static constexpr std::uint32_t max_slots = 100'000;
 };
 
+/// \brief Returns whether a text can name an upstream. The name is sent in a field of each call: it
+/// has characters that need no escape, and colons.
+[[nodiscard]] inline bool is_member_name(std::string_view text) noexcept
+{
+    return !text.empty() && text.size() <= service_member::max_name_bytes &&
+           std::all_of(text.begin(), text.end(),
+                       [](char c) { return is_unreserved(c) || c == ':'; });
+}
+
 /// \brief Returns whether a row has what calls are sent by: a name and, if it says that its
 /// upstream may be used, also a place and slots.
 [[nodiscard]] inline bool is_complete(service_member const& member) noexcept
 {
-    bool const is_named =
-        !member.name.empty() && member.name.size() <= service_member::max_name_bytes;
     bool const has_place = member.address.address != 0 && member.address.port != 0 &&
                            !member.service.empty() && !member.zone.empty();
     bool const has_slots = member.slots != 0 && member.slots <= service_member::max_slots;
-    return is_named && (!member.listed || !member.usable || (has_place && has_slots));
+    return is_member_name(member.name) &&
+           (!member.listed || !member.usable || (has_place && has_slots));
 }
 
 /// \brief Identifies one incarnation of an upstream in tables and datagrams.
--- a/src/protocol/uri_text.cpp
+++ b/src/protocol/uri_text.cpp
@@ -1,4 +1,5 @@
 #include <plumdale/protocol/uri_text.hpp>
+#include <plumdale/state/uri_characters.hpp>
 
 namespace plumdale::protocol
 {
@@ -10,7 +11,7 @@
     out.reserve(text.size());
     for (char const c : text)
     {
-        if (is_unreserved(c))
+        if (state::is_unreserved(c))
         {
             out += c;
             continue;
--- a/tests/platform/test_odd_entries.cpp
+++ b/tests/platform/test_odd_entries.cpp
@@ -272,8 +272,11 @@
     rows.push_back(sound);
     rows.back().started = state::incarnation{UINT64_MAX};
     rows.back().start_confirmed = true;
-    rows.push_back(sound);
-    rows.back().name.clear();
+    for (std::string const name : {"", "odd name", "odd\r\nX: y"})
+    {
+        rows.push_back(sound);
+        rows.back().name = name;
+    }
     for (state::service_member const& row : rows)
     {
         coordination::fleet_update update;
@@ -282,6 +285,8 @@
         REQUIRE(read);
         fixture.core.apply_members(read.value().members, "fleet");
         CHECK(fixture.core.directory.find(state::key_of("odd-0", {})) == nullptr);
+        CHECK(fixture.core.directory.find(state::key_of("odd name", {})) == nullptr);
+        CHECK(fixture.core.directory.find(state::key_of("odd\r\nX: y", {})) == nullptr);
         fixture.core.apply_members(std::array{fixture.upstreams[0]->make_member("plain", 10)},
                                    "store");
         for (std::size_t i = 0; i < forward_fixture::plain_upstreams; ++i)
--- a/tests/platform/test_odd_names.cpp
+++ b/tests/platform/test_odd_names.cpp
@@ -185,6 +185,49 @@
     }
 }
 
+// Guards against calls to what another writer's entry names, and against heads that its name ends.
+TEST_CASE("an entry with an odd name names no upstream, though its value is valid", "[odd_names]")
+{
+    std::string const sound = json::serialize(valid_entry(0));
+    for (std::string_view const odd : odd_texts)
+    {
+        std::string const name = "i-2" + std::string{odd};
+        INFO("name " << json::serialize(json::string{name}));
+        json::array items;
+        for (std::string const& each : {std::string{"i-1"}, name, std::string{"i-3"}})
+        {
+            items.push_back(json::object{
+                {"key", "servers/" + each}, {"value", encode_base64(sound)}, {"revision", 5}});
+        }
+        auto const page = platform::platform_dialect{}.read_page(
+            json::serialize(json::object{{"items", items}, {"hasMore", false}, {"atRev", 40}}));
+        REQUIRE(page);
+        REQUIRE(page.value().members.size() == 2);
+        CHECK(page.value().members[0].name == "i-1");
+        CHECK(page.value().members[1].name == "i-3");
+        REQUIRE(page.value().unusable.size() == 1);
+        CHECK(page.value().unusable[0].reason == "key");
+    }
+}
+
+// Guards against upstreams that are no longer used for the form of their names.
+TEST_CASE("names of letters, digits and marks that need no escape are used", "[odd_names]")
+{
+    for (std::string const name : {"i-7f3a91c2", "I.7_f~3", "10.0.0.9:80", "a"})
+    {
+        INFO(name);
+        json::array const items{
+            json::object{{"key", "servers/" + name},
+                         {"value", encode_base64(json::serialize(valid_entry(0)))},
+                         {"revision", 5}}};
+        auto const page = platform::platform_dialect{}.read_page(
+            json::serialize(json::object{{"items", items}, {"hasMore", false}, {"atRev", 40}}));
+        REQUIRE(page);
+        REQUIRE(page.value().members.size() == 1);
+        CHECK(page.value().members[0].name == name);
+    }
+}
+
 // Guards against a page that is asked for behind another key than the last one's.
 TEST_CASE("the key that a page begins after is escaped whole", "[odd_names]")
 {
