Sends: an answer that is reset while its body is sent isn't whole

Callers saw: an upstream that answered a long upload at once with a 200 without length, sent a part and reset the connection while the upload was being written; the caller got that part as the whole answer, also through a peer, and a stream its end.

Cause: Linux reports a reset once. With a body being written, the write is told (ECONNRESET), and the read behind it finds an end like one in order. The call then asked whether the process lives; it does. The same holds of a lost path (ETIMEDOUT), by reading.

Evidence: a socket played by hand, arm64: write 104, read the part, read an end; after a close in order and then a reset: write 32 (EPIPE), read the part, read an end. "an answer that is reset while its body is sent is not whole" in this form without `end_of_connection`: 10 of 14 cases red, those of 30 ms pause green there too; "an idempotent call ... goes elsewhere": red.

Why this works: where a write was told of an error, an end is that error. A broken pipe alone stands for a close in order before the reset, whose answer is whole ("an answer that ends in order before its body is sent is whole", green before and after). Of all readers of answers only `upstream_exchange` reads while it writes; `http_fetch`, `engine_stream` and plumctl's client read after the request is written (by reading). Green after: [sent_bodies], [closed_answers], [cut_streams], [owed_answers], [peer_answers].

The tests' peer takes bodies as large as its fixture allows, as a daemon does.

--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -101,6 +101,7 @@
                      {
                          // A failed write also ends the reading, after any answer that the upstream
                          // sent before it read everything.
+                         self->write_error_ = error;
                          self->written_ = !error;
                      });
     if (request_.size() > watched_request_bytes)
@@ -174,6 +175,7 @@
     {
         return read();
     }
+    error = end_of_connection(error);
     bool const in_order = error == net::error::eof;
     if (in_order && reader_.append_eof() == protocol::read_progress::complete)
     {
@@ -184,11 +186,20 @@
         }
         return;
     }
-    bool const by_upstream = error == net::error::eof || error == net::error::connection_reset ||
-                             error == net::error::broken_pipe;
+    bool const by_upstream =
+        in_order || error == net::error::connection_reset || error == net::error::broken_pipe;
     finish(by_upstream ? exchange_end::broken : exchange_end::lost);
 }
 
+// The system reports a reset or a lost path once: if a write is told, the next read finds an end
+// that looks like one in order. A write to a connection that was closed in order before it was
+// reset is told of a broken pipe instead.
+error_code upstream_exchange::end_of_connection(error_code read_error) const noexcept
+{
+    bool const is_told_by_write = write_error_ && write_error_ != net::error::broken_pipe;
+    return read_error == net::error::eof && is_told_by_write ? write_error_ : read_error;
+}
+
 void upstream_exchange::append_bytes(std::string_view bytes)
 {
     reader_.append(bytes);
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -122,6 +122,9 @@
     void check_delivery();
     void read();
     void on_read(boost::system::error_code error, std::size_t bytes);
+    /// \brief Returns how the connection ended, which a read alone can't tell.
+    [[nodiscard]] boost::system::error_code
+    end_of_connection(boost::system::error_code read_error) const noexcept;
     void append_bytes(std::string_view bytes);
     [[nodiscard]] bool has_interim_answer() const noexcept;
     /// \brief Discards interim answers; returns false if there are too many.
@@ -143,6 +146,7 @@
     std::optional<state::duration> keep_alive_;
     connection_failure failure_ = connection_failure::none;
     std::uint32_t interim_answers_ = 0;
+    boost::system::error_code write_error_;
     bool closes_ = false;
     bool sent_ = false;
     bool written_ = false;
--- a/tests/platform/peer_vm.cpp
+++ b/tests/platform/peer_vm.cpp
@@ -118,9 +118,10 @@
             }
             channels_.push_back(std::make_shared<transport::caller_channel>(
                 std::move(socket),
-                []
+                [this]
                 {
                     transport::channel_options options;
+                    options.limits = limits;
                     options.is_peer = true;
                     return options;
                 },
--- a/tests/platform/peer_vm.hpp
+++ b/tests/platform/peer_vm.hpp
@@ -55,6 +55,8 @@
 
     protocol::forward_settings settings;
     transport::forward_core core;
+    /// \brief Limits of the channels from other VMs.
+    state::caller_limits limits;
 
 private:
     void accept();
