Answers to orders, reports and reads of the store: one decoder for all

What could happen: an answer to an order, a report or a page of the store was read though a line of its head was no field of its own. With "Transfer-Encoding: chunked" followed by a folded line its body was read in a framing that calls refuse. Not seen with callers: calls refused such heads.

Cause: `http_fetch` had Beast's parser, which joins folded lines; calls have `head_framing`. Class: the same question answered in several places.

Why this works: `answer_reader` (an `http_reader` that passes over interim answers) reads for `upstream_exchange` and `http_fetch`; each had a loop of its own for interim answers. A head may now have 16 KB instead of Beast's 8. Green after: test_transport (56 cases), [answer_reader], [field_names], [statuses], [endless], [store_reader], [sent_bodies], [cut_heads].

--- a/src/transport/http_fetch.cpp
+++ b/src/transport/http_fetch.cpp
@@ -1,17 +1,17 @@
 #include "http_fetch.hpp"
 
-#include <plumdale/protocol/answer_status.hpp>
+#include <plumdale/protocol/answer_reader.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <map>
 #include <memory>
-#include <optional>
+#include <string_view>
 #include <utility>
 
 namespace plumdale::transport
@@ -24,9 +24,9 @@
 using beast::error_code;
 using connection = std::unique_ptr<beast::tcp_stream>;
 
-// Bytes that are read ahead of the parser. It waits for the end of a chunk's head or of trailers,
-// however long it is.
-constexpr std::size_t max_unparsed_bytes = 128ULL * 1024;
+constexpr std::size_t read_buffer_bytes = 16UL * 1024;
+// Of an answer's head, of each line of a chunk, and of trailers.
+constexpr std::uint32_t max_head_bytes = 16 * 1024;
 // Waits for more of one answer. A peer that sends a byte now and then would never be given up.
 constexpr int max_extensions = 16;
 
@@ -50,9 +50,9 @@
           extends_on_progress_{wanted.extends_on_progress},
           last_deadline_{std::chrono::steady_clock::now() +
                          (wanted.extends_on_progress ? max_extensions : 1) * wanted.timeout},
-          source_{wanted.source}, max_answer_bytes_{wanted.max_answer_bytes}
+          source_{wanted.source}, reader_{protocol::message_role::answer,
+                                          {max_head_bytes, wanted.max_answer_bytes}}
     {
-        make_parser();
         request_.version(11);
         request_.method_string(wanted.method);
         request_.target(wanted.target);
@@ -122,50 +122,34 @@
         {
             socket_->expires_after(timeout_);
         }
-        http::async_read_some(*socket_, buffer_, *parser_,
-                              [self = shared_from_this()](error_code error, std::size_t)
-                              { error ? self->fail(error) : self->on_read(); });
+        socket_->async_read_some(net::buffer(buffer_),
+                                 [self = shared_from_this()](error_code error, std::size_t bytes)
+                                 { self->on_read(error, bytes); });
     }
 
-    void on_read()
+    void on_read(error_code error, std::size_t bytes)
     {
-        if (!parser_->is_header_done())
+        reader_.append({buffer_.data(), bytes});
+        if (error == net::error::eof)
         {
-            return read();
+            reader_.append_eof();
         }
-        // Beast takes any three digits for the status of the answer.
-        switch (protocol::kind_of_status(parser_->get().result_int()))
+        if (reader_.progress() == protocol::read_progress::malformed)
         {
-        case protocol::status_kind::none:
-            return fail(http::error::bad_status);
-        case protocol::status_kind::interim:
-            return skip_interim_answer();
-        case protocol::status_kind::final_answer:
-            return parser_->is_done() ? finish() : read();
+            return fail(http::error::bad_value);
         }
-    }
-
-    void skip_interim_answer()
-    {
-        if (++interim_answers_ > protocol::max_interim_answers)
+        if (reader_.progress() == protocol::read_progress::complete)
         {
-            return fail(http::error::bad_status);
+            return finish();
         }
-        make_parser();
-        read();
-    }
-
-    void make_parser()
-    {
-        parser_.emplace();
-        parser_->body_limit(max_answer_bytes_);
+        error ? fail(error) : read();
     }
 
     void finish()
     {
         exchange_result end;
-        end.answer = {parser_->get().result_int(), std::move(parser_->get().body()), fields()};
-        if (request_.keep_alive() && parser_->keep_alive() && buffer_.size() == 0)
+        end.answer = {reader_.head().status, reader_.take_body(), reader_.head().fields};
+        if (may_be_reused())
         {
             socket_->expires_never();
             end.reusable = std::move(socket_);
@@ -173,14 +157,12 @@
         handler_(std::move(end));
     }
 
-    [[nodiscard]] std::vector<protocol::header_field> fields() const
+    [[nodiscard]] bool may_be_reused() const
     {
-        std::vector<protocol::header_field> found;
-        for (auto const& each : parser_->get())
-        {
-            found.push_back({std::string{each.name_string()}, std::string{each.value()}});
-        }
-        return found;
+        std::string const* const options = reader_.head().find("Connection");
+        bool const closes = options != nullptr && protocol::has_token(*options, "close");
+        return request_.keep_alive() && !closes && reader_.unconsumed().empty() &&
+               reader_.framing() != protocol::body_framing::until_close;
     }
 
     void fail(error_code error)
@@ -198,10 +180,8 @@
     std::chrono::steady_clock::time_point last_deadline_;
     state::endpoint source_;
     http::request<http::string_body> request_;
-    std::uint64_t max_answer_bytes_;
-    std::uint32_t interim_answers_ = 0;
-    std::optional<http::response_parser<http::string_body>> parser_;
-    beast::flat_buffer buffer_{max_unparsed_bytes};
+    protocol::answer_reader reader_;
+    std::array<char, read_buffer_bytes> buffer_{};
 };
 
 void report(fetch_handler const& handler, exchange_result& end)
--- a/src/transport/upstream_exchange.cpp
+++ b/src/transport/upstream_exchange.cpp
@@ -2,8 +2,6 @@
 
 #include "boot_clock.hpp"
 
-#include <plumdale/protocol/answer_status.hpp>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
@@ -16,11 +14,10 @@
 
 using boost::system::error_code;
 
-protocol::http_reader new_reader(bool without_body)
+protocol::message_role role_for(bool without_body) noexcept
 {
-    auto const role =
-        without_body ? protocol::message_role::answer_without_body : protocol::message_role::answer;
-    return {role, {upstream_exchange::head_limit, upstream_exchange::body_limit}};
+    return without_body ? protocol::message_role::answer_without_body
+                        : protocol::message_role::answer;
 }
 
 } // namespace
@@ -35,7 +32,7 @@
 upstream_exchange::upstream_exchange(net::io_context& context, upstream_pool& pool, options chosen,
                                      exchange_sink& sink)
     : context_{context}, pool_{pool}, options_{chosen}, sink_{&sink}, timer_{context},
-      reader_{new_reader(chosen.without_body)}
+      reader_{role_for(chosen.without_body), {head_limit, body_limit}}
 {
 }
 
@@ -203,10 +200,6 @@
 void upstream_exchange::append_bytes(std::string_view bytes)
 {
     reader_.append(bytes);
-    if (!skip_interim_answers())
-    {
-        return finish(exchange_end::invalid);
-    }
     report_progress();
     if (sink_ != nullptr && reader_.progress() == protocol::read_progress::malformed)
     {
@@ -218,27 +211,6 @@
     }
 }
 
-bool upstream_exchange::has_interim_answer() const noexcept
-{
-    return reader_.progress() == protocol::read_progress::complete &&
-           protocol::kind_of_status(reader_.head().status) == protocol::status_kind::interim;
-}
-
-bool upstream_exchange::skip_interim_answers()
-{
-    while (has_interim_answer())
-    {
-        if (++interim_answers_ > protocol::max_interim_answers)
-        {
-            return false;
-        }
-        std::string const unconsumed{reader_.unconsumed()};
-        reader_ = new_reader(options_.without_body);
-        reader_.append(unconsumed);
-    }
-    return true;
-}
-
 void upstream_exchange::report_progress()
 {
     using enum protocol::read_progress;
--- a/src/transport/upstream_exchange.hpp
+++ b/src/transport/upstream_exchange.hpp
@@ -5,7 +5,7 @@
 #include "net.hpp"
 #include "upstream_pool.hpp"
 
-#include <plumdale/protocol/http_reader.hpp>
+#include <plumdale/protocol/answer_reader.hpp>
 #include <plumdale/state/service_member.hpp>
 
 #include <boost/asio/steady_timer.hpp>
@@ -126,9 +126,6 @@
     [[nodiscard]] boost::system::error_code
     end_of_connection(boost::system::error_code read_error) const noexcept;
     void append_bytes(std::string_view bytes);
-    [[nodiscard]] bool has_interim_answer() const noexcept;
-    /// \brief Discards interim answers; returns false if there are too many.
-    [[nodiscard]] bool skip_interim_answers();
     void report_progress();
     void finish(exchange_end end);
 
@@ -140,12 +137,11 @@
     /// \brief For the connecting, and then for the delivery.
     net::steady_timer timer_;
     delivery_watch delivery_{path_timeout};
-    protocol::http_reader reader_;
+    protocol::answer_reader reader_;
     std::string request_;
     std::array<char, 4096> buffer_{};
     std::optional<state::duration> keep_alive_;
     connection_failure failure_ = connection_failure::none;
-    std::uint32_t interim_answers_ = 0;
     boost::system::error_code write_error_;
     bool closes_ = false;
     bool sent_ = false;
