Product's interface: its engines' answers are read by the decoder of all others

Callers could get: of a service of the product's own interface an answer whose head had a folded line, with a body in another framing than the one stated.

Cause: `engine_stream` had Beast's parser, as `http_fetch` had.

Why this works: `answer_reader`. Tokens that came before the fault are passed on first, as before. plumctl's client still has Beast's parser; it reads from our own VMs.

--- a/src/transport/engine_stream.cpp
+++ b/src/transport/engine_stream.cpp
@@ -2,17 +2,16 @@
 
 #include "service_question.hpp"
 
+#include <plumdale/protocol/answer_reader.hpp>
 #include <plumdale/protocol/answer_status.hpp>
 #include <plumdale/protocol/engine_codec.hpp>
 #include <plumdale/protocol/generation_text.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <array>
-#include <optional>
 #include <utility>
 
 namespace plumdale::transport
@@ -27,14 +26,18 @@
 using coordination::stream_mode;
 using coordination::upstream_failure;
 
+constexpr unsigned ok = 200;
+constexpr unsigned first_success = 200;
+constexpr unsigned first_failure = 300;
+constexpr unsigned not_found = 404;
+constexpr unsigned conflict = 409;
 constexpr std::size_t read_buffer_bytes = 4096;
 constexpr auto connect_timeout = std::chrono::seconds{2};
 constexpr std::uint64_t max_stream_bytes = 256ULL * 1024 * 1024;
 // The answer to a plain call is buffered completely.
 constexpr std::uint64_t max_call_bytes = 16ULL * 1024 * 1024;
-// Bytes that are read ahead of the parser. It waits for the end of a chunk's line or of trailers,
-// however long it is.
-constexpr std::size_t max_unparsed_bytes = 128ULL * 1024;
+// Of an answer's head, of each line of a chunk, and of trailers.
+constexpr std::uint32_t max_head_bytes = 16 * 1024;
 
 /// \brief Implements the engines' HTTP protocol, or forwards a plain call.
 class http_stream final : public upstream_stream, public std::enable_shared_from_this<http_stream>
@@ -43,9 +46,10 @@
     http_stream(net::io_context& context, coordination::open_stream open, std::string model,
                 std::shared_ptr<answer_memory> answers_held, stream_listener listener)
         : context_{context}, socket_{context}, open_{std::move(open)}, model_{std::move(model)},
-          listener_{std::move(listener)}, answers_held_{std::move(answers_held)}
+          listener_{std::move(listener)}, answers_held_{std::move(answers_held)},
+          reader_{protocol::message_role::answer,
+                  {max_head_bytes, is_call() ? max_call_bytes : max_stream_bytes}}
     {
-        make_parser();
     }
 
     void start()
@@ -84,12 +88,6 @@
         return open_.kind == state::work_kind::call;
     }
 
-    void make_parser()
-    {
-        parser_.emplace();
-        parser_->body_limit(is_call() ? max_call_bytes : max_stream_bytes);
-    }
-
     void make_request()
     {
         std::string const id = protocol::to_text(open_.generation);
@@ -133,119 +131,100 @@
         {
             return fail(upstream_failure::broken);
         }
-        read_header();
+        read();
     }
 
-    void read_header()
+    void read()
     {
-        http::async_read_header(socket_, buffer_, *parser_,
-                                [self = shared_from_this()](error_code failed, std::size_t)
-                                { self->on_header(failed); });
+        if (paused_)
+        {
+            read_deferred_ = true;
+            return;
+        }
+        socket_.async_read_some(net::buffer(read_buffer_),
+                                [self = shared_from_this()](error_code error, std::size_t bytes)
+                                { self->on_read(error, bytes); });
     }
 
-    void on_header(error_code error)
+    void on_read(error_code error, std::size_t bytes)
     {
-        if (error)
+        reader_.append({read_buffer_.data(), bytes});
+        if (error == net::error::eof)
         {
-            return fail(upstream_failure::broken);
+            reader_.append_eof();
         }
-        // Beast takes any three digits for the status of the answer.
-        switch (protocol::kind_of_status(parser_->get().result_int()))
+        take_head();
+        take_body();
+        if (listener_ == nullptr)
         {
-        case protocol::status_kind::none:
-            return fail(upstream_failure::invalid);
-        case protocol::status_kind::interim:
-            return skip_interim_answer();
-        case protocol::status_kind::final_answer:
-            return on_final_header();
+            return;
         }
+        if (reader_.progress() == protocol::read_progress::malformed)
+        {
+            return fail(cause_of_malformed());
+        }
+        if (reader_.progress() == protocol::read_progress::complete)
+        {
+            return on_end();
+        }
+        error ? fail(upstream_failure::broken) : read();
+    }
+
+    // An answer that is none may have been broken off; interim answers without end were sent.
+    [[nodiscard]] upstream_failure cause_of_malformed() const
+    {
+        bool const is_interim =
+            protocol::kind_of_status(reader_.head().status) == protocol::status_kind::interim;
+        return is_interim ? upstream_failure::invalid : upstream_failure::broken;
     }
 
-    void skip_interim_answer()
+    [[nodiscard]] bool has_head() const
     {
-        if (++interim_answers_ > protocol::max_interim_answers)
+        return reader_.progress() == protocol::read_progress::body ||
+               reader_.progress() == protocol::read_progress::complete;
+    }
+
+    void take_head()
+    {
+        if (listener_ != nullptr && has_head() && !std::exchange(head_taken_, true))
         {
-            return fail(upstream_failure::invalid);
+            on_head();
         }
-        make_parser();
-        read_header();
     }
 
-    void on_final_header()
+    void on_head()
     {
-        auto const& answer = parser_->get();
-        if (answer.result() == http::status::not_found && open_.mode == stream_mode::resume)
+        protocol::message_head const& head = reader_.head();
+        if (head.status == not_found && open_.mode == stream_mode::resume)
         {
             return fail(upstream_failure::unknown_generation);
         }
-        bool const says_not_run = !is_call() || answer["Plumdale-Not-Run"] == "true";
-        if (answer.result() == http::status::conflict && says_not_run)
+        std::string const* const not_run = head.find("Plumdale-Not-Run");
+        bool const says_not_run = !is_call() || (not_run != nullptr && *not_run == "true");
+        if (head.status == conflict && says_not_run)
         {
             return fail(upstream_failure::refused);
         }
-        if (answer.result() != http::status::ok && !is_call())
+        if (head.status != ok && !is_call())
         {
             return fail(upstream_failure::invalid);
         }
         emit(coordination::upstream_started{open_.stream});
-        if (listener_ != nullptr)
-        {
-            parser_->is_done() ? on_end() : read();
-        }
     }
 
-    void read()
-    {
-        if (paused_)
-        {
-            read_deferred_ = true;
-            return;
-        }
-        parser_->get().body().data = read_buffer_.data();
-        parser_->get().body().size = read_buffer_.size();
-        http::async_read_some(socket_, buffer_, *parser_,
-                              [self = shared_from_this()](error_code error, std::size_t)
-                              { self->on_read(error); });
-    }
-
-    void on_read(error_code error)
+    void take_body()
     {
-        if (listener_ == nullptr)
+        std::string const bytes = head_taken_ ? reader_.take_body() : std::string{};
+        if (listener_ == nullptr || bytes.empty())
         {
             return;
         }
-        if (error == http::error::need_buffer)
-        {
-            error = {};
-        }
-        if (error)
-        {
-            return fail(upstream_failure::broken);
-        }
-        std::size_t const got = read_buffer_.size() - parser_->get().body().size;
-        std::string_view const bytes{read_buffer_.data(), got};
-        if (is_call())
-        {
-            return append_to_call(bytes);
-        }
-        if (!splitter_.append(bytes))
+        bool const is_held = is_call() ? call_body_.append(bytes) : splitter_.append(bytes);
+        if (!is_held)
         {
             return fail(upstream_failure::invalid);
         }
         emit_events();
-        if (listener_ != nullptr)
-        {
-            parser_->is_done() ? on_end() : read();
-        }
-    }
-
-    void append_to_call(std::string_view bytes)
-    {
-        if (!call_body_.append(bytes))
-        {
-            return fail(upstream_failure::invalid);
-        }
-        parser_->is_done() ? on_end() : read();
     }
 
     void emit_events()
@@ -280,9 +259,10 @@
         {
             return fail(upstream_failure::broken);
         }
-        bool const is_success =
-            http::to_status_class(parser_->get().result()) == http::status_class::successful;
-        is_success && parser_->need_eof() ? ask_whether_it_lives() : finish_call();
+        unsigned const status = reader_.head().status;
+        bool const is_success = status >= first_success && status < first_failure;
+        bool const ended_with_connection = reader_.framing() == protocol::body_framing::until_close;
+        is_success&& ended_with_connection ? ask_whether_it_lives() : finish_call();
     }
 
     // A process that is killed within its answer closes the connection in order, too.
@@ -305,7 +285,7 @@
     void finish_call()
     {
         emit(coordination::upstream_token{open_.stream, open_.generation, 0, call_body_.text()});
-        auto const status = static_cast<std::uint16_t>(parser_->get().result_int());
+        auto const status = static_cast<std::uint16_t>(reader_.head().status);
         end(coordination::upstream_finished{open_.stream, open_.generation, 1, status});
     }
 
@@ -339,14 +319,13 @@
     stream_listener listener_;
     std::shared_ptr<answer_memory> answers_held_;
     http::request<http::string_body> request_;
-    std::optional<http::response_parser<http::buffer_body>> parser_;
-    beast::flat_buffer buffer_{max_unparsed_bytes};
+    protocol::answer_reader reader_;
     std::array<char, read_buffer_bytes> read_buffer_{};
     protocol::event_data_splitter splitter_;
     held_answer call_body_{*answers_held_};
     /// \brief The question that is under way, after an answer that ended with its connection.
     std::shared_ptr<service_question> end_question_;
-    std::uint32_t interim_answers_ = 0;
+    bool head_taken_ = false;
     bool paused_ = false;
     bool read_deferred_ = false;
 };
--- a/tests/transport/test_upstream_stream.cpp
+++ b/tests/transport/test_upstream_stream.cpp
@@ -307,6 +307,29 @@
     }
 }
 
+// Guards against an answer whose head has a line that is no field, passed on to a caller; a folded
+// line may change how its body is framed.
+TEST_CASE("a field whose name is none fails the exchange")
+{
+    for (std::string const line : {"Note one: 4", "Note : 4", " Note: 4", "\tNote: 4",
+                                   "No\x01te: 4", "No\x7fte: 4", ": 4", "No(te: 4", "no colon"})
+    {
+        for (std::string const framing :
+             {"Content-Length: 2", "Transfer-Encoding: chunked", "A: b"})
+        {
+            CAPTURE(line, framing);
+            coordination::open_stream call;
+            call.kind = state::work_kind::call;
+            call.path = "/orders";
+            exchange made{"HTTP/1.1 507 Full\r\n" + framing + "\r\n" + line +
+                              "\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                          call};
+            CHECK(made.failure() == upstream_failure::broken);
+            CHECK(made.tokens() == 0);
+        }
+    }
+}
+
 // Guards against an interim answer that is taken for the answer.
 TEST_CASE("an engine's answer follows interim answers, up to a bound")
 {
