Reload soak: callers upload bodies, with a length and in chunks, slowly and in odd pieces

The users' record of lost streams has "(body in chunks)"; whether that is the upload or the answer is not said, and no soak of ours had uploads (hypothesis 3 of the incident of streams stopped and not resumed was open for them).

Change: callers of reloads.py and of its leaving engines draw a body (a third none, a sixth with a length, half in chunks, up to 60 KB, with extensions and trailers, up to a second slow); upstreams check each byte of it, also in a resumption and through a peer. Draws of their own, so that older draws stay.

--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -21,6 +21,7 @@
 from slow_channel import Channel
 from soak import Proxy
 from unkind import Unkindness
+from uploads import body_violations
 
 SERVICE, PREFIX, ENGINES, MIN_STAYING = "departing", "/draft/departing/", 6, 3
 # The allowance of repeats of the users' sites, which no seed uses up.
@@ -152,6 +153,7 @@
             writer.close()
 
     async def handle(self, message, writer):
+        self.record.violations += body_violations(message)
         target = message[0].split(" ")[1]
         if target.startswith("/v1/kv-handle/"):
             handle = target.rsplit("/", 1)[1]
@@ -454,14 +456,14 @@
         vm, prompt = self.random.randint(1, 3), f"{self.random.getrandbits(40):x}:900"
         bytes_per_s = 10 ** self.random.uniform(5.0, 5.5) if self.random.random() < SLOW_SHARE else 1e7
         seen = self.calls[call] = {"vm": vm, "status": None, "whole": False, "body": b"", "sent_at": self.now(), "ended_at": None}
-        channel, loop = Channel((f"{self.fleet.host}.{vm}", 18080), bytes_per_s), asyncio.get_running_loop()
+        channel = Channel((f"{self.fleet.host}.{vm}", 18080), bytes_per_s)
         fields = {"Host": "soak", "Plumdale-Request-Id": call, "Plumdale-Key": "key", "Plumdale-Request-Deadline-Ms": f"{DEADLINE_MS}",
-                  "Plumdale-Token-Usage": "900,900", "Plumdale-Length-Hint": "300", "Plumdale-Prompt-Prefix": prompt, "Content-Length": "0"}
-        text = f"POST {PREFIX}{call} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n"
+                  "Plumdale-Token-Usage": "900,900", "Plumdale-Length-Hint": "300", "Plumdale-Prompt-Prefix": prompt}
+        head = f"POST {PREFIX}{call} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items())
         self.fleet.record.repeats.requested(call, SERVICE)
         try:
             await channel.open()
-            await loop.sock_sendall(channel.socket, text.encode())
+            await self.fleet.uploads.upload(call, head).send(channel.socket)
             await asyncio.wait_for(self.read_answer(channel, seen), DEADLINE_MS / 1_000 + 2)
         except (EOFError, OSError, asyncio.TimeoutError):
             pass
--- a/tests/soak/reloads.py
+++ b/tests/soak/reloads.py
@@ -6,7 +6,7 @@
 at 100 kB/s to 10 MB/s. Settings files are rewritten, also half-written and without a signal; SIGHUPs come one by one and
 many at once; configurations change the idle limit, time-outs and the service of a route; VMs are stopped and started; and
 upstreams do nothing for a second or more. All of it comes in series and overlaps. In odd seeds a VM has no path to
-upstreams, so that its calls go through a peer. Engines of a service of their own leave meanwhile (departures.py). Each call
+upstreams, so that its calls go through a peer. Bodies come with a length or in chunks, also slowly (uploads.py). Engines of a service of their own leave meanwhile (departures.py). Each call
 that was read is owed a whole answer. The last line is `N passed, N failed`; a failed seed prints its violations and the
 folder of its logs, in which `cuts.txt` says why each stream of a leaving engine ended and what became of its memory.
 """
@@ -28,6 +28,7 @@
 from repeats import RepeatCheck, limit_of
 from slow_channel import Channel
 from soak import Fleet, report
+from uploads import UploadDraws, body_violations
 
 # No call of these sound upstreams comes near its route's timeout, which would excuse it.
 GRACE_S, MIN_TIMEOUT_MS, DEADLINE_MS = 8, 15_000, 20_000
@@ -44,6 +45,7 @@
     """Answers all that it takes; a path /event/large/BYTES/ID states the length of its answer."""
 
     async def handle(self, message, writer):
+        self.record.violations += body_violations(message)
         target = message[0].split(" ")[1]
         if not target.startswith("/event/large/"):
             return await super().handle(message, writer)
@@ -66,6 +68,7 @@
         # Calls that a stopping VM refused: one that holds long streams lives to the end of its grace, while no balancer leads
         # these callers elsewhere.
         self.turned_away = set()
+        self.uploads = UploadDraws(seed)
         self.wall_offset_s = time.time() - asyncio.get_running_loop().time()
         self.allow_repeats(*limit_of(seed))
 
@@ -112,14 +115,14 @@
         target, loop = self.draw_target(channel, call), asyncio.get_running_loop()
         self.calls[call] = {"kind": target.split("/")[1], "status": None, "whole": False}
         self.record.repeats.requested(call, "engine" if target.startswith("/draft") else "plain")
-        text = (f"POST {target} HTTP/1.1\r\nHost: soak\r\nPlumdale-Request-Id: {call}\r\nPlumdale-Key: key\r\n"
-                f"Plumdale-Request-Deadline-Ms: {DEADLINE_MS}\r\nPlumdale-Token-Usage: 3000,900\r\n"
-                "Plumdale-Length-Hint: 300\r\nContent-Length: 0\r\n\r\n")
+        upload = self.uploads.upload(call, f"POST {target} HTTP/1.1\r\nHost: soak\r\nPlumdale-Request-Id: {call}\r\nPlumdale-Key: key\r\n"
+                                     f"Plumdale-Request-Deadline-Ms: {DEADLINE_MS}\r\nPlumdale-Token-Usage: 3000,900\r\n"
+                                     "Plumdale-Length-Hint: 300\r\n")
         status, is_whole, sent_at = None, False, loop.time()
         try:
             if channel.is_ended():
                 await channel.open()
-            await loop.sock_sendall(channel.socket, text.encode())
+            await upload.send(channel.socket)
             head = (await channel.take_line(b"\r\n\r\n")).decode("latin-1").lower()
             status = int(head.split(" ")[1])
             await self.read_body(channel, head)
