Restarts: an upstream is asked for as long as generations run there, and may answer late

Callers saw: a stream whose upstream restarted without a sign on its connection stood still until its caller's patience was over, though a backup was held, where the upstream didn't say of its restart within 1.2 s.

Cause: four questions of 300 ms each, in a row; a later answer was closed, a clock nobody chose. They also went on once nothing of this VM ran there.

Why this works: the question is asked again after 0.2 s, twice as long each time, 2 s at most, until an answer or until no tokens of this VM run there; each is listened to for 6 s. As before, any answer ends it: one without a later start says that nothing is proved.

--- a/src/transport/departure_tracker.cpp
+++ b/src/transport/departure_tracker.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -21,8 +23,11 @@
 // Upstreams' reports describe their state of 500 ms ago.
 constexpr std::chrono::milliseconds report_lag{500};
 constexpr std::chrono::milliseconds report_slack{60};
-// Questions whether an upstream restarted: the way to it may be disturbed as well.
-constexpr std::uint32_t max_restart_questions = 4;
+// Between questions whether an upstream restarted: the way to it may be disturbed as well, and a
+// process that answers late is still listened to.
+constexpr std::chrono::milliseconds first_restart_pause{200};
+constexpr std::chrono::milliseconds max_restart_pause{2'000};
+constexpr std::chrono::milliseconds restart_answer_timeout{6'000};
 
 } // namespace
 
@@ -145,41 +150,60 @@
 
 void departure_tracker::ask_restart(state::member_key former)
 {
-    // Only an entry VM with generations at the upstream has anything to decide.
-    if (ledger_.own(former).tokens > 0)
+    if (asked_for_restart_.insert(former).second)
     {
-        ask_restart(former, max_restart_questions);
+        ask_restart(former, first_restart_pause);
     }
 }
 
-void departure_tracker::ask_restart(state::member_key former, std::uint32_t attempts_left)
+void departure_tracker::ask_restart(state::member_key former, std::chrono::milliseconds pause)
 {
-    coordination::directory_entry const* const entry = directory_.find(former);
-    if (entry == nullptr || attempts_left == 0)
+    // Only an entry VM with generations at the upstream has anything to decide.
+    if (directory_.find(former) == nullptr || ledger_.own(former).tokens == 0)
     {
+        asked_for_restart_.erase(former);
         return;
     }
-    state::incarnation const before = entry->info.started;
-    orders_.send(
-        former, dialect_.report_request(), report_timeout,
-        [this, former, before, attempts_left](state::result<fetch_answer> const& answer)
+    send_restart_question(former);
+    auto const timer = std::make_shared<net::steady_timer>(context_, pause);
+    timer->async_wait(
+        [this, former, pause, timer](boost::system::error_code error)
         {
-            auto const proof = restart_proof(answer, before);
-            log_.write(part, "restart asked", {},
-                       {{"member", static_cast<std::int64_t>(former.value)},
-                        {"proof", coordination::to_text(proof ? proof->proof()
-                                                              : coordination::send_proof::none)}});
-            if (proof)
-            {
-                return notify_restart(former, *proof);
-            }
-            if (!answer)
+            if (!error && asked_for_restart_.contains(former))
             {
-                ask_restart(former, attempts_left - 1);
+                ask_restart(former, std::min(2 * pause, max_restart_pause));
             }
         });
 }
 
+void departure_tracker::send_restart_question(state::member_key former)
+{
+    orders_.send(former, dialect_.report_request(), restart_answer_timeout,
+                 [this, former, before = directory_.find(former)->info.started](
+                     state::result<fetch_answer> const& answer)
+                 { on_restart_answer(former, before, answer); });
+}
+
+void departure_tracker::on_restart_answer(state::member_key former, state::incarnation before,
+                                          state::result<fetch_answer> const& answer)
+{
+    auto const proof = restart_proof(answer, before);
+    // The pauses lead to the next question after one that was lost.
+    bool const is_settled = proof || answer;
+    if (!is_settled || asked_for_restart_.erase(former) == 0)
+    {
+        return;
+    }
+    log_.write(part, "restart asked", {},
+               {{"member", static_cast<std::int64_t>(former.value)},
+                {"proof",
+                 coordination::to_text(proof ? proof->proof() : coordination::send_proof::none)}});
+    if (proof)
+    {
+        notify_restart(former, *proof);
+    }
+}
+
 // The upstream's own word, or nobody there to say one.
 std::optional<coordination::run_ended>
 departure_tracker::restart_proof(state::result<fetch_answer> const& answer,
--- a/src/transport/departure_tracker.hpp
+++ b/src/transport/departure_tracker.hpp
@@ -10,7 +10,7 @@
 #include <plumdale/coordination/service_directory.hpp>
 #include <plumdale/protocol/dialect.hpp>
 
-#include <cstdint>
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <unordered_map>
@@ -62,7 +62,8 @@
     /// \brief Notifies calls that an upstream restarted.
     void notify_restart(state::member_key former, coordination::run_ended proof);
     /// \brief Asks an upstream whether it restarted, as an entry says that anybody may have
-    /// written, and notifies calls if it did.
+    /// written, and notifies calls if it did. It is asked until it answers or no generation of this
+    /// VM runs there.
     void ask_restart(state::member_key former);
     /// \brief Notifies calls that nothing more may be sent to a zone's upstreams.
     void notify_evacuation(state::zone_id zone);
@@ -72,7 +73,10 @@
 private:
     void schedule_report_request(state::member_key member);
     void request_report(state::member_key member);
-    void ask_restart(state::member_key former, std::uint32_t attempts_left);
+    void ask_restart(state::member_key former, std::chrono::milliseconds pause);
+    void send_restart_question(state::member_key former);
+    void on_restart_answer(state::member_key former, state::incarnation before,
+                           state::result<fetch_answer> const& answer);
     /// \brief Returns what an upstream's answer proves of the incarnation that started `before`.
     [[nodiscard]] std::optional<coordination::run_ended>
     restart_proof(state::result<fetch_answer> const& answer, state::incarnation before) const;
@@ -89,6 +93,8 @@
     decision_log& log_;
     restart_handler on_restart_;
     std::unordered_map<state::member_key, coordination::departure> departures_;
+    /// \brief Upstreams that are being asked whether they restarted.
+    std::unordered_set<state::member_key> asked_for_restart_;
     std::unordered_set<departure_listener*> listeners_;
 };
 
--- a/tests/platform/running_draft.cpp
+++ b/tests/platform/running_draft.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-constexpr state::incarnation later_incarnation{first_incarnation + 60'000};
-
 } // namespace
 
 running_draft::running_draft(forward_fixture& fixture)
--- a/tests/platform/running_draft.hpp
+++ b/tests/platform/running_draft.hpp
@@ -39,6 +39,8 @@
 
 /// \brief Start of the first upstream; the others started a millisecond after each other.
 inline constexpr std::uint64_t first_incarnation = 1'784'177'000'000;
+/// \brief A start after those of all upstreams.
+inline constexpr state::incarnation later_incarnation{first_incarnation + 60'000};
 /// \brief Lists all upstreams with their starts, as the platform does before a draft begins.
 void announce_incarnations(forward_fixture& fixture);
 /// \brief Lists a later start of an engine, as its own entry or another writer's does.
--- a/tests/platform/test_cut_streams.cpp
+++ b/tests/platform/test_cut_streams.cpp
@@ -1,3 +1,4 @@
+#include "closed_draft.hpp"
 #include "running_draft.hpp"
 
 #include <catch2/catch.hpp>
@@ -16,9 +17,6 @@
 namespace
 {
 
-constexpr std::string_view last_chunk = "0\r\n\r\n";
-constexpr std::string_view stop_order = "\"isLast\":true";
-
 /// \brief Ways in which a stream ends before the draft does.
 std::vector<std::function<void(scripted_connection&)>> cuts()
 {
@@ -31,12 +29,6 @@
             }};
 }
 
-void run_for(forward_fixture& fixture, state::duration time)
-{
-    auto const end = std::chrono::steady_clock::now() + time;
-    fixture.run_until([end] { return std::chrono::steady_clock::now() > end; });
-}
-
 void check_goes_on(forward_fixture& fixture, running_draft const& draft)
 {
     auto const resumed = fixture.upstream_connection("Kv-From: ");
@@ -121,6 +113,65 @@
     fixture.run_until([&] { return draft.has_event(4); });
 }
 
+// Guards against a draft that waits for its caller's patience though its backup is held: its
+// upstream restarted without a sign on the stream, and says so seconds after it was first asked.
+TEST_CASE("an upstream is asked for its restart for as long as drafts run there", "[cut_streams]")
+{
+    forward_fixture fixture;
+    announce_incarnations(fixture);
+    running_draft const draft{fixture};
+    REQUIRE(backup_engine_of(fixture, draft) != nullptr);
+    list_later_start(fixture, *draft.source);
+    run_for(fixture, 3s);
+    REQUIRE(fixture.request_count("Kv-From: ") == 0);
+    request_answers answers{*draft.source};
+    for (auto const& each : draft.source->connections_with(report_question))
+    {
+        answers.skip(each);
+    }
+    fixture.run_until(
+        [&]
+        {
+            answers.send(
+                report_question,
+                answer_text(200, "",
+                            R"({"born":)" + std::to_string(later_incarnation.value) + "}"));
+            return fixture.request_count("Kv-From: ") == 1 || draft.caller->ended;
+        });
+    CHECK(fixture.request_count("Kv-From: ") == 1);
+}
+
+// Guards against an answer that is thrown away as it comes late: a process may be slow.
+TEST_CASE("an upstream may take seconds to say that it restarted", "[cut_streams]")
+{
+    forward_fixture fixture;
+    announce_incarnations(fixture);
+    running_draft const draft{fixture};
+    list_later_start(fixture, *draft.source);
+    auto const question = fixture.upstream_connection(report_question);
+    run_for(fixture, 1'500ms);
+    question->send(
+        answer_text(200, "", R"({"born":)" + std::to_string(later_incarnation.value) + "}"));
+    fixture.run_until([&]
+                      { return fixture.request_count("Kv-From: ") == 1 || draft.caller->ended; });
+    CHECK(fixture.request_count("Kv-From: ") == 1);
+}
+
+// Guards against questions without end to an upstream at which nothing of this VM runs any more.
+TEST_CASE("an upstream isn't asked for its restart once its drafts have ended", "[cut_streams]")
+{
+    forward_fixture fixture;
+    announce_incarnations(fixture);
+    running_draft const draft{fixture};
+    list_later_start(fixture, *draft.source);
+    fixture.run_until([&] { return fixture.request_count(report_question) > 0; });
+    draft.stream->send(event_chunk(4) + std::string{last_chunk});
+    fixture.run_until([&] { return draft.caller->received.ends_with(last_chunk); });
+    std::size_t const asked = fixture.request_count(report_question);
+    run_for(fixture, 3s);
+    CHECK(fixture.request_count(report_question) == asked);
+}
+
 // The upstream of a former run answers its order late. Guards against that answer being taken for
 // the one of the current run's upstream, which works on.
 TEST_CASE("a late answer to the order of a former run proves nothing of the current one",
