Copies: a handle that no field can hold is none, and is escaped in a path

What could happen: a handle goes back in a field of the resumption, maybe to another upstream, and in the path of its release, as its upstream wrote it. One with a line end adds fields to the call, or another request behind the order.

Why this works: a handle has visible ASCII only, as a field's value and HTTP's tokens have, and the path gets it escaped; handles of letters and digits are sent as before.

--- a/tests/platform/test_dialect.cpp
+++ b/tests/platform/test_dialect.cpp
@@ -309,3 +309,24 @@
     CHECK(dialect.read_report(R"({"born":1784177076285})").value().started.value == 1784177076285);
     CHECK(dialect.read_report(R"({"born":"now"})").value().started.value == 0);
 }
+
+// Guards against a field or a request of an upstream's choice in what is sent to other upstreams.
+TEST_CASE("a handle that no field can hold is none", "[dialect]")
+{
+    for (std::string const handle : {"h 1", "h\\r\\nX: y", "h\\u0001", "h\\u007f", "h\\u00e9", ""})
+    {
+        INFO(handle);
+        std::string const body = R"({"handleId":")" + handle + R"(","createdRev":3})";
+        CHECK_FALSE(platform_dialect{}.read_copy_answer(body));
+    }
+    auto const sound = platform_dialect{}.read_copy_answer(R"({"handleId":"h-1","createdRev":3})");
+    REQUIRE(sound);
+    CHECK(sound.value().handle == "h-1");
+}
+
+TEST_CASE("a handle is escaped in the path of its release", "[dialect]")
+{
+    CHECK(platform_dialect{}.copy_release_request("h-1").target == "/v1/kv-handle/h-1");
+    CHECK(platform_dialect{}.copy_release_request("h?a#%/").target ==
+          "/v1/kv-handle/h%3Fa%23%25%2F");
+}
